--- /dev/null
+++ b/limiter/src/cli.rs
@@ -0,0 +1,84 @@
+//! The command line.
+
+use std::ffi::OsString;
+use std::process::ExitCode;
+
+use lexopt::prelude::*;
+
+use crate::config::{Config, ConfigError, Environment};
+use crate::net;
+
+const HELP: &str = "\
+usage: streamarch [COMMAND]
+
+  serve          run the limiter (the default); it is told what it needs by ROUTER_CONFIG, ROUTER_NAME,
+                 ROUTER_LISTEN and ROUTER_DISCOVERY
+  check-config   read and check the configuration, and say what is wrong with it
+  version        print the version
+  help           print this
+
+  --config FILE  the configuration, in place of ROUTER_CONFIG
+";
+
+enum Command {
+    Serve,
+    CheckConfig,
+    Version,
+    Help,
+}
+
+fn parse(args: impl IntoIterator<Item = OsString>) -> Result<(Command, Environment), lexopt::Error> {
+    let mut parser = lexopt::Parser::from_iter(args);
+    let (mut command, mut environment) = (None, Environment::read());
+    while let Some(arg) = parser.next()? {
+        match arg {
+            Long("config") => environment.config = Some(parser.value()?.string()?),
+            Short('h') | Long("help") => command = Some(Command::Help),
+            Short('V') | Long("version") => command = Some(Command::Version),
+            Value(name) if command.is_none() => {
+                command = Some(match name.string()?.as_str() {
+                    "serve" => Command::Serve,
+                    "check-config" => Command::CheckConfig,
+                    "version" => Command::Version,
+                    "help" => Command::Help,
+                    other => return Err(format!("unknown command '{other}'").into()),
+                })
+            }
+            other => return Err(other.unexpected()),
+        }
+    }
+    Ok((command.unwrap_or(Command::Serve), environment))
+}
+
+/// Runs the program with these arguments, the first of which is its name.
+pub fn main(args: impl IntoIterator<Item = OsString>) -> ExitCode {
+    let (command, environment) = match parse(args) {
+        Ok(parsed) => parsed,
+        Err(error) => {
+            eprintln!("streamarch: {error}\n\n{HELP}");
+            return ExitCode::from(2);
+        }
+    };
+    let load = || -> Result<Config, ConfigError> { environment.load() };
+    let done = match command {
+        Command::Help => {
+            print!("{HELP}");
+            Ok(())
+        }
+        Command::Version => {
+            println!("streamarch {}", env!("CARGO_PKG_VERSION"));
+            Ok(())
+        }
+        Command::CheckConfig => load().map(|_| println!("configuration in order")).map_err(|e| e.to_string()),
+        Command::Serve => {
+            load().map_err(|e| e.to_string()).and_then(|config| net::serve(config).map_err(|e| e.to_string()))
+        }
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(text) => {
+            eprintln!("streamarch: {text}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/limiter/src/config.rs
@@ -0,0 +1,347 @@
+//! The only place where configuration is read, checked and given defaults. Errors name the faulty key.
+
+use std::fmt;
+use std::net::SocketAddr;
+
+use millreach::{Class, Group, Micros, Plan, Repeat, Settings};
+use serde_json::Value;
+
+use crate::limits::Limits;
+
+/// What is wrong with the configuration, and where.
+#[derive(Debug)]
+pub enum ConfigError {
+    /// A file cannot be read.
+    Unreadable(String, std::io::Error),
+    /// Text is not JSON.
+    NotJson(serde_json::Error),
+    /// A key is missing, or its value cannot be used.
+    Key {
+        /// The key, with those it lies under.
+        key: String,
+        /// What is wrong with it.
+        fault: String,
+    },
+}
+
+impl fmt::Display for ConfigError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            ConfigError::Unreadable(path, error) => write!(f, "cannot read '{path}': {error}"),
+            ConfigError::NotJson(error) => write!(f, "not JSON: {error}"),
+            ConfigError::Key { key, fault } => write!(f, "key '{key}': {fault}"),
+        }
+    }
+}
+
+impl std::error::Error for ConfigError {}
+
+/// A value of the configuration and the path of keys that leads to it.
+#[derive(Clone)]
+pub(crate) struct Node<'a> {
+    value: &'a Value,
+    path: String,
+}
+
+impl<'a> Node<'a> {
+    pub(crate) fn root(value: &'a Value) -> Node<'a> {
+        Node { value, path: String::new() }
+    }
+
+    pub(crate) fn at(&self, key: &str) -> Node<'a> {
+        let dot = if self.path.is_empty() { "" } else { "." };
+        Node { value: &self.value[key], path: format!("{}{dot}{key}", self.path) }
+    }
+
+    pub(crate) fn fault(&self, fault: &str) -> ConfigError {
+        ConfigError::Key { key: self.path.clone(), fault: fault.to_string() }
+    }
+
+    pub(crate) fn absent(&self) -> bool {
+        self.value.is_null()
+    }
+
+    fn optional<T>(
+        &self,
+        what: &str,
+        read: impl Fn(&'a Value) -> Option<T>,
+    ) -> Result<Option<T>, ConfigError> {
+        if self.absent() {
+            return Ok(None);
+        }
+        read(self.value).map(Some).ok_or_else(|| self.fault(&format!("is {}, not {what}", self.value)))
+    }
+
+    pub(crate) fn number(&self) -> Result<f64, ConfigError> {
+        Ok(self.optional("a number", Value::as_f64)?.unwrap_or(0.0))
+    }
+
+    pub(crate) fn micros(&self) -> Result<Micros, ConfigError> {
+        Ok(self.number()? as Micros)
+    }
+
+    pub(crate) fn count(&self) -> Result<u32, ConfigError> {
+        let whole =
+            |v: &Value| v.as_f64().filter(|n| *n >= 0.0 && *n <= f64::from(u32::MAX)).map(|n| n as u32);
+        Ok(self.optional("a count", whole)?.unwrap_or(0))
+    }
+
+    /// A flag: true or false, or a number other than 0.
+    pub(crate) fn flag(&self) -> Result<bool, ConfigError> {
+        let read = |v: &Value| v.as_bool().or_else(|| v.as_f64().map(|n| n != 0.0));
+        Ok(self.optional("true or false", read)?.unwrap_or(false))
+    }
+
+    pub(crate) fn text(&self) -> Result<Option<&'a str>, ConfigError> {
+        self.optional("a text", Value::as_str)
+    }
+
+    pub(crate) fn need_text(&self) -> Result<&'a str, ConfigError> {
+        self.text()?.ok_or_else(|| self.fault("is missing"))
+    }
+
+    pub(crate) fn list(&self) -> Result<Vec<Node<'a>>, ConfigError> {
+        let items = self.optional("a list", Value::as_array)?.map_or(&[][..], Vec::as_slice);
+        let one = |(n, value)| Node { value, path: format!("{}[{n}]", self.path) };
+        Ok(items.iter().enumerate().map(one).collect())
+    }
+
+    pub(crate) fn address(&self) -> Result<Option<SocketAddr>, ConfigError> {
+        let Some(text) = self.text()? else { return Ok(None) };
+        text.parse().map(Some).map_err(|_| self.fault(&format!("'{text}' is no address with a port")))
+    }
+
+    pub(crate) fn need_address(&self) -> Result<SocketAddr, ConfigError> {
+        self.address()?.ok_or_else(|| self.fault("is missing"))
+    }
+}
+
+fn class(node: &Node) -> Result<Class, ConfigError> {
+    let (group, semantics) = (node.at("Group"), node.at("Semantics"));
+    let group = match group.text()? {
+        Some("zone") => Group::Zone,
+        Some("cell") => Group::Cell,
+        Some("all") | None => Group::All,
+        Some(other) => return Err(group.fault(&format!("unknown group '{other}'"))),
+    };
+    let repeat = match semantics.need_text()? {
+        "retryable" => Repeat::Safe,
+        "dedup" => Repeat::Keyed { group, window: node.at("RepeatWindowUs").micros()? },
+        "fragile" => Repeat::Unsafe,
+        other => return Err(semantics.fault(&format!("unknown semantics '{other}'"))),
+    };
+    Ok(Class {
+        aim: node.at("ObjectiveUs").micros()?,
+        deadline: node.at("GiveUpUs").micros()?,
+        late_worth: node.at("LateValue").number()?,
+        worth: node.at("Value").number()?,
+        repeat,
+        stream: node.at("Stream").flag()?,
+    })
+}
+
+fn plan(node: &Node) -> Result<Plan, ConfigError> {
+    Ok(Plan {
+        rate: node.at("UnitsPerS").number()?,
+        burst: node.at("StoreSize").number()?,
+        most_open: node.at("Open").count()?,
+        price: node.at("WorthFactor").number()?,
+        over_cost: node.at("OverCost").number()?,
+        over_worth: node.at("BeyondEarns").number()?,
+        ceiling_rate: node.at("CeilingRate").number()?,
+        ceiling_burst: node.at("CapDepth").number()?,
+        ceiling_slack: node.at("HardSlack").number()?,
+    })
+}
+
+/// Reads the module's settings; keys that are not known are ignored.
+pub fn settings(value: &Value) -> Result<Settings, ConfigError> {
+    settings_at(&Node::root(value))
+}
+
+/// The same from text.
+pub fn settings_text(text: &str) -> Result<Settings, ConfigError> {
+    settings(&serde_json::from_str(text).map_err(ConfigError::NotJson)?)
+}
+
+fn settings_at(node: &Node) -> Result<Settings, ConfigError> {
+    let (allow, rules, facts) = (node.at("Permissions"), node.at("Rules"), node.at("Specifics"));
+    Ok(Settings {
+        gateways: node.at("Instances").count()?,
+        own_number: node.at("SlotNo").count()?,
+        zone: node.at("Zone").count()?,
+        classes: node.at("Lanes").list()?.iter().map(class).collect::<Result<_, _>>()?,
+        plans: node.at("Tariffs").list()?.iter().map(plan).collect::<Result<_, _>>()?,
+        period: node.at("PeriodUs").micros()?,
+        ask_for_list: node.at("Discovery").text()? == Some("ask"),
+        counter: facts.at("Counter").flag()?,
+        counter_timeout: facts.at("CounterTimeoutUs").micros()?,
+        settles: facts.at("Settles").flag()?,
+        may_cancel: allow.at("Cancelling").flag()?,
+        may_probe: allow.at("Probes").flag()?,
+        second_copies: allow.at("SecondCopies").flag()?,
+        max_attempts: allow.at("MaxAttempts").count()?,
+        retry_after: allow.at("RetryAfter").flag()?,
+        may_tell: allow.at("PeerMessages").flag()?,
+        max_retry_after: allow.at("MaxRetryAfterUs").micros()?,
+        cold_from: rules.at("ColdFrom").number()?,
+        cold_for: rules.at("ColdUs").micros()?,
+        fall_multiple: rules.at("FallMultiple").number()?,
+        fall_window: rules.at("FallUs").micros()?,
+    })
+}
+
+/// Everything that a limiter is told at its start.
+#[derive(Debug)]
+pub struct Config {
+    /// Its name, for the log.
+    pub name: String,
+    /// Where the platform's clients connect.
+    pub listen: SocketAddr,
+    /// Discovery.
+    pub discovery: SocketAddr,
+    /// The counter, if there is one.
+    pub counter: Option<SocketAddr>,
+    /// Where datagrams of other limiters arrive.
+    pub peer_listen: Option<SocketAddr>,
+    /// The limiters of the tier by number.
+    pub peers: Vec<SocketAddr>,
+    /// The list of servers as last held.
+    pub known: Value,
+    /// For random numbers.
+    pub seed: u64,
+    /// The module's settings.
+    pub settings: Settings,
+    /// Names of classes, plans, zones and kinds of machine, by position.
+    pub names: Names,
+    /// Probes bring load reports.
+    pub reports: bool,
+    /// Sizes, counts and times.
+    pub limits: Limits,
+}
+
+/// The names that stand for positions in the settings.
+#[derive(Clone, Debug, Default)]
+pub struct Names {
+    /// Classes.
+    pub classes: Vec<String>,
+    /// Plans.
+    pub plans: Vec<String>,
+    /// Zones.
+    pub zones: Vec<String>,
+    /// Kinds of machine.
+    pub kinds: Vec<String>,
+}
+
+fn names(node: &Node) -> Result<Names, ConfigError> {
+    let named = |key: &str| -> Result<Vec<String>, ConfigError> {
+        node.at(key).list()?.iter().map(|n| n.at("Name").need_text().map(str::to_string)).collect()
+    };
+    let plain = |key: &str| -> Result<Vec<String>, ConfigError> {
+        node.at(key).list()?.iter().map(|n| n.need_text().map(str::to_string)).collect()
+    };
+    Ok(Names {
+        classes: named("Lanes")?,
+        plans: named("Tariffs")?,
+        zones: plain("FailureDomains")?,
+        kinds: plain("Skus")?,
+    })
+}
+
+/// Variables of the environment that stand above the file's keys.
+#[derive(Clone, Debug, Default)]
+pub struct Environment {
+    /// Path of the configuration.
+    pub config: Option<String>,
+    /// The limiter's name.
+    pub name: Option<String>,
+    /// Where clients connect.
+    pub listen: Option<String>,
+    /// Discovery.
+    pub discovery: Option<String>,
+}
+
+impl Environment {
+    /// The variables as they are set.
+    pub fn read() -> Environment {
+        let get = |name: &str| std::env::var(name).ok();
+        Environment {
+            config: get("ROUTER_CONFIG"),
+            name: get("ROUTER_NAME"),
+            listen: get("ROUTER_LISTEN"),
+            discovery: get("ROUTER_DISCOVERY"),
+        }
+    }
+
+    /// Reads and checks the configuration file that is named here.
+    pub fn load(&self) -> Result<Config, ConfigError> {
+        let missing = || ConfigError::Key { key: "ROUTER_CONFIG".into(), fault: "is not set".into() };
+        let path = self.config.clone().ok_or_else(missing)?;
+        let text = std::fs::read_to_string(&path).map_err(|e| ConfigError::Unreadable(path, e))?;
+        self.parse(&text)
+    }
+
+    /// Checks the text of a configuration and fills in what it leaves out.
+    pub fn parse(&self, text: &str) -> Result<Config, ConfigError> {
+        let value: Value = serde_json::from_str(text).map_err(ConfigError::NotJson)?;
+        let node = Node::root(&value);
+        let over = |variable: &Option<String>, name: &str, key: Node| match variable {
+            Some(text) => text.parse().map_err(|_| ConfigError::Key {
+                key: name.to_string(),
+                fault: format!("'{text}' is no address with a port"),
+            }),
+            None => key.need_address(),
+        };
+        let settings_node = node.at("settings");
+        if settings_node.absent() {
+            return Err(settings_node.fault("is missing"));
+        }
+        let settings = settings_at(&settings_node)?;
+        for key in ["Lanes", "Tariffs"] {
+            if settings_node.at(key).list()?.is_empty() {
+                return Err(settings_node.at(key).fault("is empty"));
+            }
+        }
+        let seed_node = node.at("seed");
+        let seed = seed_node.text()?.unwrap_or("1");
+        let seed = u64::from_str_radix(seed, 16).map_err(|_| seed_node.fault("is not a number in hex"))?;
+        let peers: Result<Vec<_>, _> = node.at("peers").list()?.iter().map(Node::need_address).collect();
+        Ok(Config {
+            name: self.name.clone().or(node.at("name").text()?.map(str::to_string)).unwrap_or_default(),
+            listen: over(&self.listen, "ROUTER_LISTEN", node.at("listen"))?,
+            discovery: over(&self.discovery, "ROUTER_DISCOVERY", node.at("discovery"))?,
+            counter: node.at("counter").address()?,
+            peer_listen: node.at("peer_listen").address()?,
+            peers: peers?,
+            known: value["known"].clone(),
+            seed,
+            names: names(&settings_node)?,
+            reports: settings_node.at("Report").at("How").text()?.is_some_and(|how| how != "none"),
+            limits: limits(&node, &settings_node)?,
+            settings,
+        })
+    }
+}
+
+/// The defaults, drawn in by what the settings and the machine allow.
+fn limits(node: &Node, settings: &Node) -> Result<Limits, ConfigError> {
+    let defaults = Limits::default();
+    let (allow, facts) = (settings.at("Permissions"), settings.at("Specifics"));
+    let or = |value: Micros, default: Micros| if value > 0 { value } else { default };
+    let sockets = node.at("limits").at("sockets").count()? as usize;
+    // What is neither a client's nor a server's connection: standard streams, loop, timers, listeners, counter,
+    // watch, datagrams, and some to spare.
+    let spare = 100;
+    let share = if sockets == 0 { usize::MAX } else { (sockets.saturating_sub(spare) / 2).max(8) };
+    let most_units = facts.at("MostUnits").number()?;
+    Ok(Limits {
+        acquirer_connections: defaults.acquirer_connections.min(share),
+        leg_connections: defaults.leg_connections.min(share),
+        held: or(Micros::from(allow.at("MostHeld").count()?), defaults.held as Micros) as usize,
+        most_units: if most_units > 0.0 { (most_units * 1_000.0) as u64 } else { defaults.most_units },
+        connect: or(allow.at("ConnectTimeoutUs").micros()?, defaults.connect),
+        leg_idle: defaults.leg_idle.min(or(allow.at("ConnIdleUs").micros()?, 15_000_000) * 6 / 10),
+        counter_wait: or(facts.at("CounterTimeoutUs").micros()?, defaults.counter_wait),
+        ..defaults
+    })
+}
--- /dev/null
+++ b/limiter/src/counter.rs
@@ -0,0 +1,138 @@
+//! Calls to the counter, pipelined on a few connections. Answers come in the order of the calls of a connection;
+//! the calls of one name always go on the same one.
+
+use std::collections::VecDeque;
+use std::io::Write;
+
+use millreach::{CounterName, Micros, Outcome};
+
+use crate::net::framing::Answer;
+use crate::slots::ConnectionKey;
+
+/// A call that is not matched off yet.
+#[derive(Debug)]
+struct Call {
+    name: CounterName,
+    add: f64,
+    life: Micros,
+    deadline: Micros,
+    /// Its outcome has been given; what still comes for it is only matched off.
+    given: bool,
+}
+
+/// What came of a call.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Counted {
+    /// The number.
+    pub name: CounterName,
+    /// How the call ended.
+    pub outcome: Outcome,
+    /// The total, where it succeeded.
+    pub total: f64,
+}
+
+/// One connection's calls.
+#[derive(Debug, Default)]
+pub struct Line {
+    /// The connection, if there is one.
+    pub connection: Option<ConnectionKey>,
+    up: bool,
+    /// Calls not written, and written ones whose answers are to come.
+    unsent: VecDeque<Call>,
+    waiting: VecDeque<Call>,
+    /// When something last went out or came in.
+    used: Micros,
+}
+
+impl Line {
+    /// Enters a call.
+    pub fn call(&mut self, name: CounterName, add: f64, life: Micros, deadline: Micros) {
+        self.unsent.push_back(Call { name, add, life, deadline, given: false });
+    }
+
+    /// The connection is up.
+    pub fn connected(&mut self, now: Micros) {
+        (self.up, self.used) = (true, now);
+    }
+
+    /// Writes what may be written.
+    pub fn write(&mut self, now: Micros, host: &str, out: &mut Vec<u8>) {
+        if !self.up {
+            return;
+        }
+        while let Some(call) = self.unsent.pop_front() {
+            self.used = now;
+            let life = (call.life / 1_000).max(1);
+            // Writing to a vector cannot fail.
+            let _ = write!(
+                out,
+                "POST /v2/numbers/{}?delta={}&life_ms={life} HTTP/1.1\r\nHost: {host}\r\nContent-Length: 0\r\n\r\n",
+                call.name.0, call.add
+            );
+            self.waiting.push_back(call);
+        }
+    }
+
+    /// Nothing is out and nothing was for so long that the counter may be closing the connection just now.
+    pub fn rested(&self, before: Micros) -> bool {
+        self.up && self.waiting.is_empty() && self.used <= before
+    }
+
+    /// Calls are out, and nothing at all has come for them since `before`.
+    pub fn stale(&self, before: Micros) -> bool {
+        self.up && self.waiting.front().is_some_and(|call| call.given) && self.used <= before
+    }
+
+    /// An answer came: it belongs to the earliest call written. None if that one's outcome was given before,
+    /// or if nothing was asked.
+    pub fn answered(&mut self, now: Micros, answer: &Answer) -> Option<Counted> {
+        self.used = now;
+        let call = self.waiting.pop_front()?;
+        // Guards the order: a late answer is matched off to its own call and told to nobody.
+        if call.given {
+            return None;
+        }
+        let text = std::str::from_utf8(&answer.body).ok();
+        let total = text.and_then(|t| t.trim().parse::<f64>().ok()).filter(|t| t.is_finite());
+        let (outcome, total) = match (answer.status, total) {
+            (200, Some(total)) => (Outcome::Ok, total),
+            // It was added, but what the total is remains unknown.
+            (200, None) => (Outcome::TimedOut, 0.0),
+            (503, _) => (Outcome::Full, 0.0),
+            _ => (Outcome::Error, 0.0),
+        };
+        Some(Counted { name: call.name, outcome, total })
+    }
+
+    /// Gives the outcomes of calls whose time is up. One that was never written is withdrawn: nothing is added.
+    pub fn expire(&mut self, now: Micros, counted: &mut Vec<Counted>) {
+        for call in self.waiting.iter_mut().filter(|call| !call.given && call.deadline <= now) {
+            call.given = true;
+            counted.push(Counted { name: call.name, outcome: Outcome::TimedOut, total: 0.0 });
+        }
+        self.unsent.retain(|call| {
+            let due = call.deadline <= now;
+            if due {
+                counted.push(Counted { name: call.name, outcome: Outcome::ConnectFailed, total: 0.0 });
+            }
+            !due
+        });
+    }
+
+    /// The connection is gone. What was written may have been added; what was not never will be.
+    pub fn broken(&mut self, counted: &mut Vec<Counted>) {
+        (self.connection, self.up) = (None, false);
+        let written = self.waiting.drain(..).filter(|call| !call.given);
+        counted.extend(written.map(|call| Counted {
+            name: call.name,
+            outcome: Outcome::TimedOut,
+            total: 0.0,
+        }));
+        let unsent = self.unsent.drain(..);
+        counted.extend(unsent.map(|call| Counted {
+            name: call.name,
+            outcome: Outcome::ConnectFailed,
+            total: 0.0,
+        }));
+    }
+}
--- /dev/null
+++ b/limiter/src/deadlines.rs
@@ -0,0 +1,55 @@
+//! One ordered structure for all deadlines. Deadlines are absolute times on the host's clock.
+
+use std::collections::BTreeMap;
+
+use millreach::Micros;
+
+/// What falls due when, in order of time and then of entry.
+#[derive(Debug)]
+pub struct Deadlines<T> {
+    entries: BTreeMap<(Micros, u64), T>,
+    next: u64,
+}
+
+impl<T> Default for Deadlines<T> {
+    fn default() -> Deadlines<T> {
+        Deadlines { entries: BTreeMap::new(), next: 0 }
+    }
+}
+
+impl<T> Deadlines<T> {
+    /// Enters something due at `at`. An entry that has lost its sense is ignored by who takes it.
+    pub fn enter(&mut self, at: Micros, what: T) {
+        self.entries.insert((at, self.next), what);
+        self.next += 1;
+    }
+
+    /// The earliest deadline.
+    pub fn earliest(&self) -> Option<Micros> {
+        self.entries.first_key_value().map(|((at, _), _)| *at)
+    }
+
+    /// Takes the earliest entry that is due at `now`.
+    pub fn take_due(&mut self, now: Micros) -> Option<T> {
+        let entry = self.entries.first_entry().filter(|e| e.key().0 <= now)?;
+        Some(entry.remove())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn entries_come_out_in_order_of_time_and_never_early() {
+        let mut deadlines = Deadlines::default();
+        for (at, what) in [(30, 'c'), (10, 'a'), (30, 'd'), (20, 'b')] {
+            deadlines.enter(at, what);
+        }
+        assert_eq!(deadlines.earliest(), Some(10));
+        assert_eq!(deadlines.take_due(9), None);
+        let due: Vec<char> = std::iter::from_fn(|| deadlines.take_due(30)).collect();
+        assert_eq!(due, ['a', 'b', 'c', 'd']);
+        assert_eq!(deadlines.earliest(), None);
+    }
+}
--- /dev/null
+++ b/limiter/src/engine.rs
@@ -0,0 +1,399 @@
+//! Hosts the decision module. It knows authorisations, legs and outcomes, and no wire.
+//!
+//! A front hands in an [`Authorisation`]; the host carries out the [`Order`]s and reports what came of them. The
+//! engine holds the invariants whatever the module or the host does: one final answer for each authorisation,
+//! never two legs of one out, no leg after the end.
+
+use std::fmt;
+
+use millreach::{
+    Action, AttemptEnd, Balancer, CounterName, CustomerId, Event, ListKind, LoadReport, Micros, Outcome,
+    OverNotice, Request, RequestId, ServerEntry, ServerId, Settings,
+};
+
+use crate::slots::{AuthorisationKey, Key, SlotMap};
+
+/// What a front asks for on behalf of a client.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Authorisation {
+    /// Position of its class in the settings.
+    pub class: usize,
+    /// Position of its plan in the settings.
+    pub plan: usize,
+    /// Whose it is.
+    pub customer: CustomerId,
+    /// The final answer is due by then.
+    pub deadline: Micros,
+    /// Units it takes from the quota.
+    pub units: f64,
+    /// Number of limiters in the customer's set...
+    pub spread: u32,
+    /// ...and the first of them.
+    pub first: u32,
+    /// A client's repeat, where clients say so.
+    pub again: bool,
+    /// What the client showed is good until then; no leg starts later.
+    pub valid_until: Option<Micros>,
+}
+
+/// The final answer, where no server's answer is it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// Declined: trying again is harmless.
+    Declined {
+        /// How long the client had better stay away; 0 for no advice.
+        stay_away: Micros,
+        /// For its quota, not for want of a server.
+        over_quota: bool,
+    },
+    /// Failed; promises nothing.
+    Failed,
+    /// What the client showed ran out before a leg could start.
+    Expired {
+        /// An earlier leg may have run.
+        may_have_run: bool,
+    },
+}
+
+/// What the host is to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Order {
+    /// Send a leg to a server; report its end with [`Engine::leg_ended`].
+    StartLeg {
+        /// The authorisation.
+        key: AuthorisationKey,
+        /// Number of the leg, from 0.
+        leg: u32,
+        /// Where to.
+        server: ServerId,
+        /// Its outcome is due by then.
+        deadline: Micros,
+    },
+    /// Close the connection of a leg; its end is already known here.
+    StopLeg {
+        /// The authorisation.
+        key: AuthorisationKey,
+        /// Number of the leg.
+        leg: u32,
+    },
+    /// Give the final answer.
+    Answer {
+        /// The authorisation.
+        key: AuthorisationKey,
+        /// How it ends.
+        ending: Ending,
+    },
+    /// Add to a number of the counter; report with [`Engine::counted`].
+    Count {
+        /// The number.
+        name: CounterName,
+        /// What to add.
+        add: f64,
+        /// Life of a new name.
+        life: Micros,
+    },
+    /// Probe a server; report with [`Engine::probe_ended`].
+    Probe(ServerId),
+    /// Tell the limiter of this number.
+    Tell(u32, OverNotice),
+    /// A line for the log.
+    Log(String),
+}
+
+/// What a host did that it must not do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Misuse {
+    /// More authorisations than may be held.
+    Full,
+}
+
+impl fmt::Display for Misuse {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Misuse::Full => f.write_str("too many authorisations held"),
+        }
+    }
+}
+
+impl std::error::Error for Misuse {}
+
+/// A leg that is out.
+#[derive(Clone, Copy, Debug)]
+struct Out {
+    leg: u32,
+    server: ServerId,
+    sent: Micros,
+}
+
+#[derive(Debug)]
+struct Held {
+    authorisation: Authorisation,
+    legs: u32,
+    out: Option<Out>,
+    may_have_run: bool,
+    done: bool,
+}
+
+/// The engine: the module, its requests and what holds whatever it decides.
+pub struct Engine {
+    balancer: Balancer,
+    held: SlotMap<AuthorisationKey, Held>,
+    most_held: usize,
+    max_legs: u32,
+    period: Micros,
+    handled: Option<Micros>,
+    wake: Option<Micros>,
+    events: Vec<Event>,
+    actions: Vec<Action>,
+    open: usize,
+}
+
+fn id(key: AuthorisationKey) -> RequestId {
+    RequestId(key.data().as_ffi())
+}
+
+fn key(id: RequestId) -> AuthorisationKey {
+    AuthorisationKey::from(slotmap::KeyData::from_ffi(id.0))
+}
+
+impl Engine {
+    /// An engine that knows nothing but its settings; `most_held` bounds its table.
+    pub fn new(settings: Settings, seed: u64, most_held: usize) -> Engine {
+        let (period, max_legs) = (settings.period.max(1), settings.max_attempts.max(1));
+        Engine {
+            balancer: Balancer::new(settings, seed),
+            held: SlotMap::with_key(),
+            most_held,
+            max_legs,
+            period,
+            handled: None,
+            wake: None,
+            events: Vec::new(),
+            actions: Vec::new(),
+            open: 0,
+        }
+    }
+
+    /// Authorisations whose final answer is owed.
+    pub fn open(&self) -> usize {
+        self.open
+    }
+
+    /// When the final answer of an authorisation is due, while it is held.
+    pub fn deadline(&self, key: AuthorisationKey) -> Option<Micros> {
+        self.held.get(key).map(|held| held.authorisation.deadline)
+    }
+
+    /// Takes an authorisation; from now on one final answer is owed.
+    pub fn take(&mut self, authorisation: Authorisation) -> Result<AuthorisationKey, Misuse> {
+        if self.held.len() >= self.most_held {
+            return Err(Misuse::Full);
+        }
+        let held = Held {
+            authorisation: authorisation.clone(),
+            legs: 0,
+            out: None,
+            may_have_run: false,
+            done: false,
+        };
+        let key = self.held.insert(held);
+        self.open += 1;
+        self.events.push(Event::Request(Request {
+            id: id(key),
+            class: authorisation.class,
+            plan: authorisation.plan,
+            customer: authorisation.customer,
+            deadline: authorisation.deadline,
+            units: authorisation.units,
+            spread: authorisation.spread,
+            first: authorisation.first,
+            again: authorisation.again,
+        }));
+        Ok(key)
+    }
+
+    /// A leg ended. True if its answer is the final answer, to be passed on now.
+    pub fn leg_ended(
+        &mut self,
+        now: Micros,
+        key: AuthorisationKey,
+        leg: u32,
+        outcome: Outcome,
+        report: Option<LoadReport>,
+    ) -> bool {
+        let Some(held) = self.held.get_mut(key) else { return false };
+        let Some(out) = held.out.take_if(|out| out.leg == leg) else { return false };
+        let answers = outcome == Outcome::Ok && !held.done;
+        held.done |= answers;
+        held.may_have_run |= !matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot);
+        let finished = held.done;
+        if finished {
+            self.held.remove(key);
+        }
+        self.open -= usize::from(answers);
+        self.events.push(Event::AttemptEnd(AttemptEnd {
+            request: id(key),
+            attempt: leg,
+            server: out.server,
+            outcome,
+            took: now - out.sent,
+            finished,
+            actual_units: None,
+            report,
+        }));
+        answers
+    }
+
+    /// The client left: nothing is owed any more, and a leg that is out is stopped.
+    pub fn client_left(&mut self, now: Micros, key: AuthorisationKey, orders: &mut Vec<Order>) {
+        if self.end(key) {
+            self.events.push(Event::ClientLeft(id(key)));
+            self.stop_leg(now, key, orders);
+        }
+    }
+
+    /// The counter answered, or failed to.
+    pub fn counted(&mut self, name: CounterName, outcome: Outcome, total: f64) {
+        self.events.push(Event::Counted { name, outcome, total });
+    }
+
+    /// A probe ended.
+    pub fn probe_ended(&mut self, server: ServerId, outcome: Outcome, report: Option<LoadReport>) {
+        self.events.push(Event::ProbeEnd { server, outcome, report });
+    }
+
+    /// News of the routing table.
+    pub fn listed(&mut self, kind: ListKind, entries: Vec<ServerEntry>) {
+        self.events.push(Event::ServerList { kind, entries });
+    }
+
+    /// Another limiter told this.
+    pub fn told(&mut self, notice: OverNotice) {
+        self.events.push(Event::Told(notice));
+    }
+
+    /// When [`Engine::handle`] has something to do next; the module is not called more often than its period.
+    pub fn next(&self) -> Option<Micros> {
+        let earliest = self.handled.map_or(Micros::MIN, |at| at + self.period);
+        let wanted = if self.events.is_empty() { self.wake } else { Some(Micros::MIN) };
+        wanted.map(|at| at.max(earliest))
+    }
+
+    /// Lets the module decide on what has come in, if its period is over.
+    pub fn handle(&mut self, now: Micros, orders: &mut Vec<Order>) {
+        if self.next().is_none_or(|at| at > now) {
+            return;
+        }
+        if self.wake.is_some_and(|at| at <= now) {
+            self.wake = None;
+            self.events.push(Event::Timer);
+        }
+        self.handled = Some(now);
+        let mut actions = std::mem::take(&mut self.actions);
+        let mut events = std::mem::take(&mut self.events);
+        self.balancer.handle(now, &events, &mut actions);
+        events.clear();
+        self.events = events;
+        for action in actions.drain(..) {
+            self.carry_out(now, action, orders);
+        }
+        self.actions = actions;
+    }
+
+    fn carry_out(&mut self, now: Micros, action: Action, orders: &mut Vec<Order>) {
+        match action {
+            Action::Send { request, server, timeout } => {
+                self.send(now, key(request), server, timeout, orders)
+            }
+            Action::Shed { request, stay_away, over_quota } => {
+                self.answer(now, key(request), Ending::Declined { stay_away, over_quota }, orders)
+            }
+            Action::Fail(request) => self.answer(now, key(request), Ending::Failed, orders),
+            Action::Cancel { request, attempt } => {
+                let key = key(request);
+                if self.held.get(key).and_then(|h| h.out).is_some_and(|out| out.leg == attempt) {
+                    orders.push(Order::StopLeg { key, leg: attempt });
+                    self.leg_ended(now, key, attempt, Outcome::Cancelled, None);
+                }
+            }
+            Action::Count { name, add, expires } => orders.push(Order::Count { name, add, life: expires }),
+            Action::Tell(limiter, notice) => orders.push(Order::Tell(limiter, notice)),
+            Action::Probe(server) => orders.push(Order::Probe(server)),
+            // The host watches the list from its start, whether the module asks for it or not.
+            Action::WatchList => {}
+            Action::WakeAt(at) => self.wake = Some(self.wake.map_or(at, |w| w.min(at))),
+            Action::Log(text) => orders.push(Order::Log(text)),
+        }
+    }
+
+    fn send(
+        &mut self,
+        now: Micros,
+        key: AuthorisationKey,
+        server: ServerId,
+        timeout: Micros,
+        orders: &mut Vec<Order>,
+    ) {
+        // The slot of an authorisation that ended in this batch is gone: the module learns by its end.
+        let Some(held) = self.held.get_mut(key) else { return };
+        let leg = held.legs;
+        held.legs += 1;
+        // Guards rule 2: never two legs out, none after the end, whatever asks for them.
+        if held.out.is_some() || held.done {
+            let end = AttemptEnd {
+                request: id(key),
+                attempt: leg,
+                server,
+                outcome: Outcome::Moot,
+                took: 0,
+                finished: held.done,
+                actual_units: None,
+                report: None,
+            };
+            self.events.push(Event::AttemptEnd(end));
+            return;
+        }
+        let expired = held.authorisation.valid_until.is_some_and(|until| until <= now);
+        held.out = Some(Out { leg, server, sent: now });
+        // Guards the sign-off whose token runs out between try and retry: it is not sent again.
+        if expired {
+            let may_have_run = held.may_have_run;
+            self.leg_ended(now, key, leg, Outcome::Moot, None);
+            return self.answer(now, key, Ending::Expired { may_have_run }, orders);
+        }
+        if leg >= self.max_legs || held.authorisation.deadline <= now {
+            self.leg_ended(now, key, leg, Outcome::Moot, None);
+            return;
+        }
+        let given = if timeout == 0 { Micros::MAX } else { now.saturating_add(timeout.max(0)) };
+        let deadline = held.authorisation.deadline.min(given);
+        orders.push(Order::StartLeg { key, leg, server, deadline });
+    }
+
+    /// Marks the end; true if it had not ended before.
+    fn end(&mut self, key: AuthorisationKey) -> bool {
+        let Some(held) = self.held.get_mut(key).filter(|h| !h.done) else { return false };
+        held.done = true;
+        self.open -= 1;
+        if held.out.is_none() {
+            self.held.remove(key);
+        }
+        true
+    }
+
+    fn answer(&mut self, now: Micros, key: AuthorisationKey, ending: Ending, orders: &mut Vec<Order>) {
+        // Guards rule 1: the second of two final answers goes nowhere.
+        if self.end(key) {
+            orders.push(Order::Answer { key, ending });
+            self.stop_leg(now, key, orders);
+        }
+    }
+
+    /// A leg of what is over is work for nobody.
+    fn stop_leg(&mut self, now: Micros, key: AuthorisationKey, orders: &mut Vec<Order>) {
+        if let Some(leg) = self.held.get(key).and_then(|h| h.out).map(|out| out.leg) {
+            orders.push(Order::StopLeg { key, leg });
+            self.leg_ended(now, key, leg, Outcome::Cancelled, None);
+        }
+    }
+}
--- /dev/null
+++ b/limiter/src/front/mod.rs
@@ -0,0 +1,44 @@
+//! Fronts: they parse, map and answer, and decide nothing.
+
+pub mod platform;
+
+use crate::net::framing::Request;
+
+/// What a leg of an authorisation carries to a server.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Forward {
+    /// Request line and header lines, without the line of the remaining time and the closing empty line.
+    pub head: Vec<u8>,
+    /// The body, unchanged.
+    pub body: Vec<u8>,
+}
+
+impl Forward {
+    /// What goes on of a request: line, the lines that servers need, body.
+    pub fn of(request: &Request) -> Forward {
+        let mut head = format!("{} {} HTTP/1.1\r\nHost: backend.local\r\n", request.method, request.target);
+        for name in ["X-Trace-Id", "X-Qos", "Idempotency-Key", "Content-Type"] {
+            if let Some(value) = request.headers.get(name) {
+                head.push_str(&format!("{name}: {value}\r\n"));
+            }
+        }
+        if request.method != "GET" || !request.body.is_empty() {
+            head.push_str(&format!("Content-Length: {}\r\n", request.body.len()));
+        }
+        Forward { head: head.into_bytes(), body: request.body.clone() }
+    }
+}
+
+/// An answer that a front gives on its own, without the engine.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Rejection {
+    /// The status.
+    pub status: u16,
+    /// What is wrong, in a few words.
+    pub text: &'static str,
+}
+
+/// A rejection with this status.
+pub fn reject(status: u16, text: &'static str) -> Rejection {
+    Rejection { status, text }
+}
--- /dev/null
+++ b/limiter/src/front/platform.rs
@@ -0,0 +1,140 @@
+//! The platform's protocol: thin. A request's headers become an authorisation, an ending becomes a status.
+
+use millreach::{Class, CustomerId, Micros, Repeat};
+
+use crate::config::Names;
+use crate::engine::{Authorisation, Ending};
+use crate::front::{Rejection, reject};
+use crate::limits::Limits;
+use crate::net::framing::Request;
+
+/// Customers are numbers below this.
+const CUSTOMERS: u64 = 1 << 33;
+/// Longest time that a client may say it waits, in seconds.
+const LONGEST_WAIT: f64 = 3_600.0;
+
+/// What the front knows of the deployment.
+#[derive(Clone, Debug)]
+pub struct Platform {
+    /// Names of classes and plans.
+    pub names: Names,
+    /// The classes.
+    pub classes: Vec<Class>,
+    /// Number of limiters.
+    pub limiters: u32,
+}
+
+fn number(text: &str) -> Option<f64> {
+    // Guards against what Rust's parser takes beside plain decimals: signs, exponents, "inf" and "nan".
+    let plain = !text.is_empty() && text.len() <= 20 && text.bytes().all(|b| b.is_ascii_digit() || b == b'.');
+    text.parse::<f64>().ok().filter(|n| plain && n.is_finite())
+}
+
+/// A request's parts that both fronts read alike: class and time.
+pub struct Basics {
+    /// Position of the class.
+    pub class: usize,
+    /// When the final answer is due.
+    pub deadline: Micros,
+    /// A client's repeat.
+    pub again: bool,
+}
+
+impl Platform {
+    /// Reads class, method, key, id and time. `now`: when the last byte came.
+    pub fn basics(&self, request: &Request, limits: &Limits, now: Micros) -> Result<Basics, Rejection> {
+        let headers = &request.headers;
+        let path = request.target.split('?').next().unwrap_or_default();
+        let name = path.strip_prefix('/').unwrap_or_default().split('/').next().unwrap_or_default();
+        let class = self.names.classes.iter().position(|c| c == name).ok_or(reject(404, "no such class"))?;
+        if headers.has("X-Qos") && headers.get("X-Qos") != Some(name) {
+            return Err(reject(400, "X-Qos is not the path's class"));
+        }
+        let trace = headers.get("X-Trace-Id").filter(|t| !t.is_empty() && t.len() <= 128);
+        trace.ok_or(reject(400, "X-Trace-Id"))?;
+        let safe = self.classes.get(class).is_some_and(|c| c.repeat == Repeat::Safe);
+        let keyed = self.classes.get(class).is_some_and(|c| matches!(c.repeat, Repeat::Keyed { .. }));
+        if request.method != if safe { "GET" } else { "POST" } {
+            return Err(reject(400, "the class has another method"));
+        }
+        if safe && !request.body.is_empty() {
+            return Err(reject(400, "a request that is safe to repeat has no body"));
+        }
+        if keyed && headers.get("Idempotency-Key").is_none_or(|k| k.is_empty() || k.len() > 256) {
+            return Err(reject(400, "Idempotency-Key"));
+        }
+        let wait = headers.get("X-Expires-In").and_then(number).filter(|s| *s > 0.0 && *s <= LONGEST_WAIT);
+        let wait = (wait.ok_or(reject(400, "X-Expires-In"))? * 1e6) as Micros;
+        // Guards rule 1: the client's time began at its send, and the final answer needs time on its way back.
+        let deadline = now + wait - limits.answer_margin.min(wait / 2);
+        Ok(Basics { class, deadline, again: headers.get("X-Second-Try") == Some("1") })
+    }
+
+    /// Reads a whole request.
+    pub fn read(&self, request: &Request, limits: &Limits, now: Micros) -> Result<Authorisation, Rejection> {
+        let basics = self.basics(request, limits, now)?;
+        let headers = &request.headers;
+        headers.get("X-Qos").ok_or(reject(400, "X-Qos"))?;
+        let plan = headers.get("X-Tier").and_then(|name| self.names.plans.iter().position(|p| p == name));
+        let plan = plan.ok_or(reject(400, "X-Tier"))?;
+        let (units, spread, first) = self.terms(headers.get("X-Call-Terms"), limits)?;
+        Ok(Authorisation {
+            class: basics.class,
+            plan,
+            customer: account(&request.target).ok_or(reject(400, "account"))?,
+            deadline: basics.deadline,
+            units,
+            spread,
+            first,
+            again: basics.again,
+            valid_until: None,
+        })
+    }
+
+    /// Reads `units=2,spread=3,first=1`; each once, others ignored.
+    pub fn terms(&self, text: Option<&str>, limits: &Limits) -> Result<(f64, u32, u32), Rejection> {
+        let bad = reject(400, "X-Call-Terms");
+        let text = text.ok_or(bad.clone())?;
+        let (mut units, mut spread, mut first) = (None, None, None);
+        for part in text.split(',') {
+            let (name, value) = part.trim().split_once('=').ok_or(bad.clone())?;
+            let field = match name {
+                "units" => &mut units,
+                "spread" => &mut spread,
+                "first" => &mut first,
+                _ => continue,
+            };
+            let number = number(value).ok_or(bad.clone())?;
+            if field.replace(number).is_some() {
+                return Err(bad);
+            }
+        }
+        let (Some(units), Some(spread), Some(first)) = (units, spread, first) else { return Err(bad) };
+        let most = f64::from(self.limiters.max(1));
+        let whole = spread.fract() == 0.0 && first.fract() == 0.0;
+        let set = whole && (1.0..=most).contains(&spread) && (0.0..most).contains(&first);
+        let fits = units > 0.0 && units * 1_000.0 <= limits.most_units as f64;
+        if set && fits { Ok((units, spread as u32, first as u32)) } else { Err(bad) }
+    }
+}
+
+/// The customer in the query: `account`, once, 16 hex digits.
+fn account(target: &str) -> Option<CustomerId> {
+    let (_, query) = target.split_once('?')?;
+    let mut named = query.split('&').filter_map(|part| part.strip_prefix("account="));
+    let (text, None) = (named.next()?, named.next()) else { return None };
+    let plain = text.len() == 16 && text.bytes().all(|b| b.is_ascii_hexdigit());
+    let number = u64::from_str_radix(text, 16).ok()?;
+    (plain && number < CUSTOMERS).then_some(CustomerId(number))
+}
+
+/// The status of an ending, and how long the client had better stay away.
+pub fn status(ending: Ending) -> (u16, Micros) {
+    match ending {
+        Ending::Declined { stay_away, over_quota: true } => (429, stay_away),
+        Ending::Declined { stay_away, over_quota: false } => (503, stay_away),
+        Ending::Failed => (504, 0),
+        Ending::Expired { may_have_run: false } => (401, 0),
+        Ending::Expired { may_have_run: true } => (504, 0),
+    }
+}
--- /dev/null
+++ b/limiter/src/legs.rs
@@ -0,0 +1,179 @@
+//! The pool of connections to servers: one authorisation or probe at a time on each, idle ones kept for a while.
+//!
+//! [`LegState`] is what becomes of one connection, without any input or output.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use millreach::{Micros, Outcome, ServerId};
+
+use crate::net::framing::Answer;
+use crate::slots::{AuthorisationKey, ConnectionKey};
+
+/// What a connection to a server is used for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Errand {
+    /// A leg of an authorisation.
+    Leg(AuthorisationKey, u32),
+    /// A probe.
+    Probe,
+}
+
+/// Where a connection to a server stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LegState {
+    /// Not up yet; nothing has been written.
+    Connecting(Errand),
+    /// Up, the request not written whole yet.
+    Sending(Errand),
+    /// The request's last byte is written.
+    Awaiting(Errand),
+    /// Nothing is out on it.
+    Idle,
+}
+
+impl LegState {
+    /// What it is used for.
+    pub fn errand(self) -> Option<Errand> {
+        match self {
+            LegState::Connecting(errand) | LegState::Sending(errand) | LegState::Awaiting(errand) => {
+                Some(errand)
+            }
+            LegState::Idle => None,
+        }
+    }
+
+    /// The connection is up.
+    pub fn connected(self) -> LegState {
+        match self {
+            LegState::Connecting(errand) => LegState::Sending(errand),
+            other => other,
+        }
+    }
+
+    /// All that was to be written is written.
+    pub fn written(self) -> LegState {
+        match self {
+            LegState::Sending(errand) => LegState::Awaiting(errand),
+            other => other,
+        }
+    }
+
+    /// The outcome if the connection breaks now. Only what had its last byte written may have run.
+    pub fn broken(self) -> Outcome {
+        match self {
+            LegState::Connecting(_) | LegState::Sending(_) => Outcome::ConnectFailed,
+            LegState::Awaiting(_) | LegState::Idle => Outcome::Reset,
+        }
+    }
+
+    /// The outcome if its time is up now. A connection that never came up has carried nothing.
+    pub fn overdue(self) -> Outcome {
+        match self {
+            LegState::Connecting(_) | LegState::Sending(_) => Outcome::ConnectFailed,
+            LegState::Awaiting(_) | LegState::Idle => Outcome::TimedOut,
+        }
+    }
+}
+
+/// The outcome that a whole answer stands for.
+pub fn outcome(answer: &Answer) -> Outcome {
+    match answer.status {
+        200 => Outcome::Ok,
+        503 | 504 if answer.headers.get("X-Never-Ran") == Some("1") => Outcome::Full,
+        _ => Outcome::Error,
+    }
+}
+
+/// A server as the pool knows it.
+#[derive(Debug)]
+struct Place {
+    address: SocketAddr,
+    listed: bool,
+    connections: usize,
+    /// Idle connections and since when; the last one used is used first, so that the others can go.
+    idle: Vec<(ConnectionKey, Micros)>,
+}
+
+/// Servers and the connections that are open to them.
+#[derive(Debug, Default)]
+pub struct Pool {
+    places: BTreeMap<ServerId, Place>,
+    connections: usize,
+}
+
+impl Pool {
+    /// The routing table names this server, at this address.
+    pub fn listed(&mut self, server: ServerId, address: SocketAddr) {
+        let new = || Place { address, listed: true, connections: 0, idle: Vec::new() };
+        let place = self.places.entry(server).or_insert_with(new);
+        (place.address, place.listed) = (address, true);
+    }
+
+    /// The server is gone from the routing table; gives its idle connections, which are of no more use.
+    pub fn unlisted(&mut self, server: ServerId) -> Vec<ConnectionKey> {
+        let Some(place) = self.places.get_mut(&server) else { return Vec::new() };
+        place.listed = false;
+        let idle = place.idle.iter().map(|(key, _)| *key).collect();
+        if place.connections == 0 {
+            self.places.remove(&server);
+        }
+        idle
+    }
+
+    /// Where to reach a server.
+    pub fn address(&self, server: ServerId) -> Option<SocketAddr> {
+        self.places.get(&server).map(|place| place.address)
+    }
+
+    /// Connections in all.
+    pub fn connections(&self) -> usize {
+        self.connections
+    }
+
+    /// A connection was opened.
+    pub fn opened(&mut self, server: ServerId) {
+        if let Some(place) = self.places.get_mut(&server) {
+            place.connections += 1;
+            self.connections += 1;
+        }
+    }
+
+    /// A connection was closed, whatever it did.
+    pub fn closed(&mut self, server: ServerId, key: ConnectionKey) {
+        let Some(place) = self.places.get_mut(&server) else { return };
+        place.idle.retain(|(idle, _)| *idle != key);
+        place.connections = place.connections.saturating_sub(1);
+        self.connections = self.connections.saturating_sub(1);
+        if place.connections == 0 && !place.listed {
+            self.places.remove(&server);
+        }
+    }
+
+    /// A connection has nothing to do. False if the server is gone: then it is to be closed.
+    pub fn rest(&mut self, server: ServerId, key: ConnectionKey, now: Micros) -> bool {
+        let Some(place) = self.places.get_mut(&server).filter(|place| place.listed) else { return false };
+        place.idle.push((key, now));
+        true
+    }
+
+    /// An idle connection to a server, the one used last.
+    pub fn reuse(&mut self, server: ServerId) -> Option<ConnectionKey> {
+        self.places.get_mut(&server)?.idle.pop().map(|(key, _)| key)
+    }
+
+    /// The connection that has been idle longest anywhere.
+    pub fn idlest(&self) -> Option<ConnectionKey> {
+        let firsts = self.places.values().filter_map(|place| place.idle.first());
+        firsts.min_by_key(|(_, since)| *since).map(|(key, _)| *key)
+    }
+
+    /// Takes out the connections idle since `before` or longer.
+    pub fn retire(&mut self, before: Micros) -> Vec<ConnectionKey> {
+        let mut old = Vec::new();
+        for place in self.places.values_mut() {
+            old.extend(place.idle.extract_if(.., |(_, since)| *since <= before).map(|(key, _)| key));
+        }
+        old
+    }
+}
--- /dev/null
+++ b/limiter/src/lib.rs
@@ -0,0 +1,18 @@
+//! The limiter around the decision module: an embeddable engine that knows no wire, and a daemon on real sockets.
+//!
+//! [`engine`] hosts the module and deals in authorisations, legs and outcomes. [`net`] is the event loop on which
+//! the fronts of [`front`] and the pieces that speak to servers, counter, discovery and peers run.
+
+pub mod cli;
+pub mod config;
+pub mod counter;
+pub mod deadlines;
+pub mod engine;
+pub mod front;
+pub mod legs;
+pub mod limits;
+pub mod net;
+pub mod peers;
+pub mod probes;
+pub mod routing_table;
+pub mod slots;
--- /dev/null
+++ b/limiter/src/limits.rs
@@ -0,0 +1,84 @@
+//! All sizes, counts and times of the limiter in one type: filled at start, handed down.
+
+use millreach::Micros;
+
+const MS: Micros = 1_000;
+const SECOND: Micros = 1_000_000;
+
+/// Sizes, counts and spans. The spans turn an instant into an absolute deadline where something begins.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Longest head of a message, in bytes.
+    pub head_bytes: usize,
+    /// Longest body of a message, in bytes.
+    pub body_bytes: usize,
+    /// Longest line of discovery, in bytes.
+    pub line_bytes: usize,
+    /// Bytes asked of a socket at a time.
+    pub read_bytes: usize,
+    /// Longest datagram between limiters, in bytes.
+    pub datagram_bytes: usize,
+    /// Most connections of the acquirer side.
+    pub acquirer_connections: usize,
+    /// Most connections to servers, idle ones included.
+    pub leg_connections: usize,
+    /// Connections to the counter.
+    pub counter_connections: usize,
+    /// Most authorisations held at once.
+    pub held: usize,
+    /// Most units that one authorisation may take, in thousandths.
+    pub most_units: u64,
+    /// An authorisation ends so long before its client gives up: the way back takes time.
+    pub answer_margin: Micros,
+    /// A connection to a server must come up within this.
+    pub connect: Micros,
+    /// An idle connection to a server is closed after this, well before the server would.
+    pub leg_idle: Micros,
+    /// An idle connection to the counter is not used again after this.
+    pub counter_idle: Micros,
+    /// A counter call without an answer by then has timed out.
+    pub counter_wait: Micros,
+    /// A counter connection that has answered nothing for this long is given up.
+    pub counter_stale: Micros,
+    /// A probe without an answer by then has timed out.
+    pub probe_wait: Micros,
+    /// A watch that is silent for this long is opened anew.
+    pub watch_silent: Micros,
+    /// First wait before a lost watch is opened anew; doubled up to the longest.
+    pub watch_retry: Micros,
+    /// Longest such wait.
+    pub watch_retry_longest: Micros,
+    /// After SIGTERM new connections are taken for this long.
+    pub notice: Micros,
+    /// After SIGTERM the program ends at the latest after this.
+    pub drain: Micros,
+}
+
+impl Default for Limits {
+    fn default() -> Limits {
+        Limits {
+            head_bytes: 16 * 1024,
+            body_bytes: 64 * 1024,
+            line_bytes: 1024 * 1024,
+            read_bytes: 32 * 1024,
+            datagram_bytes: 256,
+            acquirer_connections: 440,
+            leg_connections: 440,
+            counter_connections: 4,
+            held: 20_000,
+            most_units: 1_000_000,
+            answer_margin: 12 * MS,
+            connect: 250 * MS,
+            leg_idle: 9 * SECOND,
+            counter_idle: 3 * SECOND,
+            counter_wait: 30 * MS,
+            counter_stale: 400 * MS,
+            probe_wait: 250 * MS,
+            watch_silent: 7 * SECOND,
+            watch_retry: 100 * MS,
+            watch_retry_longest: 2 * SECOND,
+            notice: 550 * MS,
+            drain: 4_600 * MS,
+        }
+    }
+}
--- /dev/null
+++ b/limiter/src/probes.rs
@@ -0,0 +1,55 @@
+//! Probes: what is asked of a server beside its work, and how its answer is read.
+
+use millreach::{LoadReport, Outcome};
+
+use crate::net::framing::Answer;
+
+/// The request of a probe, without an id: servers count it as none of a client's.
+pub fn request(host: &str, reports: bool) -> Vec<u8> {
+    let path = if reports { "/metrics/load" } else { "/alive" };
+    format!("GET {path} HTTP/1.1\r\nHost: {host}\r\n\r\n").into_bytes()
+}
+
+/// The outcome of a probe that was answered.
+pub fn outcome(answer: &Answer) -> Outcome {
+    match answer.status {
+        200 => Outcome::Ok,
+        503 => Outcome::Full,
+        _ => Outcome::Error,
+    }
+}
+
+/// Reads a load report: `TEXT inflight=7, queue=2, util=0.61`. What cannot be read is left out.
+pub fn report(text: &str) -> Option<LoadReport> {
+    let text = text.trim();
+    let text = text.strip_prefix("TEXT").unwrap_or(text);
+    let mut report = LoadReport::default();
+    let mut any = false;
+    for (name, value) in text.split(',').filter_map(|pair| pair.split_once('=')) {
+        let Some(value) = value.trim().parse::<f64>().ok().filter(|v| v.is_finite()) else { continue };
+        let field = match name.trim() {
+            "inflight" => &mut report.active,
+            "queue" => &mut report.waiting,
+            "util" => &mut report.cpu,
+            "latency_ms" => &mut report.latency_ms,
+            "qps" => &mut report.served_per_s,
+            "eps" => &mut report.errors_per_s,
+            _ => continue,
+        };
+        (*field, any) = (Some(value), true);
+    }
+    any.then_some(report)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_report_is_read_and_nonsense_is_none() {
+        let read = report("TEXT inflight=7, queue=2, util=0.61, new=1").unwrap();
+        assert_eq!((read.active, read.waiting, read.cpu), (Some(7.0), Some(2.0), Some(0.61)));
+        assert_eq!(report("TEXT util=NaN"), None);
+        assert_eq!(report(""), None);
+    }
+}
--- /dev/null
+++ b/limiter/src/routing_table.rs
@@ -0,0 +1,135 @@
+//! The routing table: discovery's list as it stands here, and what its lines say.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use millreach::{ListKind, ServerEntry, ServerId, ServerState};
+use serde_json::Value;
+
+/// What a line of discovery changes.
+#[derive(Debug, PartialEq)]
+pub struct News {
+    /// How the entries are to be read.
+    pub kind: ListKind,
+    /// The entries for the module.
+    pub entries: Vec<ServerEntry>,
+    /// Where the servers are that may be used.
+    pub addresses: Vec<(ServerId, SocketAddr)>,
+    /// Servers that are gone.
+    pub gone: Vec<ServerId>,
+}
+
+/// Names and numbers of servers, and the version of the list.
+#[derive(Debug, Default)]
+pub struct RoutingTable {
+    zones: Vec<String>,
+    kinds: Vec<String>,
+    /// Version of the list as held.
+    pub index: u64,
+    numbers: BTreeMap<String, (ServerId, ServerState)>,
+    next: u32,
+}
+
+/// Why a line of discovery is not taken.
+#[derive(Debug, PartialEq, Eq)]
+pub struct BadLine(pub &'static str);
+
+impl std::fmt::Display for BadLine {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "bad list: {}", self.0)
+    }
+}
+
+impl std::error::Error for BadLine {}
+
+fn position(names: &[String], name: &Value) -> u32 {
+    let found = name.as_str().and_then(|name| names.iter().position(|n| n == name));
+    found.map_or(0, |n| n as u32)
+}
+
+impl RoutingTable {
+    /// An empty table; `zones` and `kinds` give the names their numbers.
+    pub fn new(zones: Vec<String>, kinds: Vec<String>) -> RoutingTable {
+        RoutingTable { zones, kinds, ..RoutingTable::default() }
+    }
+
+    /// Some server may be used.
+    pub fn serving(&self) -> bool {
+        self.numbers.values().any(|(_, state)| *state == ServerState::Ready)
+    }
+
+    /// Reads the list as last held.
+    pub fn known(&mut self, list: &Value) -> Result<News, BadLine> {
+        let mut news = self.read(list)?;
+        news.kind = ListKind::Cached;
+        Ok(news)
+    }
+
+    /// Reads one line of a watch; an empty one brings nothing.
+    pub fn line(&mut self, line: &[u8]) -> Result<Option<News>, BadLine> {
+        if line.iter().all(u8::is_ascii_whitespace) {
+            return Ok(None);
+        }
+        let value: Value = serde_json::from_slice(line).map_err(|_| BadLine("not JSON"))?;
+        self.read(&value).map(Some)
+    }
+
+    fn read(&mut self, list: &Value) -> Result<News, BadLine> {
+        let index = list["index"].as_u64().ok_or(BadLine("index"))?;
+        let full = list["snapshot"].as_bool().ok_or(BadLine("snapshot"))?;
+        let lines = list["endpoints"].as_array().ok_or(BadLine("endpoints"))?;
+        let kind = if full { ListKind::Full } else { ListKind::Changes };
+        let mut news = News { kind, entries: Vec::new(), addresses: Vec::new(), gone: Vec::new() };
+        // All is read before any of it is taken: half a list must not replace a whole one.
+        let read = lines.iter().map(|line| self.entry(line)).collect::<Result<Vec<_>, _>>()?;
+        if full {
+            let named = |name: &str| read.iter().any(|(n, _, _)| n == name);
+            let lost: Vec<String> = self.numbers.keys().filter(|n| !named(n)).cloned().collect();
+            news.gone.extend(lost.iter().filter_map(|name| self.numbers.remove(name)).map(|(id, _)| id));
+        }
+        for (name, address, mut entry) in read {
+            let known = self.numbers.get(&name).map(|(id, _)| *id);
+            entry.server = known.unwrap_or_else(|| {
+                self.next += 1;
+                ServerId(self.next)
+            });
+            if entry.state == ServerState::Gone {
+                self.numbers.remove(&name);
+                news.gone.extend(known);
+            } else {
+                self.numbers.insert(name, (entry.server, entry.state));
+                news.addresses.extend(address.map(|address| (entry.server, address)));
+            }
+            // An end that nobody knew the start of says nothing.
+            if entry.state != ServerState::Gone || known.is_some() {
+                news.entries.push(entry);
+            }
+        }
+        self.index = index;
+        Ok(news)
+    }
+
+    fn entry(&self, line: &Value) -> Result<(String, Option<SocketAddr>, ServerEntry), BadLine> {
+        let name = line["name"].as_str().ok_or(BadLine("name"))?;
+        let state = match line["status"].as_str() {
+            Some("Ready") => ServerState::Ready,
+            Some("Terminating") => ServerState::Draining,
+            Some("Gone") => ServerState::Gone,
+            _ => return Err(BadLine("status")),
+        };
+        let address = line["address"].as_str().and_then(|a| a.parse().ok());
+        if address.is_none() && state != ServerState::Gone {
+            return Err(BadLine("address"));
+        }
+        let entry = ServerEntry {
+            server: ServerId(0),
+            zone: position(&self.zones, &line["zone"]),
+            kind: position(&self.kinds, &line["type"]),
+            cell: line["group"].as_u64().and_then(|g| u32::try_from(g).ok()).unwrap_or(0),
+            state,
+            weight: line["weight"].as_f64().unwrap_or(1.0),
+            started: line["since_ms"].as_i64().unwrap_or(0).saturating_mul(1_000),
+        };
+        Ok((name.to_string(), address, entry))
+    }
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -334,6 +334,8 @@
         request: RequestId,
         /// How long the client had better stay away; 0 for no advice.
         stay_away: Micros,
+        /// For its quota; else for want of a server or of time.
+        over_quota: bool,
     },
     /// Final answer: failed; promises nothing.
     Fail(RequestId),
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -968,7 +968,8 @@
         // the time of an answer; later than the aim allows, a return is of no use.
         let time = plan.map_or(self.work_of(held.request.class), refill) * (0.5 + chance);
         let stay_away = (time as Micros).min(most);
-        self.actions.push(if harmless { Action::Shed { request: id, stay_away } } else { Action::Fail(id) });
+        let shed = Action::Shed { request: id, stay_away, over_quota: held.denied };
+        self.actions.push(if harmless { shed } else { Action::Fail(id) });
         self.close(id);
     }
 
