--- a/limiter/src/config.rs
+++ b/limiter/src/config.rs
@@ -3,8 +3,8 @@
 use std::fmt;
 use std::net::SocketAddr;
 
-use millreach::{Class, Group, Micros, Plan, Repeat, Settings};
 use serde_json::Value;
+use streamarch::{Class, Group, Micros, Plan, Repeat, Settings};
 
 use crate::limits::Limits;
 
--- a/limiter/src/counter.rs
+++ b/limiter/src/counter.rs
@@ -4,7 +4,7 @@
 use std::collections::VecDeque;
 use std::io::Write;
 
-use millreach::{CounterName, Micros, Outcome};
+use streamarch::{CounterName, Micros, Outcome};
 
 use crate::net::framing::Answer;
 use crate::slots::ConnectionKey;
--- a/limiter/src/deadlines.rs
+++ b/limiter/src/deadlines.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use millreach::Micros;
+use streamarch::Micros;
 
 /// What falls due when, in order of time and then of entry.
 #[derive(Debug)]
--- a/limiter/src/engine.rs
+++ b/limiter/src/engine.rs
@@ -6,7 +6,7 @@
 
 use std::fmt;
 
-use millreach::{
+use streamarch::{
     Action, AttemptEnd, Balancer, CounterName, CustomerId, Event, ListKind, LoadReport, Micros, Outcome,
     OverNotice, Request, RequestId, ServerEntry, ServerId, Settings,
 };
--- a/limiter/src/front/platform.rs
+++ b/limiter/src/front/platform.rs
@@ -1,6 +1,6 @@
 //! The platform's protocol: thin. A request's headers become an authorisation, an ending becomes a status.
 
-use millreach::{Class, CustomerId, Micros, Repeat};
+use streamarch::{Class, CustomerId, Micros, Repeat};
 
 use crate::config::Names;
 use crate::engine::{Authorisation, Ending};
--- a/limiter/src/legs.rs
+++ b/limiter/src/legs.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use millreach::{Micros, Outcome, ServerId};
+use streamarch::{Micros, Outcome, ServerId};
 
 use crate::net::framing::Answer;
 use crate::slots::{AuthorisationKey, ConnectionKey};
--- a/limiter/src/limits.rs
+++ b/limiter/src/limits.rs
@@ -1,6 +1,6 @@
 //! All sizes, counts and times of the limiter in one type: filled at start, handed down.
 
-use millreach::Micros;
+use streamarch::Micros;
 
 const MS: Micros = 1_000;
 const SECOND: Micros = 1_000_000;
--- a/limiter/src/net/host.rs
+++ b/limiter/src/net/host.rs
@@ -6,9 +6,9 @@
 
 use calloop::generic::Generic;
 use calloop::{Interest, LoopHandle, Mode, PostAction, Readiness, RegistrationToken};
-use millreach::{ListKind, LoadReport, Micros, Outcome, ServerId};
 use slotmap::SecondaryMap;
 use socket2::{Domain, Protocol, Socket, Type};
+use streamarch::{ListKind, LoadReport, Micros, Outcome, ServerId};
 
 use super::Clock;
 use super::framing::{self, Answer};
--- a/limiter/src/net/mod.rs
+++ b/limiter/src/net/mod.rs
@@ -9,7 +9,7 @@
 
 use calloop::EventLoop;
 use calloop::signals::{Signal, Signals};
-use millreach::Micros;
+use streamarch::Micros;
 
 use crate::config::Config;
 pub use host::Host;
--- a/limiter/src/peers.rs
+++ b/limiter/src/peers.rs
@@ -1,6 +1,6 @@
 //! Notices between limiters as UDP datagrams.
 
-use millreach::{CustomerId, OverNotice};
+use streamarch::{CustomerId, OverNotice};
 
 /// A notice as bytes: two of plan, eight of customer.
 pub fn encode(notice: &OverNotice) -> Option<[u8; 10]> {
--- a/limiter/src/probes.rs
+++ b/limiter/src/probes.rs
@@ -1,6 +1,6 @@
 //! Probes: what is asked of a server beside its work, and how its answer is read.
 
-use millreach::{LoadReport, Outcome};
+use streamarch::{LoadReport, Outcome};
 
 use crate::net::framing::Answer;
 
--- a/limiter/src/routing_table.rs
+++ b/limiter/src/routing_table.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use millreach::{ListKind, ServerEntry, ServerId, ServerState};
 use serde_json::Value;
+use streamarch::{ListKind, ServerEntry, ServerId, ServerState};
 
 /// What a line of discovery changes.
 #[derive(Debug, PartialEq)]
--- a/simhost/src/main.rs
+++ b/simhost/src/main.rs
@@ -7,7 +7,7 @@
 use std::io::{self, BufRead, BufWriter, Write};
 use std::process::ExitCode;
 
-use millreach::{Action, Balancer, Event, ListKind, Micros, RequestId, ServerEntry};
+use streamarch::{Action, Balancer, Event, ListKind, Micros, RequestId, ServerEntry};
 use wire::{Fault, Fields};
 
 /// A request's word on the wire, kept until it is finished and no attempt is out.
@@ -292,7 +292,7 @@
     match serve(io::stdin().lock(), io::stdout().lock()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(fault) => {
-            eprintln!("millreach-simhost: {fault}");
+            eprintln!("streamarch-simhost: {fault}");
             ExitCode::from(2)
         }
     }
--- a/simhost/src/wire.rs
+++ b/simhost/src/wire.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-use millreach::{
+use streamarch::{
     AttemptEnd, CounterName, CustomerId, Event, ListKind, LoadReport, Micros, Outcome, OverNotice, Request,
     RequestId, ServerEntry, ServerId, ServerState,
 };
--- a/simhost/tests/wire.rs
+++ b/simhost/tests/wire.rs
@@ -6,7 +6,7 @@
 const SETTINGS: &str = r#"{"Instances":2,"SlotNo":0,"Lanes":[{"ObjectiveUs":500000,"GiveUpUs":1000000,"Semantics":"retryable","Group":"all","Value":1.0,"New":7}],"Tariffs":[{"UnitsPerS":5.0,"StoreSize":10.0,"WorthFactor":1.0}],"PeriodUs":4000,"Discovery":"push","Specifics":{"Counter":true,"CounterTimeoutUs":30000},"Permissions":{"MaxAttempts":3,"RetryAfter":true,"MaxRetryAfterUs":500000},"Rules":{"ColdFrom":0.2,"ColdUs":1000000,"FallMultiple":2.0,"FallUs":1000000}}"#;
 
 fn run(input: &str) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_millreach-simhost"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_streamarch-simhost"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
@@ -70,7 +70,7 @@
         let output = run(bad);
         assert!(!output.status.success(), "{bad:?}");
         let message = String::from_utf8(output.stderr).unwrap();
-        assert!(message.starts_with("millreach-simhost: "), "{message}");
+        assert!(message.starts_with("streamarch-simhost: "), "{message}");
     }
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,4 +1,4 @@
-//! millreach: the decisions of a gateway that meters many customers' use of one shared service.
+//! streamarch: the decisions of a gateway that meters many customers' use of one shared service.
 //!
 //! A host feeds [`Event`]s to a [`Balancer`] and carries out the [`Action`]s it gets back. The library opens
 //! no sockets, reads no clock and starts no threads. The decisions are in `logic.rs`, the types in
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! Settings and a small host for the tests: it keeps time by hand and collects actions.
 #![allow(dead_code)]
 
-use millreach::*;
+use streamarch::*;
 
 pub const MS: Micros = 1_000;
 pub const SECOND: Micros = 1_000_000;
--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use millreach::*;
+use streamarch::*;
 
 fn passed(gateway: &mut Gateway, counter: &mut Counter, plan: usize, customer: u64) -> bool {
     let (id, actions) = gateway.ask(0, plan, customer);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use millreach::*;
+use streamarch::*;
 
 #[test]
 fn rule_1_every_request_gets_one_final_answer_in_time() {
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use millreach::*;
+use streamarch::*;
 
 /// Answers every call among the actions with this outcome.
 fn answer_all(gateway: &mut Gateway, actions: &[Action], outcome: Outcome) -> Vec<Action> {
--- a/tests/servers.rs
+++ b/tests/servers.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use millreach::*;
+use streamarch::*;
 
 #[test]
 fn a_silent_server_is_suspected_and_its_safe_work_moved() {
