--- a/limiter/src/cli.rs
+++ b/limiter/src/cli.rs
@@ -17,7 +17,8 @@
   version        print the version
   help           print this
 
-  --config FILE  the configuration, in place of ROUTER_CONFIG
+  --config FILE         the configuration, in place of ROUTER_CONFIG
+  --introspection FILE  the second front's file; it is on if the file names a listen address
 ";
 
 enum Command {
@@ -33,6 +34,7 @@
     while let Some(arg) = parser.next()? {
         match arg {
             Long("config") => environment.config = Some(parser.value()?.string()?),
+            Long("introspection") => environment.introspection = Some(parser.value()?.string()?),
             Short('h') | Long("help") => command = Some(Command::Help),
             Short('V') | Long("version") => command = Some(Command::Version),
             Value(name) if command.is_none() => {
--- a/limiter/src/config.rs
+++ b/limiter/src/config.rs
@@ -6,6 +6,8 @@
 use serde_json::Value;
 use streamarch::{Class, Group, Micros, Plan, Repeat, Settings};
 
+use crate::front::introspection::{Asking, Caller};
+use crate::front::platform;
 use crate::limits::Limits;
 
 /// What is wrong with the configuration, and where.
@@ -218,6 +220,96 @@
     pub reports: bool,
     /// Sizes, counts and times.
     pub limits: Limits,
+    /// The second front, where it is on.
+    pub introspection: Option<Introspection>,
+}
+
+fn read(path: String) -> Result<String, ConfigError> {
+    std::fs::read_to_string(&path).map_err(|e| ConfigError::Unreadable(path, e))
+}
+
+/// The second front: OAuth 2 token introspection, as client and as server.
+#[derive(Debug)]
+pub struct Introspection {
+    /// Where it listens.
+    pub listen: SocketAddr,
+    /// Who may ask us.
+    pub callers: Vec<Caller>,
+    /// The introspection servers that we ask.
+    pub upstreams: Vec<SocketAddr>,
+    /// How we ask them.
+    pub asking: Asking,
+    /// Most tokens that are remembered.
+    pub cache_entries: usize,
+    /// How long one is remembered at the most.
+    pub cache_for: Micros,
+    /// Settings of the module where it decides on asking: a class safe to repeat, the callers' plans, and last a
+    /// plan without quota for what we ask on our own account.
+    pub settings: Settings,
+}
+
+impl Config {
+    /// Takes in the second front's file. Without a listen address it stays off.
+    pub fn introspect(&mut self, text: &str) -> Result<(), ConfigError> {
+        let value: Value = serde_json::from_str(text).map_err(ConfigError::NotJson)?;
+        let node = Node { value: &value, path: "introspection".to_string() };
+        let Some(listen) = node.at("listen").address()? else { return Ok(()) };
+        let callers = node.at("callers").list()?;
+        let upstreams = node.at("upstreams");
+        let addresses = upstreams.list()?.iter().map(Node::need_address).collect::<Result<Vec<_>, _>>()?;
+        if addresses.is_empty() {
+            return Err(upstreams.fault("is missing or empty"));
+        }
+        let path = node.at("path");
+        let path_text = path.text()?.unwrap_or("/introspect");
+        if !path_text.starts_with('/') || !path_text.bytes().all(|b| b.is_ascii_graphic()) {
+            return Err(path.fault("is no path"));
+        }
+        let entries = node.at("cache_entries");
+        let seconds = node.at("cache_s");
+        let cache_s = if seconds.absent() { 30.0 } else { seconds.number()? };
+        if !(0.0..=86_400.0).contains(&cache_s) {
+            return Err(seconds.fault("is not between 0 and 86400"));
+        }
+        let mut settings = self.settings.clone();
+        let wait = self.limits.introspection_wait;
+        settings.classes = vec![Class {
+            aim: wait / 4,
+            deadline: wait,
+            late_worth: 0.0,
+            worth: 1.0,
+            repeat: Repeat::Safe,
+            stream: false,
+        }];
+        settings.plans.push(Plan { price: 1.0, ..Plan::default() });
+        (settings.may_probe, settings.may_tell) = (false, false);
+        self.introspection = Some(Introspection {
+            listen,
+            callers: callers.iter().map(|c| caller(c, &self.names)).collect::<Result<_, _>>()?,
+            upstreams: addresses,
+            asking: Asking {
+                path: path_text.to_string(),
+                id: node.at("id").need_text()?.to_string(),
+                secret: node.at("secret").need_text()?.to_string(),
+            },
+            cache_entries: if entries.absent() { 1_024 } else { entries.count()? as usize },
+            cache_for: (cache_s * 1e6) as Micros,
+            settings,
+        });
+        Ok(())
+    }
+}
+
+fn caller(node: &Node, names: &Names) -> Result<Caller, ConfigError> {
+    let (account, plan) = (node.at("account"), node.at("plan"));
+    let customer = platform::customer(account.need_text()?).ok_or(account.fault("is not 16 hex digits"))?;
+    let position = names.plans.iter().position(|name| Some(name.as_str()) == plan.text().ok().flatten());
+    Ok(Caller {
+        id: node.at("id").need_text()?.to_string(),
+        secret: node.at("secret").need_text()?.to_string(),
+        customer,
+        plan: position.ok_or_else(|| plan.fault("is not the name of a plan"))?,
+    })
 }
 
 /// The names that stand for positions in the settings.
@@ -259,6 +351,8 @@
     pub listen: Option<String>,
     /// Discovery.
     pub discovery: Option<String>,
+    /// Path of the second front's file; no variable names it, so that it is never on by accident.
+    pub introspection: Option<String>,
 }
 
 impl Environment {
@@ -270,6 +364,7 @@
             name: get("ROUTER_NAME"),
             listen: get("ROUTER_LISTEN"),
             discovery: get("ROUTER_DISCOVERY"),
+            introspection: None,
         }
     }
 
@@ -277,8 +372,11 @@
     pub fn load(&self) -> Result<Config, ConfigError> {
         let missing = || ConfigError::Key { key: "ROUTER_CONFIG".into(), fault: "is not set".into() };
         let path = self.config.clone().ok_or_else(missing)?;
-        let text = std::fs::read_to_string(&path).map_err(|e| ConfigError::Unreadable(path, e))?;
-        self.parse(&text)
+        let mut config = self.parse(&read(path)?)?;
+        if let Some(path) = self.introspection.clone() {
+            config.introspect(&read(path)?)?;
+        }
+        Ok(config)
     }
 
     /// Checks the text of a configuration and fills in what it leaves out.
@@ -319,6 +417,7 @@
             reports: settings_node.at("Report").at("How").text()?.is_some_and(|how| how != "none"),
             limits: limits(&node, &settings_node)?,
             settings,
+            introspection: None,
         })
     }
 }
--- a/limiter/src/counter.rs
+++ b/limiter/src/counter.rs
@@ -12,6 +12,8 @@
 /// A call that is not matched off yet.
 #[derive(Debug)]
 struct Call {
+    /// Which of the host's engines asked.
+    asker: usize,
     name: CounterName,
     add: f64,
     life: Micros,
@@ -23,6 +25,8 @@
 /// What came of a call.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Counted {
+    /// Which of the host's engines asked.
+    pub asker: usize,
     /// The number.
     pub name: CounterName,
     /// How the call ended.
@@ -31,6 +35,12 @@
     pub total: f64,
 }
 
+impl Call {
+    fn ended(&self, outcome: Outcome) -> Counted {
+        Counted { asker: self.asker, name: self.name, outcome, total: 0.0 }
+    }
+}
+
 /// One connection's calls.
 #[derive(Debug, Default)]
 pub struct Line {
@@ -46,8 +56,8 @@
 
 impl Line {
     /// Enters a call.
-    pub fn call(&mut self, name: CounterName, add: f64, life: Micros, deadline: Micros) {
-        self.unsent.push_back(Call { name, add, life, deadline, given: false });
+    pub fn call(&mut self, asker: usize, name: CounterName, add: f64, life: Micros, deadline: Micros) {
+        self.unsent.push_back(Call { asker, name, add, life, deadline, given: false });
     }
 
     /// The connection is up.
@@ -101,19 +111,19 @@
             (503, _) => (Outcome::Full, 0.0),
             _ => (Outcome::Error, 0.0),
         };
-        Some(Counted { name: call.name, outcome, total })
+        Some(Counted { total, ..call.ended(outcome) })
     }
 
     /// Gives the outcomes of calls whose time is up. One that was never written is withdrawn: nothing is added.
     pub fn expire(&mut self, now: Micros, counted: &mut Vec<Counted>) {
         for call in self.waiting.iter_mut().filter(|call| !call.given && call.deadline <= now) {
             call.given = true;
-            counted.push(Counted { name: call.name, outcome: Outcome::TimedOut, total: 0.0 });
+            counted.push(call.ended(Outcome::TimedOut));
         }
         self.unsent.retain(|call| {
             let due = call.deadline <= now;
             if due {
-                counted.push(Counted { name: call.name, outcome: Outcome::ConnectFailed, total: 0.0 });
+                counted.push(call.ended(Outcome::ConnectFailed));
             }
             !due
         });
@@ -123,16 +133,8 @@
     pub fn broken(&mut self, counted: &mut Vec<Counted>) {
         (self.connection, self.up) = (None, false);
         let written = self.waiting.drain(..).filter(|call| !call.given);
-        counted.extend(written.map(|call| Counted {
-            name: call.name,
-            outcome: Outcome::TimedOut,
-            total: 0.0,
-        }));
+        counted.extend(written.map(|call| call.ended(Outcome::TimedOut)));
         let unsent = self.unsent.drain(..);
-        counted.extend(unsent.map(|call| Counted {
-            name: call.name,
-            outcome: Outcome::ConnectFailed,
-            total: 0.0,
-        }));
+        counted.extend(unsent.map(|call| call.ended(Outcome::ConnectFailed)));
     }
 }
--- a/limiter/src/front/mod.rs
+++ b/limiter/src/front/mod.rs
@@ -1,5 +1,6 @@
 //! Fronts: they parse, map and answer, and decide nothing.
 
+pub mod introspection;
 pub mod platform;
 
 use crate::net::framing::Request;
--- a/limiter/src/front/platform.rs
+++ b/limiter/src/front/platform.rs
@@ -6,10 +6,10 @@
 use crate::engine::{Authorisation, Ending};
 use crate::front::{Rejection, reject};
 use crate::limits::Limits;
-use crate::net::framing::Request;
+use crate::net::framing::{Headers, Request};
 
 /// Customers are numbers below this.
-const CUSTOMERS: u64 = 1 << 33;
+pub(crate) const CUSTOMERS: u64 = 1 << 33;
 /// Longest time that a client may say it waits, in seconds.
 const LONGEST_WAIT: f64 = 3_600.0;
 
@@ -63,13 +63,18 @@
         if keyed && headers.get("Idempotency-Key").is_none_or(|k| k.is_empty() || k.len() > 256) {
             return Err(reject(400, "Idempotency-Key"));
         }
-        let wait = headers.get("X-Expires-In").and_then(number).filter(|s| *s > 0.0 && *s <= LONGEST_WAIT);
-        let wait = (wait.ok_or(reject(400, "X-Expires-In"))? * 1e6) as Micros;
-        // Guards rule 1: the client's time began at its send, and the final answer needs time on its way back.
-        let deadline = now + wait - limits.answer_margin.min(wait / 2);
+        let deadline = self.wait(headers, limits, now).ok_or(reject(400, "X-Expires-In"))?;
         Ok(Basics { class, deadline, again: headers.get("X-Second-Try") == Some("1") })
     }
 
+    /// When the final answer is due, by `X-Expires-In`.
+    pub fn wait(&self, headers: &Headers, limits: &Limits, now: Micros) -> Option<Micros> {
+        let wait = headers.get("X-Expires-In").and_then(number).filter(|s| *s > 0.0 && *s <= LONGEST_WAIT)?;
+        let wait = (wait * 1e6) as Micros;
+        // Guards rule 1: the client's time began at its send, and the final answer needs time on its way back.
+        Some(now + wait - limits.answer_margin.min(wait / 2))
+    }
+
     /// Reads a whole request.
     pub fn read(&self, request: &Request, limits: &Limits, now: Micros) -> Result<Authorisation, Rejection> {
         let basics = self.basics(request, limits, now)?;
@@ -77,7 +82,8 @@
         headers.get("X-Qos").ok_or(reject(400, "X-Qos"))?;
         let plan = headers.get("X-Tier").and_then(|name| self.names.plans.iter().position(|p| p == name));
         let plan = plan.ok_or(reject(400, "X-Tier"))?;
-        let (units, spread, first) = self.terms(headers.get("X-Call-Terms"), limits)?;
+        let terms = headers.get("X-Call-Terms").ok_or(reject(400, "X-Call-Terms"))?;
+        let (units, (spread, first)) = self.terms(terms, limits, None)?;
         Ok(Authorisation {
             class: basics.class,
             plan,
@@ -91,10 +97,9 @@
         })
     }
 
-    /// Reads `units=2,spread=3,first=1`; each once, others ignored.
-    pub fn terms(&self, text: Option<&str>, limits: &Limits) -> Result<(f64, u32, u32), Rejection> {
+    /// Reads `units=2,spread=3,first=1`; each once, others ignored. The set may be left out where it is known.
+    pub fn terms(&self, text: &str, limits: &Limits, set: Option<Set>) -> Result<(f64, Set), Rejection> {
         let bad = reject(400, "X-Call-Terms");
-        let text = text.ok_or(bad.clone())?;
         let (mut units, mut spread, mut first) = (None, None, None);
         for part in text.split(',') {
             let (name, value) = part.trim().split_once('=').ok_or(bad.clone())?;
@@ -109,20 +114,30 @@
                 return Err(bad);
             }
         }
-        let (Some(units), Some(spread), Some(first)) = (units, spread, first) else { return Err(bad) };
+        let units = units.filter(|units| *units > 0.0 && units * 1_000.0 <= limits.most_units as f64);
         let most = f64::from(self.limiters.max(1));
-        let whole = spread.fract() == 0.0 && first.fract() == 0.0;
-        let set = whole && (1.0..=most).contains(&spread) && (0.0..most).contains(&first);
-        let fits = units > 0.0 && units * 1_000.0 <= limits.most_units as f64;
-        if set && fits { Ok((units, spread as u32, first as u32)) } else { Err(bad) }
+        let told = spread.zip(first).and_then(|(spread, first)| {
+            let whole = spread.fract() == 0.0 && first.fract() == 0.0;
+            let fits = whole && (1.0..=most).contains(&spread) && (0.0..most).contains(&first);
+            fits.then_some((spread as u32, first as u32))
+        });
+        units.zip(set.or(told)).ok_or(bad)
     }
 }
 
+/// A customer's limiters: how many, and the number of the first.
+pub type Set = (u32, u32);
+
 /// The customer in the query: `account`, once, 16 hex digits.
 fn account(target: &str) -> Option<CustomerId> {
     let (_, query) = target.split_once('?')?;
     let mut named = query.split('&').filter_map(|part| part.strip_prefix("account="));
     let (text, None) = (named.next()?, named.next()) else { return None };
+    customer(text)
+}
+
+/// A customer as 16 hex digits.
+pub fn customer(text: &str) -> Option<CustomerId> {
     let plain = text.len() == 16 && text.bytes().all(|b| b.is_ascii_hexdigit());
     let number = u64::from_str_radix(text, 16).ok()?;
     (plain && number < CUSTOMERS).then_some(CustomerId(number))
--- a/limiter/src/limits.rs
+++ b/limiter/src/limits.rs
@@ -48,6 +48,10 @@
     pub watch_retry: Micros,
     /// Longest such wait.
     pub watch_retry_longest: Micros,
+    /// A call of our introspection server that names no time is answered within this.
+    pub introspection_wait: Micros,
+    /// Advice to come back where the module gives none.
+    pub stay_away: Micros,
     /// After SIGTERM new connections are taken for this long.
     pub notice: Micros,
     /// After SIGTERM the program ends at the latest after this.
@@ -77,6 +81,8 @@
             watch_silent: 7 * SECOND,
             watch_retry: 100 * MS,
             watch_retry_longest: 2 * SECOND,
+            introspection_wait: 2 * SECOND,
+            stay_away: 200 * MS,
             notice: 550 * MS,
             drain: 4_600 * MS,
         }
--- /dev/null
+++ b/limiter/src/net/host/counting.rs
@@ -0,0 +1,59 @@
+//! Calls to the counter, and their answers.
+
+use super::*;
+
+impl Host {
+    pub(super) fn open_line(&mut self, line: usize) {
+        let Some(address) = self.counter else { return };
+        match self.connect(address, Role::Counter(line)) {
+            Ok(key) => self.lines[line].connection = Some(key),
+            Err(_) => {
+                let mut counted = Vec::new();
+                self.lines[line].broken(&mut counted);
+                self.take_counted(counted);
+            }
+        }
+    }
+
+    pub(super) fn write_line(&mut self, now: Micros, line: usize) {
+        let Some(key) = self.lines[line].connection else { return };
+        let Some(connection) = self.connections.get_mut(key) else { return };
+        let before = connection.output.len();
+        self.lines[line].write(now, "counter", &mut connection.output);
+        if connection.output.len() > before {
+            self.dirty.push(key);
+        }
+    }
+
+    pub(super) fn read_totals(&mut self, key: ConnectionKey, line: usize) {
+        let now = self.now();
+        let mut counted = Vec::new();
+        let (mut at, mut bad) = (0, false);
+        let Some(connection) = self.connections.get_mut(key) else { return };
+        while at < connection.input.len() {
+            match framing::answer(&connection.input[at..], false, &self.limits) {
+                Ok(Some((answer, length))) => {
+                    at += length;
+                    counted.extend(self.lines[line].answered(now, &answer));
+                    bad |= !answer.keep_alive;
+                }
+                Ok(None) => break,
+                Err(_) => bad = true,
+            }
+            if bad {
+                break;
+            }
+        }
+        connection.input.drain(..at);
+        self.take_counted(counted);
+        if bad {
+            self.broken(key);
+        }
+    }
+
+    pub(super) fn take_counted(&mut self, counted: Vec<Counted>) {
+        for one in counted {
+            self.services[one.asker].engine.counted(one.name, one.outcome, one.total);
+        }
+    }
+}
--- /dev/null
+++ b/limiter/src/net/host/errands.rs
@@ -0,0 +1,151 @@
+//! Legs and probes on connections to servers.
+
+use super::*;
+
+impl Host {
+    pub(super) fn start_leg(
+        &mut self,
+        now: Micros,
+        ticket: Ticket,
+        leg: u32,
+        server: ServerId,
+        deadline: Micros,
+    ) {
+        if self.answered_from_cache(now, ticket, leg) {
+            return;
+        }
+        self.start_errand(now, ticket.0, server, Errand::Leg(ticket.1, leg), deadline);
+    }
+
+    /// Sends a leg or a probe on an idle connection, or on a new one.
+    pub(super) fn start_errand(
+        &mut self,
+        now: Micros,
+        service: usize,
+        server: ServerId,
+        errand: Errand,
+        deadline: Micros,
+    ) {
+        while let Some(key) = self.services[service].pool.reuse(server) {
+            let Some(connection) = self.connections.get_mut(key) else { continue };
+            // Guards against a close that came meanwhile: what is written then would end in a reset.
+            if !quiet(&connection.stream) {
+                self.close(key);
+                continue;
+            }
+            connection.role = Role::Server { service, server, state: LegState::Sending(errand) };
+            self.out_on(key, service, errand, deadline);
+            return self.send_errand(now, key);
+        }
+        let open: usize = self.services.iter().map(|s| s.pool.connections()).sum();
+        if open >= self.limits.leg_connections {
+            match self.services.iter().find_map(|s| s.pool.idlest()) {
+                Some(key) => _ = self.close(key),
+                None => return self.end_errand(service, server, errand, Outcome::ConnectFailed, None),
+            }
+        }
+        let role = Role::Server { service, server, state: LegState::Connecting(errand) };
+        let address = self.services[service].pool.address(server);
+        match address.map(|address| self.connect(address, role)) {
+            Some(Ok(key)) => {
+                self.services[service].pool.opened(server);
+                self.out_on(key, service, errand, deadline);
+            }
+            Some(Err(_)) | None => self.end_errand(service, server, errand, Outcome::ConnectFailed, None),
+        }
+    }
+
+    fn out_on(&mut self, key: ConnectionKey, service: usize, errand: Errand, deadline: Micros) {
+        if let Errand::Leg(authorisation, _) = errand {
+            self.services[service].legs.insert(authorisation, key);
+        }
+        self.deadlines.enter(deadline, Due::Errand(key, errand));
+    }
+
+    /// The connection is up: writes what the errand carries.
+    pub(super) fn send_errand(&mut self, now: Micros, key: ConnectionKey) {
+        let Some(connection) = self.connections.get_mut(key) else { return };
+        let Role::Server { service, server, state } = &mut connection.role else { return };
+        let known = &self.services[*service];
+        *state = state.connected();
+        match state.errand() {
+            Some(Errand::Probe) => {
+                let host = known.pool.address(*server).map(|a| a.to_string()).unwrap_or_default();
+                connection.output.extend(probes::request(&host, self.reports));
+            }
+            Some(Errand::Leg(authorisation, _)) => {
+                let Some(pending) = known.pending.get(authorisation) else { return };
+                let left = known.engine.deadline(authorisation).map_or(0, |at| (at - now).max(0));
+                connection.output.extend_from_slice(&pending.forward.head);
+                // Writing to a vector cannot fail.
+                let _ = write!(connection.output, "X-Expires-In: {:.3}\r\n\r\n", left as f64 / 1e6);
+                connection.output.extend_from_slice(&pending.forward.body);
+            }
+            None => {}
+        }
+        self.dirty.push(key);
+    }
+
+    pub(super) fn read_answer(&mut self, key: ConnectionKey) {
+        let Some(connection) = self.connections.get_mut(key) else { return };
+        let Role::Server { service, server, state } = connection.role else { return };
+        let Some(errand) = state.errand() else {
+            // Nothing was asked: whatever this is, the connection is of no more use.
+            _ = self.close(key);
+            return;
+        };
+        match framing::answer(&connection.input, false, &self.limits) {
+            Ok(None) => {}
+            Ok(Some((answer, length))) => {
+                let clean = connection.input.len() == length && answer.keep_alive;
+                let all_sent = connection.written == connection.output.len();
+                connection.input.clear();
+                connection.role = Role::Server { service, server, state: LegState::Idle };
+                self.end_errand(service, server, errand, Outcome::Reset, Some(answer));
+                let now = self.now();
+                if !(clean && all_sent && self.services[service].pool.rest(server, key, now)) {
+                    self.close(key);
+                }
+            }
+            Err(_) => {
+                self.end_errand(service, server, errand, Outcome::Error, None);
+                self.close(key);
+            }
+        }
+    }
+
+    /// An errand is over: by its answer, or else by this outcome.
+    pub(super) fn end_errand(
+        &mut self,
+        service: usize,
+        server: ServerId,
+        errand: Errand,
+        otherwise: Outcome,
+        answer: Option<Answer>,
+    ) {
+        let now = self.now();
+        let header = answer.as_ref().and_then(|a| a.headers.get("Endpoint-Load-Metrics"));
+        let report: Option<LoadReport> = header.and_then(probes::report);
+        match errand {
+            Errand::Leg(authorisation, leg) => {
+                let outcome = match &answer {
+                    None => otherwise,
+                    Some(answer) if service == TOKENS => self.judged(now, answer),
+                    Some(answer) => legs::outcome(answer),
+                };
+                let known = &mut self.services[service];
+                known.legs.remove(authorisation);
+                let answers = known.engine.leg_ended(now, authorisation, leg, outcome, report);
+                if let (true, Some(answer)) = (answers, answer) {
+                    self.served((service, authorisation), answer);
+                }
+            }
+            Errand::Probe => {
+                let body = answer.as_ref().and_then(|a| std::str::from_utf8(&a.body).ok());
+                let report = report.or(body.and_then(probes::report));
+                let outcome = answer.as_ref().map_or(otherwise, probes::outcome);
+                self.services[service].engine.probe_ended(server, outcome, report);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/limiter/src/net/host/mod.rs
@@ -0,0 +1,605 @@
+//! The host: connections, and who is behind them.
+
+mod acquirers;
+mod counting;
+mod datagrams;
+mod ending;
+mod errands;
+mod tokens;
+mod watching;
+
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::rc::Rc;
+
+use calloop::generic::Generic;
+use calloop::{Interest, LoopHandle, Mode, PostAction, Readiness, RegistrationToken};
+use slotmap::SecondaryMap;
+use socket2::{Domain, Protocol, Socket, Type};
+use streamarch::{ListKind, LoadReport, Micros, Outcome, ServerEntry, ServerId};
+
+use self::tokens::Tokens;
+use super::Clock;
+use super::framing::{self, Answer};
+use crate::config::{Config, Introspection};
+use crate::counter::{Counted, Line};
+use crate::deadlines::Deadlines;
+use crate::engine::{Engine, Order};
+use crate::front::platform::{self, Platform};
+use crate::front::{Forward, Rejection};
+use crate::legs::{self, Errand, LegState, Pool};
+use crate::limits::Limits;
+use crate::peers;
+use crate::probes;
+use crate::routing_table::{News, RoutingTable};
+use crate::slots::{AuthorisationKey, ConnectionKey, SlotMap};
+
+/// Positions of the services: the records servers, and the introspection servers that we ask.
+const RECORDS: usize = 0;
+const TOKENS: usize = 1;
+
+/// An authorisation of a service.
+type Ticket = (usize, AuthorisationKey);
+
+/// The fronts that listen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Door {
+    Platform,
+    Introspection,
+}
+
+/// An engine with its servers and what is out.
+struct Service {
+    engine: Engine,
+    pool: Pool,
+    pending: SecondaryMap<AuthorisationKey, Pending>,
+    legs: SecondaryMap<AuthorisationKey, ConnectionKey>,
+}
+
+impl Service {
+    fn new(engine: Engine) -> Service {
+        Service { engine, pool: Pool::default(), pending: SecondaryMap::new(), legs: SecondaryMap::new() }
+    }
+}
+
+/// Whose a connection is.
+#[derive(Clone, Copy, Debug)]
+enum Role {
+    /// The acquirer side: a client's, and what it waits for.
+    Acquirer { door: Door, waits: Option<Ticket> },
+    /// A server's, of the service whose engine sends to it.
+    Server { service: usize, server: ServerId, state: LegState },
+    /// The counter's, by its line.
+    Counter(usize),
+    /// Discovery's.
+    Watch,
+}
+
+struct Connection {
+    stream: Rc<TcpStream>,
+    token: Option<RegistrationToken>,
+    role: Role,
+    up: bool,
+    input: Vec<u8>,
+    output: Vec<u8>,
+    written: usize,
+    /// The client asked that the answer be the last.
+    last: bool,
+    /// To be closed once all is written.
+    closing: bool,
+}
+
+/// What falls due.
+#[derive(Debug)]
+enum Due {
+    Connect(ConnectionKey),
+    Errand(ConnectionKey, Errand),
+    Counter(usize),
+    Retire,
+    WatchRetry,
+    WatchSilent(ConnectionKey, Micros),
+    NoticeOver,
+    DrainOver,
+}
+
+/// An authorisation whose final answer is owed.
+struct Pending {
+    origin: ConnectionKey,
+    forward: Forward,
+    purpose: Purpose,
+}
+
+/// What the answer to an authorisation is for.
+enum Purpose {
+    /// A request in the platform's protocol.
+    Platform,
+    /// The same work asked for with a bearer token, whose it is being known.
+    Record,
+    /// Finding out whose a bearer token is; then the request goes on.
+    Identify(Box<tokens::Bearing>),
+    /// A caller's question about a token.
+    Introspect(crate::front::introspection::Token),
+}
+
+#[derive(Default)]
+struct Watch {
+    connection: Option<ConnectionKey>,
+    /// The head of the answer has been read.
+    streaming: bool,
+    line: Vec<u8>,
+    heard: Micros,
+    wait: Micros,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Phase {
+    Serving,
+    /// Told to end, still taking new connections.
+    Notice,
+    /// Finishing what was taken.
+    Draining,
+    Finished,
+}
+
+/// All that runs on the loop.
+pub struct Host {
+    handle: LoopHandle<'static, Host>,
+    clock: Clock,
+    limits: Limits,
+    name: String,
+    phase: Phase,
+    connections: SlotMap<ConnectionKey, Connection>,
+    acquirers: usize,
+    deadlines: Deadlines<Due>,
+    dirty: Vec<ConnectionKey>,
+    scratch: Vec<u8>,
+    orders: Vec<Order>,
+    listeners: Vec<(Door, Rc<TcpListener>, RegistrationToken)>,
+    accepting: bool,
+    platform: Platform,
+    services: Vec<Service>,
+    tokens: Option<Tokens>,
+    table: RoutingTable,
+    discovery: SocketAddr,
+    watch: Watch,
+    counter: Option<SocketAddr>,
+    lines: Vec<Line>,
+    datagrams: Option<UdpSocket>,
+    peers: Vec<SocketAddr>,
+    plans: usize,
+    reports: bool,
+}
+
+fn nonblocking_connect(address: SocketAddr) -> io::Result<TcpStream> {
+    let socket =
+        Socket::new(Domain::for_address(address), Type::STREAM.nonblocking().cloexec(), Some(Protocol::TCP))?;
+    socket.set_tcp_nodelay(true)?;
+    match socket.connect(&address.into()) {
+        Ok(()) => {}
+        Err(error) if error.raw_os_error() == Some(EINPROGRESS) => {}
+        Err(error) => return Err(error),
+    }
+    Ok(socket.into())
+}
+
+/// Linux's number for a connect that goes on in the background; the standard library has no stable name for it.
+const EINPROGRESS: i32 = 115;
+
+/// Whether an idle connection is still whole: nothing has come on it, no end either.
+fn quiet(stream: &TcpStream) -> bool {
+    matches!(stream.peek(&mut [0]), Err(error) if error.kind() == io::ErrorKind::WouldBlock)
+}
+
+fn listen(
+    handle: &LoopHandle<'static, Host>,
+    door: Door,
+    address: SocketAddr,
+) -> io::Result<(Door, Rc<TcpListener>, RegistrationToken)> {
+    let listener = TcpListener::bind(address)?;
+    listener.set_nonblocking(true)?;
+    let listener = Rc::new(listener);
+    let source = Generic::new(listener.clone(), Interest::READ, Mode::Level);
+    let accept = |_: Readiness, _: &mut _, host: &mut Host| {
+        host.accept();
+        Ok(PostAction::Continue)
+    };
+    let token = handle.insert_source(source, accept).map_err(|e| e.error)?;
+    Ok((door, listener, token))
+}
+
+impl Host {
+    /// Opens the sockets and starts from the list as last held.
+    pub fn open(config: Config, handle: LoopHandle<'static, Host>, clock: Clock) -> io::Result<Host> {
+        let limits = config.limits;
+        let mut table = RoutingTable::new(config.names.zones.clone(), config.names.kinds.clone());
+        let settings = config.settings;
+        let platform =
+            Platform { names: config.names, classes: settings.classes.clone(), limiters: settings.gateways };
+        let tell = settings.may_tell;
+        let known = table.known(&config.known).unwrap_or_else(|error| {
+            eprintln!("known list not taken: {error}");
+            News { kind: ListKind::Cached, entries: Vec::new(), addresses: Vec::new(), gone: Vec::new() }
+        });
+        let plans = settings.plans.len();
+        let counter = config.counter.filter(|_| settings.counter);
+        let mut listeners = vec![listen(&handle, Door::Platform, config.listen)?];
+        let mut services = vec![Service::new(Engine::new(settings, config.seed, limits.held))];
+        let mut tokens = None;
+        if let Some(front) = config.introspection {
+            listeners.push(listen(&handle, Door::Introspection, front.listen)?);
+            services.push(Service::new(Engine::new(front.settings.clone(), !config.seed, limits.held)));
+            tokens = Some(Tokens::new(front, plans));
+        }
+        let datagrams = match config.peer_listen.filter(|_| tell) {
+            Some(address) => {
+                let socket = UdpSocket::bind(address)?;
+                socket.set_nonblocking(true)?;
+                let source = Generic::new(socket.try_clone()?, Interest::READ, Mode::Level);
+                let read = |_: Readiness, _: &mut _, host: &mut Host| {
+                    host.read_datagrams();
+                    Ok(PostAction::Continue)
+                };
+                handle.insert_source(source, read).map_err(|e| e.error)?;
+                Some(socket)
+            }
+            None => None,
+        };
+        let mut host = Host {
+            handle,
+            clock,
+            name: config.name,
+            phase: Phase::Serving,
+            connections: SlotMap::with_key(),
+            acquirers: 0,
+            deadlines: Deadlines::default(),
+            dirty: Vec::new(),
+            scratch: vec![0; limits.read_bytes],
+            orders: Vec::new(),
+            listeners,
+            accepting: true,
+            platform,
+            services,
+            tokens,
+            table,
+            discovery: config.discovery,
+            watch: Watch { wait: limits.watch_retry, ..Watch::default() },
+            counter,
+            lines: (0..limits.counter_connections).map(|_| Line::default()).collect(),
+            datagrams,
+            peers: config.peers,
+            plans,
+            reports: config.reports,
+            limits,
+        };
+        host.take_news(known);
+        host.list_upstreams();
+        host.open_watch();
+        for line in 0..host.lines.len() {
+            host.open_line(line);
+        }
+        host.deadlines.enter(host.now() + host.limits.leg_idle / 4, Due::Retire);
+        host.log(&format!("serving on {}", config.listen));
+        Ok(host)
+    }
+
+    /// The present time.
+    pub fn now(&self) -> Micros {
+        self.clock.now()
+    }
+
+    /// Where the fronts listen: the platform's, and introspection's if it is on.
+    pub fn addresses(&self) -> io::Result<(SocketAddr, Option<SocketAddr>)> {
+        let of = |door| self.listeners.iter().find(|(d, _, _)| *d == door).map(|(_, l, _)| l.local_addr());
+        let platform = of(Door::Platform).unwrap_or_else(|| Err(io::ErrorKind::NotConnected.into()))?;
+        Ok((platform, of(Door::Introspection).transpose()?))
+    }
+
+    /// When something is due next.
+    pub fn next(&self) -> Option<Micros> {
+        let engines = self.services.iter().filter_map(|service| service.engine.next());
+        self.deadlines.earliest().into_iter().chain(engines).min()
+    }
+
+    /// All is done that was to be done.
+    pub fn finished(&self) -> bool {
+        self.phase == Phase::Finished
+    }
+
+    fn log(&self, text: &str) {
+        eprintln!("{} {text}", self.name);
+    }
+
+    /// What is due, what the module decides, what is to be written.
+    pub fn turn(&mut self) {
+        let now = self.now();
+        while let Some(due) = self.deadlines.take_due(now) {
+            self.due(now, due);
+        }
+        for service in 0..self.services.len() {
+            let mut orders = std::mem::take(&mut self.orders);
+            self.services[service].engine.handle(now, &mut orders);
+            for order in orders.drain(..) {
+                self.carry_out(now, service, order);
+            }
+            self.orders = orders;
+        }
+        for line in 0..self.lines.len() {
+            self.write_line(now, line);
+        }
+        for key in std::mem::take(&mut self.dirty) {
+            self.flush(key);
+        }
+        if self.phase == Phase::Draining && self.acquirers == 0 {
+            self.log("all answered, ending");
+            self.phase = Phase::Finished;
+        }
+    }
+
+    fn due(&mut self, now: Micros, due: Due) {
+        match due {
+            Due::Connect(key) => {
+                if self.connections.get(key).is_some_and(|c| !c.up) {
+                    self.broken(key);
+                }
+            }
+            Due::Errand(key, errand) => {
+                let role = self.connections.get(key).map(|c| c.role);
+                let Some(Role::Server { service, server, state }) = role else {
+                    return;
+                };
+                if state.errand() == Some(errand) {
+                    self.end_errand(service, server, errand, state.overdue(), None);
+                    self.close(key);
+                }
+            }
+            Due::Counter(line) => {
+                let mut counted = Vec::new();
+                self.lines[line].expire(now, &mut counted);
+                self.take_counted(counted);
+                let stale = self.lines[line].stale(now - self.limits.counter_stale);
+                if let Some(key) = self.lines[line].connection.filter(|_| stale) {
+                    self.broken(key);
+                }
+            }
+            Due::Retire => {
+                let before = now - self.limits.leg_idle;
+                let old = self.services.iter_mut().flat_map(|service| service.pool.retire(before));
+                for key in old.collect::<Vec<_>>() {
+                    self.close(key);
+                }
+                self.deadlines.enter(now + self.limits.leg_idle / 4, Due::Retire);
+            }
+            Due::WatchRetry => self.open_watch(),
+            Due::WatchSilent(key, heard) => {
+                if self.watch.connection != Some(key) {
+                } else if self.watch.heard <= heard {
+                    self.log("discovery silent: watch opened anew");
+                    self.broken(key);
+                } else {
+                    let heard = self.watch.heard;
+                    self.deadlines.enter(heard + self.limits.watch_silent, Due::WatchSilent(key, heard));
+                }
+            }
+            Due::NoticeOver => self.notice_over(),
+            Due::DrainOver => self.phase = Phase::Finished,
+        }
+    }
+
+    fn carry_out(&mut self, now: Micros, service: usize, order: Order) {
+        match order {
+            Order::StartLeg { key, leg, server, deadline } => {
+                self.start_leg(now, (service, key), leg, server, deadline)
+            }
+            Order::StopLeg { key, .. } => {
+                if let Some(connection) = self.services[service].legs.remove(key) {
+                    self.close(connection);
+                }
+            }
+            Order::Answer { key, ending } => self.ended((service, key), ending),
+            Order::Count { name, add, life } => {
+                let line = (name.0 % self.lines.len().max(1) as u64) as usize;
+                let deadline = now + self.limits.counter_wait;
+                let rested = self.lines[line].rested(now - self.limits.counter_idle);
+                if let Some(old) = self.lines[line].connection.filter(|_| rested) {
+                    // Guards against a call that crosses the counter's close of an idle connection.
+                    self.broken(old);
+                }
+                self.lines[line].call(service, name, add, life, deadline);
+                self.deadlines.enter(deadline, Due::Counter(line));
+                if self.lines[line].connection.is_none() {
+                    self.open_line(line);
+                }
+            }
+            Order::Probe(server) => {
+                self.start_errand(now, service, server, Errand::Probe, now + self.limits.probe_wait)
+            }
+            Order::Tell(number, notice) => {
+                let to = self.peers.get(number as usize).copied();
+                if let (Some(to), Some(socket), Some(bytes)) = (to, &self.datagrams, peers::encode(&notice)) {
+                    // A datagram that cannot be sent is lost, as any may be.
+                    let _ = socket.send_to(&bytes, to);
+                }
+            }
+            Order::Log(text) => self.log(&text),
+        }
+    }
+
+    fn register(&mut self, stream: TcpStream, role: Role, up: bool) -> io::Result<ConnectionKey> {
+        let stream = Rc::new(stream);
+        let source = Generic::new(stream.clone(), Interest::BOTH, Mode::Edge);
+        let key = self.connections.insert(Connection {
+            stream,
+            token: None,
+            role,
+            up,
+            input: Vec::new(),
+            output: Vec::new(),
+            written: 0,
+            last: false,
+            closing: false,
+        });
+        let ready = move |_: Readiness, _: &mut _, host: &mut Host| {
+            host.ready(key);
+            Ok(PostAction::Continue)
+        };
+        match self.handle.insert_source(source, ready) {
+            Ok(token) => {
+                self.connections[key].token = Some(token);
+                Ok(key)
+            }
+            Err(error) => {
+                self.connections.remove(key);
+                Err(error.error.into())
+            }
+        }
+    }
+
+    /// Opens a connection; it must come up within the limit for that.
+    fn connect(&mut self, address: SocketAddr, role: Role) -> io::Result<ConnectionKey> {
+        let key = self.register(nonblocking_connect(address)?, role, false)?;
+        self.deadlines.enter(self.now() + self.limits.connect, Due::Connect(key));
+        Ok(key)
+    }
+
+    /// Takes a connection out of all tables.
+    fn close(&mut self, key: ConnectionKey) -> Option<Connection> {
+        let connection = self.connections.remove(key)?;
+        if let Some(token) = connection.token {
+            self.handle.remove(token);
+        }
+        match connection.role {
+            Role::Acquirer { .. } => {
+                self.acquirers -= 1;
+                self.resume_accepting();
+            }
+            Role::Server { service, server, .. } => self.services[service].pool.closed(server, key),
+            Role::Counter(_) | Role::Watch => {}
+        }
+        Some(connection)
+    }
+
+    /// The other side closed or broke a connection, or it never came up.
+    fn broken(&mut self, key: ConnectionKey) {
+        let now = self.now();
+        let Some(connection) = self.close(key) else { return };
+        match connection.role {
+            Role::Acquirer { waits: Some((service, authorisation)), .. } => {
+                let known = &mut self.services[service];
+                known.pending.remove(authorisation);
+                let mut orders = std::mem::take(&mut self.orders);
+                known.engine.client_left(now, authorisation, &mut orders);
+                for order in orders.drain(..) {
+                    self.carry_out(now, service, order);
+                }
+                self.orders = orders;
+            }
+            Role::Acquirer { waits: None, .. } => {}
+            Role::Server { service, server, state } => {
+                if let Some(errand) = state.errand() {
+                    let answer = framing::answer(&connection.input, true, &self.limits).ok().flatten();
+                    let answer = answer.map(|(answer, _)| answer);
+                    self.end_errand(service, server, errand, state.broken(), answer);
+                }
+            }
+            Role::Counter(line) => {
+                let mut counted = Vec::new();
+                self.lines[line].broken(&mut counted);
+                self.take_counted(counted);
+            }
+            Role::Watch => self.watch_lost(),
+        }
+    }
+
+    fn ready(&mut self, key: ConnectionKey) {
+        let Some(connection) = self.connections.get_mut(key) else { return };
+        if !connection.up {
+            match connection.stream.take_error() {
+                Ok(None) if connection.stream.peer_addr().is_ok() => connection.up = true,
+                Ok(None) => return,
+                _ => return self.broken(key),
+            }
+            self.came_up(key);
+        }
+        if self.connections.get(key).is_some_and(|c| c.written < c.output.len()) {
+            self.flush(key);
+        }
+        self.read(key);
+    }
+
+    fn came_up(&mut self, key: ConnectionKey) {
+        let now = self.now();
+        match self.connections.get(key).map(|c| c.role) {
+            Some(Role::Server { .. }) => self.send_errand(now, key),
+            Some(Role::Counter(line)) => {
+                self.lines[line].connected(now);
+                self.write_line(now, line);
+            }
+            Some(Role::Watch) => {
+                let request = format!(
+                    "GET /discovery/hosts?watch=1&from={} HTTP/1.1\r\nHost: {}\r\n\r\n",
+                    self.table.index, self.discovery
+                );
+                self.write(key, request.as_bytes());
+                self.watch.heard = now;
+                self.deadlines.enter(now + self.limits.watch_silent, Due::WatchSilent(key, now));
+            }
+            Some(Role::Acquirer { .. }) | None => {}
+        }
+    }
+
+    /// Reads all there is; then what came is looked at, and only then an end.
+    fn read(&mut self, key: ConnectionKey) {
+        let most = self.limits.head_bytes + self.limits.body_bytes + self.limits.line_bytes;
+        let ended = loop {
+            let Some(connection) = self.connections.get_mut(key) else { return };
+            match (&*connection.stream).read(&mut self.scratch) {
+                Ok(0) => break true,
+                Ok(length) => connection.input.extend_from_slice(&self.scratch[..length]),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => break false,
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(_) => break true,
+            }
+            // Guards the memory against a peer that only ever sends.
+            if connection.input.len() > most {
+                break true;
+            }
+        };
+        match self.connections.get(key).map(|c| (c.role, c.input.is_empty())) {
+            Some((Role::Acquirer { .. }, false)) => self.read_request(key),
+            Some((Role::Server { .. }, false)) => self.read_answer(key),
+            Some((Role::Counter(line), false)) => self.read_totals(key, line),
+            Some((Role::Watch, false)) => self.read_watch(key),
+            _ => {}
+        }
+        if ended {
+            self.broken(key);
+        }
+    }
+
+    fn write(&mut self, key: ConnectionKey, bytes: &[u8]) {
+        if let Some(connection) = self.connections.get_mut(key) {
+            connection.output.extend_from_slice(bytes);
+            self.dirty.push(key);
+        }
+    }
+
+    fn flush(&mut self, key: ConnectionKey) {
+        let Some(connection) = self.connections.get_mut(key).filter(|c| c.up) else { return };
+        while connection.written < connection.output.len() {
+            match (&*connection.stream).write(&connection.output[connection.written..]) {
+                Ok(length) => connection.written += length,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(_) => return self.broken(key),
+            }
+        }
+        connection.output.clear();
+        connection.written = 0;
+        if let Role::Server { state, .. } = &mut connection.role {
+            *state = state.written();
+        }
+        if connection.closing {
+            self.close(key);
+        }
+    }
+}
--- /dev/null
+++ b/limiter/src/net/host/tokens.rs
@@ -0,0 +1,234 @@
+//! The introspection front on its connections: bearer requests, callers' questions, and what was found.
+
+use super::*;
+use crate::engine::{Authorisation, Ending};
+use crate::front::introspection::{self, Asking, Cache, Caller, Challenge, Finding, Identity, Token};
+use crate::front::platform::Basics;
+use crate::net::framing::Request;
+
+/// A bearer request whose token is being asked about.
+pub(super) struct Bearing {
+    request: Request,
+    basics: Basics,
+    units: f64,
+    token: Token,
+}
+
+/// What the front holds.
+pub(super) struct Tokens {
+    callers: Vec<Caller>,
+    asking: Asking,
+    cache: Cache,
+    upstreams: Vec<SocketAddr>,
+    /// Position of the plan without quota, for what we ask on our own account.
+    house: usize,
+}
+
+const NO_STORE: (&str, &str) = ("Cache-Control", "no-store");
+const JSON: (&str, &str) = ("Content-Type", "application/json");
+
+impl Tokens {
+    pub(super) fn new(front: Introspection, house: usize) -> Tokens {
+        Tokens {
+            cache: Cache::new(front.cache_entries, front.cache_for),
+            callers: front.callers,
+            asking: front.asking,
+            upstreams: front.upstreams,
+            house,
+        }
+    }
+}
+
+impl Host {
+    /// The introspection servers are the token engine's routing table; it never changes.
+    pub(super) fn list_upstreams(&mut self) {
+        let (Some(tokens), Some(service)) = (&self.tokens, self.services.get_mut(TOKENS)) else { return };
+        let mut entries = Vec::new();
+        for (n, address) in tokens.upstreams.iter().enumerate() {
+            let server = ServerId(n as u32);
+            service.pool.listed(server, *address);
+            let state = streamarch::ServerState::Ready;
+            entries.push(ServerEntry { server, zone: 0, kind: 0, cell: 0, state, weight: 1.0, started: 0 });
+        }
+        service.engine.listed(ListKind::Full, entries);
+    }
+
+    /// A request at the introspection front.
+    pub(super) fn read_bearing(&mut self, now: Micros, key: ConnectionKey, request: Request) {
+        let path = request.target.split('?').next().unwrap_or_default();
+        if path == "/introspect" {
+            return self.read_question(now, key, &request);
+        }
+        let read = self.platform.basics(&request, &self.limits, now).and_then(|basics| {
+            let query = request.target.split_once('?').map_or("", |(_, query)| query);
+            if query.split('&').any(|part| part.starts_with("account=")) {
+                return Err(crate::front::reject(400, "a token names the account"));
+            }
+            let terms = request.headers.get("X-Call-Terms").unwrap_or("units=1");
+            let everywhere = Some((self.platform.limiters.max(1), 0));
+            let (units, _) = self.platform.terms(terms, &self.limits, everywhere)?;
+            Ok((basics, units))
+        });
+        let (basics, units) = match read {
+            Ok(read) => read,
+            Err(rejection) => return self.reject(key, &rejection, !request.keep_alive),
+        };
+        let token = match introspection::bearer(&request.headers) {
+            Ok(token) => token,
+            Err(challenge) => return self.challenge(key, challenge),
+        };
+        let Some(tokens) = &mut self.tokens else { return };
+        let known = tokens.cache.get(&token, now);
+        let bearing = Bearing { request, basics, units, token };
+        match known {
+            Some(identity) => self.go_on(key, bearing, identity),
+            None => {
+                let asking = Authorisation {
+                    plan: tokens.house,
+                    customer: introspection::house(),
+                    deadline: bearing.basics.deadline,
+                    units: 1.0,
+                    spread: 1,
+                    ..Authorisation::default()
+                };
+                let forward = tokens.asking.forward(&bearing.token);
+                self.take(key, TOKENS, asking, forward, Purpose::Identify(Box::new(bearing)));
+            }
+        }
+    }
+
+    /// Whose the token is, is known: the work itself is asked for, in the same time and good no longer than it.
+    fn go_on(&mut self, key: ConnectionKey, bearing: Bearing, identity: Identity) {
+        let Bearing { mut request, basics, units, .. } = bearing;
+        let joint = if request.target.contains('?') { '&' } else { '?' };
+        request.target.push_str(&format!("{joint}account={:016x}", identity.customer.0));
+        let authorisation = Authorisation {
+            class: basics.class,
+            plan: identity.plan,
+            customer: identity.customer,
+            deadline: basics.deadline,
+            units,
+            spread: self.platform.limiters.max(1),
+            first: 0,
+            again: basics.again,
+            valid_until: identity.expires,
+        };
+        self.take(key, RECORDS, authorisation, Forward::of(&request), Purpose::Record);
+    }
+
+    /// A caller asks about a token.
+    fn read_question(&mut self, now: Micros, key: ConnectionKey, request: &Request) {
+        let Some(tokens) = &self.tokens else { return };
+        if request.method != "POST" {
+            return self.answer(key, 405, &[("Allow", "POST"), NO_STORE], b"");
+        }
+        let Some(caller) = introspection::caller(&request.headers, &tokens.callers) else {
+            let headers = [("WWW-Authenticate", "Basic realm=\"introspection\""), NO_STORE, JSON];
+            return self.answer(key, 401, &headers, b"{\"error\":\"invalid_client\"}");
+        };
+        let token = match introspection::asked(request) {
+            Ok(token) => token,
+            Err(rejection) => {
+                let body = rejection.text.as_bytes();
+                return self.answer(key, rejection.status, &[NO_STORE, JSON], body);
+            }
+        };
+        let wait = self.platform.wait(&request.headers, &self.limits, now);
+        let question = Authorisation {
+            plan: caller.plan,
+            customer: caller.customer,
+            deadline: wait.unwrap_or(now + self.limits.introspection_wait),
+            units: 1.0,
+            spread: self.platform.limiters.max(1),
+            ..Authorisation::default()
+        };
+        let forward = tokens.asking.forward(&token);
+        self.take(key, TOKENS, question, forward, Purpose::Introspect(token));
+    }
+
+    fn challenge(&mut self, key: ConnectionKey, challenge: Challenge) {
+        let (status, text) = challenge.answer();
+        self.answer(key, status, &[("WWW-Authenticate", text), NO_STORE], b"");
+    }
+
+    /// A leg whose answer is known already needs no server: the question has passed the caller's quota by then.
+    pub(super) fn answered_from_cache(&mut self, now: Micros, ticket: Ticket, leg: u32) -> bool {
+        let (service, key) = ticket;
+        let Some(tokens) = self.tokens.as_mut().filter(|_| service == TOKENS) else { return false };
+        let known = &mut self.services[service];
+        let Some(Purpose::Introspect(token)) = known.pending.get(key).map(|p| &p.purpose) else {
+            return false;
+        };
+        let finding = match tokens.cache.get(token, now) {
+            Some(identity) => Finding::Active(identity),
+            None if token.is_void() => Finding::Inactive,
+            None => return false,
+        };
+        if known.engine.leg_ended(now, key, leg, Outcome::Ok, None)
+            && let Some(pending) = known.pending.remove(key)
+        {
+            self.tell(now, pending.origin, finding);
+        }
+        true
+    }
+
+    fn tell(&mut self, now: Micros, key: ConnectionKey, finding: Finding) {
+        let body = introspection::write_finding(finding, &self.platform.names.plans, now);
+        self.answer(key, 200, &[JSON, NO_STORE], &body);
+    }
+
+    /// The outcome of a leg to an introspection server. One that lies has failed, whatever its status.
+    pub(super) fn judged(&self, now: Micros, answer: &Answer) -> Outcome {
+        match introspection::judge(answer, &self.platform.names.plans, now) {
+            Ok(_) => Outcome::Ok,
+            Err(_) if matches!(answer.status, 429 | 503) => Outcome::Full,
+            Err(lie) => {
+                self.log(&format!("{lie} (status {})", answer.status));
+                Outcome::Error
+            }
+        }
+    }
+
+    /// An introspection server's answer, judged before.
+    pub(super) fn found(&mut self, key: ConnectionKey, purpose: Purpose, answer: &Answer) {
+        let now = self.now();
+        // Guards the instant between the two looks at the clock: fails closed.
+        let finding =
+            introspection::judge(answer, &self.platform.names.plans, now).unwrap_or(Finding::Inactive);
+        let Some(tokens) = &mut self.tokens else { return };
+        match (purpose, finding) {
+            (Purpose::Identify(bearing), finding) => {
+                tokens.cache.keep(&bearing.token, finding, now);
+                match finding {
+                    Finding::Active(identity) => self.go_on(key, *bearing, identity),
+                    Finding::Inactive => self.challenge(key, Challenge::Invalid),
+                }
+            }
+            (Purpose::Introspect(token), finding) => {
+                tokens.cache.keep(&token, finding, now);
+                self.tell(now, key, finding);
+            }
+            (Purpose::Platform | Purpose::Record, _) => {}
+        }
+    }
+
+    /// An ending that no server gave, at this front.
+    pub(super) fn ended_tokens(&mut self, key: ConnectionKey, purpose: Purpose, ending: Ending) {
+        let ending = match purpose {
+            // Whose it is could not be learned: nothing has run, and a retry is harmless.
+            Purpose::Identify(_) if !matches!(ending, Ending::Declined { .. }) => {
+                Ending::Declined { stay_away: 0, over_quota: false }
+            }
+            _ => ending,
+        };
+        let (status, challenge) = introspection::status(ending);
+        let stay_away = match ending {
+            Ending::Declined { stay_away: 0, .. } => self.limits.stay_away,
+            Ending::Declined { stay_away, .. } => stay_away,
+            _ => 0,
+        };
+        let mut headers = vec![NO_STORE];
+        headers.extend(challenge.map(|text| ("WWW-Authenticate", text)));
+        self.decline(key, status, stay_away, &headers, b"");
+    }
+}
--- /dev/null
+++ b/limiter/src/net/host/watching.rs
@@ -0,0 +1,78 @@
+//! Discovery's watch, and what it brings.
+
+use super::*;
+
+impl Host {
+    pub(super) fn open_watch(&mut self) {
+        (self.watch.streaming, self.watch.connection) = (false, None);
+        self.watch.line.clear();
+        match self.connect(self.discovery, Role::Watch) {
+            Ok(key) => self.watch.connection = Some(key),
+            Err(_) => self.watch_lost(),
+        }
+    }
+
+    pub(super) fn watch_lost(&mut self) {
+        self.watch.connection = None;
+        let at = self.now() + self.watch.wait;
+        self.watch.wait = (self.watch.wait * 2).min(self.limits.watch_retry_longest);
+        self.deadlines.enter(at, Due::WatchRetry);
+    }
+
+    pub(super) fn read_watch(&mut self, key: ConnectionKey) {
+        self.watch.heard = self.now();
+        let Some(connection) = self.connections.get_mut(key) else { return };
+        let mut at = 0;
+        let mut bad = false;
+        if !self.watch.streaming {
+            match framing::stream_head(&connection.input, &self.limits) {
+                Ok(None) => return,
+                Ok(Some((200, from))) => (self.watch.streaming, at) = (true, from),
+                Ok(Some(_)) | Err(_) => bad = true,
+            }
+        }
+        while !bad {
+            match framing::chunk(&connection.input[at..], self.limits.line_bytes) {
+                Ok(Some((part, length))) => {
+                    bad = part.is_empty();
+                    self.watch.line.extend_from_slice(&connection.input[at..][part]);
+                    at += length;
+                }
+                Ok(None) => break,
+                Err(_) => bad = true,
+            }
+            bad |= self.watch.line.len() > self.limits.line_bytes;
+        }
+        connection.input.drain(..at);
+        while let Some(end) = self.watch.line.iter().position(|b| *b == b'\n') {
+            let line: Vec<u8> = self.watch.line.drain(..=end).collect();
+            match self.table.line(&line) {
+                Ok(None) => self.watch.wait = self.limits.watch_retry,
+                Ok(Some(news)) => {
+                    self.watch.wait = self.limits.watch_retry;
+                    self.take_news(news);
+                }
+                Err(error) => {
+                    self.log(&format!("discovery: {error}"));
+                    bad = true;
+                    break;
+                }
+            }
+        }
+        if bad {
+            self.broken(key);
+        }
+    }
+
+    pub(super) fn take_news(&mut self, news: News) {
+        let records = &mut self.services[RECORDS];
+        for (server, address) in news.addresses {
+            records.pool.listed(server, address);
+        }
+        let idle: Vec<_> = news.gone.into_iter().flat_map(|server| records.pool.unlisted(server)).collect();
+        records.engine.listed(news.kind, news.entries);
+        for key in idle {
+            self.close(key);
+        }
+    }
+}
--- a/limiter/src/net/mod.rs
+++ b/limiter/src/net/mod.rs
@@ -5,53 +5,118 @@
 mod host;
 
 use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicI64, Ordering};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use calloop::EventLoop;
+use calloop::ping::{Ping, make_ping};
 use calloop::signals::{Signal, Signals};
 use streamarch::Micros;
 
 use crate::config::Config;
 pub use host::Host;
 
-/// The host's clock: microseconds since the epoch, from the system's clock at the start and steady from then on.
-#[derive(Clone, Copy, Debug)]
-pub struct Clock {
-    start: Instant,
-    epoch: Micros,
+/// The host's clock: microseconds since the epoch.
+#[derive(Clone, Debug)]
+pub struct Clock(Source);
+
+#[derive(Clone, Debug)]
+enum Source {
+    /// The system's clock at the start, and steady from then on.
+    System(Instant, Micros),
+    /// Driven from outside; each look moves it by the least there is, so that periods pass.
+    Driven(Arc<AtomicI64>),
 }
 
 impl Clock {
-    /// A clock that starts now.
-    pub fn new() -> Clock {
+    /// The system's clock.
+    pub fn system() -> Clock {
         let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { start: Instant::now(), epoch: since.as_micros() as Micros }
+        Clock(Source::System(Instant::now(), since.as_micros() as Micros))
+    }
+
+    /// A clock that goes as its hand is moved, for tests.
+    pub fn driven(hand: Arc<AtomicI64>) -> Clock {
+        Clock(Source::Driven(hand))
     }
 
     /// The present time.
     pub fn now(&self) -> Micros {
-        self.epoch + self.start.elapsed().as_micros() as Micros
+        match &self.0 {
+            Source::System(start, epoch) => epoch + start.elapsed().as_micros() as Micros,
+            Source::Driven(hand) => hand.fetch_add(1, Ordering::SeqCst),
+        }
+    }
+}
+
+/// Reaches a running daemon from another thread.
+#[derive(Clone, Debug)]
+pub struct Remote {
+    stop: Ping,
+    wake: Ping,
+}
+
+impl Remote {
+    /// Tells the daemon to finish what it has taken and end.
+    pub fn stop(&self) {
+        self.stop.ping();
+    }
+
+    /// Has the daemon look at its clock.
+    pub fn wake(&self) {
+        self.wake.ping();
     }
 }
 
-impl Default for Clock {
-    fn default() -> Clock {
-        Clock::new()
+/// A limiter with its sockets open.
+pub struct Daemon {
+    events: EventLoop<'static, Host>,
+    host: Host,
+    remote: Remote,
+}
+
+impl Daemon {
+    /// Opens the sockets.
+    pub fn open(config: Config, clock: Clock) -> io::Result<Daemon> {
+        let events: EventLoop<'static, Host> = EventLoop::try_new()?;
+        let handle = events.handle();
+        let (stop, stopped) = make_ping()?;
+        let (wake, woken) = make_ping()?;
+        handle.insert_source(stopped, |(), _, host: &mut Host| host.drain()).map_err(|e| e.error)?;
+        handle.insert_source(woken, |(), _, _: &mut Host| {}).map_err(|e| e.error)?;
+        let host = Host::open(config, handle, clock)?;
+        Ok(Daemon { events, host, remote: Remote { stop, wake } })
+    }
+
+    /// Where the fronts listen: the platform's, and introspection's if it is on.
+    pub fn addresses(&self) -> io::Result<(SocketAddr, Option<SocketAddr>)> {
+        self.host.addresses()
+    }
+
+    /// A handle for other threads.
+    pub fn remote(&self) -> Remote {
+        self.remote.clone()
+    }
+
+    /// Runs until told to end.
+    pub fn run(mut self) -> io::Result<()> {
+        while !self.host.finished() {
+            let now = self.host.now();
+            let wait = self.host.next().map(|at| Duration::from_micros(at.saturating_sub(now).max(0) as u64));
+            self.events.dispatch(wait, &mut self.host)?;
+            self.host.turn();
+        }
+        Ok(())
     }
 }
 
-/// Runs the limiter until it is told to end.
+/// Runs the limiter until SIGTERM or SIGINT.
 pub fn serve(config: Config) -> io::Result<()> {
-    let mut events: EventLoop<'static, Host> = EventLoop::try_new()?;
     let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT])?;
-    let handle = events.handle();
+    let daemon = Daemon::open(config, Clock::system())?;
+    let handle = daemon.events.handle();
     handle.insert_source(signals, |_, _, host: &mut Host| host.drain()).map_err(|e| e.error)?;
-    let mut host = Host::open(config, handle)?;
-    while !host.finished() {
-        let now = host.now();
-        let wait = host.next().map(|at| Duration::from_micros((at - now).max(0) as u64));
-        events.dispatch(wait, &mut host)?;
-        host.turn();
-    }
-    Ok(())
+    daemon.run()
 }
--- /dev/null
+++ b/limiter/tests/common/mod.rs
@@ -0,0 +1,237 @@
+//! Stand-ins on loopback for clients, servers, the counter and introspection servers; the clock is driven by hand.
+#![allow(dead_code)]
+
+use std::collections::BTreeMap;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicI64, Ordering};
+use std::sync::{Arc, Mutex, mpsc};
+use std::thread;
+use std::time::Duration;
+
+use limiter::config::Environment;
+use limiter::limits::Limits;
+use limiter::net::framing::{self, Answer, Request};
+use limiter::net::{Clock, Daemon, Remote};
+
+/// Start of the driven clock: 100 ms before a full second.
+pub const START: i64 = 1_000_900_000;
+/// Guards a failing test against hanging for ever; nothing is measured by it.
+const HANG: Duration = Duration::from_secs(5);
+
+/// What a stand-in does with a request.
+pub enum Reply {
+    /// Answers.
+    Answer(u16, Vec<(&'static str, &'static str)>, String),
+    /// Closes the connection.
+    Drop,
+    /// Waits for a word of the test, then does this.
+    Held(mpsc::Receiver<()>, Box<Reply>),
+}
+
+pub fn ok(body: &str) -> Reply {
+    Reply::Answer(200, vec![], body.to_string())
+}
+
+/// A server on loopback that notes what it is asked.
+pub struct StandIn {
+    pub address: SocketAddr,
+    pub seen: Arc<Mutex<Vec<Request>>>,
+    pub closed: mpsc::Receiver<()>,
+}
+
+impl StandIn {
+    /// Starts one; `reply` is told each request and how many came before.
+    pub fn start(mut reply: impl FnMut(&Request, usize) -> Reply + Send + 'static) -> StandIn {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let seen = Arc::new(Mutex::new(Vec::new()));
+        let (ended, closed) = mpsc::channel();
+        let (log, shared) = (seen.clone(), Arc::new(Mutex::new(move |r: &Request, n| reply(r, n))));
+        thread::spawn(move || {
+            for stream in listener.incoming() {
+                let (log, shared, ended) = (log.clone(), shared.clone(), ended.clone());
+                thread::spawn(move || {
+                    let mut stream = stream.unwrap();
+                    let mut bytes = Vec::new();
+                    while let Some(request) = next_request(&mut stream, &mut bytes) {
+                        let count = {
+                            let mut log = log.lock().unwrap();
+                            log.push(request.clone());
+                            log.len() - 1
+                        };
+                        let mut reply = (shared.lock().unwrap())(&request, count);
+                        while let Reply::Held(word, then) = reply {
+                            let _ = word.recv_timeout(HANG);
+                            reply = *then;
+                        }
+                        let Reply::Answer(status, headers, body) = reply else { break };
+                        let mut out = Vec::new();
+                        framing::write_answer(&mut out, status, &headers, body.as_bytes(), false);
+                        if stream.write_all(&out).is_err() {
+                            break;
+                        }
+                    }
+                    let _ = ended.send(());
+                });
+            }
+        });
+        StandIn { address, seen, closed }
+    }
+
+    pub fn count(&self) -> usize {
+        self.seen.lock().unwrap().len()
+    }
+}
+
+fn next_request(stream: &mut TcpStream, bytes: &mut Vec<u8>) -> Option<Request> {
+    let mut part = [0; 4096];
+    loop {
+        if let Some((request, length)) = framing::request(bytes, &Limits::default()).ok()? {
+            bytes.drain(..length);
+            return Some(request);
+        }
+        match stream.read(&mut part).ok()? {
+            0 => return None,
+            length => bytes.extend_from_slice(&part[..length]),
+        }
+    }
+}
+
+/// A counter that answers at once.
+pub fn counter() -> StandIn {
+    let mut totals: BTreeMap<String, f64> = BTreeMap::new();
+    StandIn::start(move |request, _| {
+        let (name, query) = request.target.split_once('?').unwrap();
+        let delta = query.split('&').find_map(|p| p.strip_prefix("delta=")).unwrap();
+        let total = totals.entry(name.to_string()).or_default();
+        *total += delta.parse::<f64>().unwrap();
+        ok(&total.to_string())
+    })
+}
+
+/// An address where nobody listens.
+pub fn nobody() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+const SETTINGS: &str = r#"{"Instances":1,"SlotNo":0,"PeriodUs":1,"Discovery":"push",
+ "FailureDomains":["a"],"Skus":["m"],"Report":{"How":"probe"},
+ "Lanes":[{"Name":"lookup","ObjectiveUs":1200000,"GiveUpUs":4000000,"Semantics":"retryable","Group":"all","Value":1},
+          {"Name":"sign-off","ObjectiveUs":1000000,"GiveUpUs":4000000,"Semantics":"dedup","Group":"cell","RepeatWindowUs":8000000,"Value":2}],
+ "Tariffs":[{"Name":"taller","UnitsPerS":1.0,"StoreSize":4.0,"WorthFactor":1.0,"OverCost":1.0},
+            {"Name":"empresa","UnitsPerS":1000.0,"StoreSize":4000.0,"WorthFactor":1.0,"OverCost":1.0}],
+ "Specifics":{"Counter":true,"CounterTimeoutUs":30000,"MostUnits":4},
+ "Permissions":{"Cancelling":true,"Probes":false,"MaxAttempts":4,"RetryAfter":true,"MaxRetryAfterUs":1000000,
+  "ConnIdleUs":15000000,"ConnectTimeoutUs":250000,"MostHeld":1000},
+ "Rules":{"ColdFrom":0.2,"ColdUs":1000000,"FallMultiple":3,"FallUs":1000000}}"#;
+
+/// The configuration of a limiter in front of these servers.
+pub fn config(servers: &[SocketAddr], counter: SocketAddr) -> String {
+    let endpoint = |(n, address): (usize, &SocketAddr)| {
+        format!(
+            "{{\"name\":\"s-{n}\",\"address\":\"{address}\",\"zone\":\"a\",\"type\":\"m\",\"group\":1,\
+             \"status\":\"Ready\",\"weight\":1.0,\"since_ms\":0}}"
+        )
+    };
+    let endpoints: Vec<String> = servers.iter().enumerate().map(endpoint).collect();
+    format!(
+        "{{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"{}\",\"seed\":\"7\",\"counter\":\"{counter}\",\
+         \"known\":{{\"index\":1,\"snapshot\":true,\"endpoints\":[{}]}},\"settings\":{SETTINGS}}}",
+        nobody(),
+        endpoints.join(",")
+    )
+}
+
+/// A limiter that runs on a thread of its own.
+pub struct Limiter {
+    pub platform: SocketAddr,
+    pub introspection: Option<SocketAddr>,
+    hand: Arc<AtomicI64>,
+    remote: Remote,
+    thread: Option<thread::JoinHandle<()>>,
+}
+
+impl Limiter {
+    pub fn start(config: &str, introspection: Option<&str>) -> Limiter {
+        let mut config = Environment::default().parse(config).expect("a good configuration");
+        introspection.into_iter().for_each(|text| config.introspect(text).expect("a good second front"));
+        let hand = Arc::new(AtomicI64::new(START));
+        let clock = Clock::driven(hand.clone());
+        let (tell, told) = mpsc::channel();
+        let thread = thread::spawn(move || {
+            let daemon = Daemon::open(config, clock).expect("sockets open");
+            let (platform, second) = daemon.addresses().unwrap();
+            tell.send((platform, second, daemon.remote())).unwrap();
+            daemon.run().expect("runs to its end");
+        });
+        let (platform, introspection, remote) = told.recv().unwrap();
+        Limiter { platform, introspection, hand, remote, thread: Some(thread) }
+    }
+
+    /// Moves the clock on.
+    pub fn pass(&self, micros: i64) {
+        self.hand.fetch_add(micros, Ordering::SeqCst);
+        self.remote.wake();
+    }
+
+    pub fn now(&self) -> i64 {
+        self.hand.load(Ordering::SeqCst)
+    }
+
+    /// Tells it to end.
+    pub fn stop(&self) {
+        self.remote.stop();
+    }
+
+    /// Waits for its end.
+    pub fn join(mut self) {
+        self.thread.take().unwrap().join().expect("ended without a panic");
+    }
+}
+
+/// A client's connection.
+pub struct Client {
+    pub stream: TcpStream,
+    bytes: Vec<u8>,
+}
+
+impl Client {
+    pub fn connect(address: SocketAddr) -> Client {
+        let stream = TcpStream::connect(address).unwrap();
+        stream.set_read_timeout(Some(HANG)).unwrap();
+        Client { stream, bytes: Vec::new() }
+    }
+
+    pub fn send(&mut self, text: &str) {
+        self.stream.write_all(text.as_bytes()).unwrap();
+    }
+
+    /// The next answer; `None` when the connection ends first.
+    pub fn answer(&mut self) -> Option<Answer> {
+        let mut part = [0; 4096];
+        loop {
+            if let Some((answer, length)) = framing::answer(&self.bytes, false, &Limits::default()).unwrap() {
+                self.bytes.drain(..length);
+                return Some(answer);
+            }
+            match self.stream.read(&mut part) {
+                Ok(0) => return None,
+                Ok(length) => self.bytes.extend_from_slice(&part[..length]),
+                Err(error) if error.kind() == std::io::ErrorKind::ConnectionReset => return None,
+                Err(error) => panic!("no answer: {error}"),
+            }
+        }
+    }
+
+    /// Asks and takes the answer.
+    pub fn ask(&mut self, text: &str) -> Answer {
+        self.send(text);
+        self.answer().expect("an answer")
+    }
+}
+
+/// Asks on a connection of its own.
+pub fn ask(address: SocketAddr, text: &str) -> Answer {
+    Client::connect(address).ask(text)
+}
