Let the pace of counter calls recover sooner after the counter was slow

Lines at fault: src/logic.rs, counter_heard: the pace is cut by a quarter for a failure and rose by 2% for an answer, so 6% of failures hold it down and it recovers long after the counter did.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -24,7 +24,7 @@
 const PACE_FIRST: f64 = 64.0;
 const PACE_CLIMB: f64 = 1.5;
 const PACE_CUT: f64 = 0.75;
-const PACE_RISE: f64 = 1.02;
+const PACE_RISE: f64 = 1.15;
 const PACE_LOW: f64 = 0.5;
 const PACE_LEAST: f64 = 1.0 / 65536.0;
 /// Odds of a call, times this at the allowance and for the plan where use beyond the quota costs most.
