--- a/limiter/src/cli.rs
+++ b/limiter/src/cli.rs
@@ -19,6 +19,7 @@
 
   --config FILE         the configuration, in place of ROUTER_CONFIG
   --introspection FILE  the second front's file; it is on if the file names a listen address
+  --raft FILE           the instances that agree on a configuration; likewise
 ";
 
 enum Command {
@@ -35,6 +36,7 @@
         match arg {
             Long("config") => environment.config = Some(parser.value()?.string()?),
             Long("introspection") => environment.introspection = Some(parser.value()?.string()?),
+            Long("raft") => environment.raft = Some(parser.value()?.string()?),
             Short('h') | Long("help") => command = Some(Command::Help),
             Short('V') | Long("version") => command = Some(Command::Version),
             Value(name) if command.is_none() => {
--- a/limiter/src/config.rs
+++ b/limiter/src/config.rs
@@ -1,7 +1,9 @@
 //! The only place where configuration is read, checked and given defaults. Errors name the faulty key.
 
+use std::collections::BTreeSet;
 use std::fmt;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 use serde_json::Value;
 use streamarch::{Class, Group, Micros, Plan, Repeat, Settings};
@@ -222,6 +224,8 @@
     pub limits: Limits,
     /// The second front, where it is on.
     pub introspection: Option<Introspection>,
+    /// The instances that agree on a configuration, where they do.
+    pub cluster: Option<Cluster>,
 }
 
 fn read(path: String) -> Result<String, ConfigError> {
@@ -300,6 +304,61 @@
     }
 }
 
+/// The instances that agree on a configuration by Raft.
+#[derive(Debug)]
+pub struct Cluster {
+    /// Where this one listens for the others.
+    pub listen: SocketAddr,
+    /// Its number.
+    pub id: u64,
+    /// All of them, this one included.
+    pub members: Vec<(u64, SocketAddr)>,
+    /// Where its log and vote are kept.
+    pub folder: PathBuf,
+    /// What they show each other.
+    pub secret: String,
+}
+
+impl Config {
+    /// Takes in the file of the instances that agree. Without a listen address this one takes no part.
+    pub fn agree(&mut self, text: &str) -> Result<(), ConfigError> {
+        let value: Value = serde_json::from_str(text).map_err(ConfigError::NotJson)?;
+        let node = Node { value: &value, path: "raft".to_string() };
+        let Some(listen) = node.at("listen").address()? else { return Ok(()) };
+        let member = |n: &Node| -> Result<(u64, SocketAddr), ConfigError> {
+            let id = u64::from(n.at("id").count()?);
+            let id = Some(id).filter(|id| *id > 0).ok_or_else(|| n.at("id").fault("is not above 0"))?;
+            Ok((id, n.at("address").need_address()?))
+        };
+        let members: Vec<_> = node.at("members").list()?.iter().map(member).collect::<Result<_, _>>()?;
+        let id = u64::from(node.at("id").count()?);
+        if members.iter().filter(|(member, _)| *member == id).count() != 1 {
+            return Err(node.at("id").fault("is not that of exactly one of the members"));
+        }
+        let distinct: BTreeSet<u64> = members.iter().map(|(id, _)| *id).collect();
+        if distinct.len() != members.len() {
+            return Err(node.at("members").fault("has an id twice"));
+        }
+        let secret = node.at("secret").need_text()?;
+        if secret.len() < 16 || !secret.bytes().all(|b| b.is_ascii_graphic()) {
+            return Err(node.at("secret").fault("is not 16 or more visible characters"));
+        }
+        let folder = PathBuf::from(node.at("folder").need_text()?);
+        self.cluster = Some(Cluster { listen, id, members, folder, secret: secret.to_string() });
+        Ok(())
+    }
+}
+
+/// The callers in a document that instances agreed on; `None` if it names none.
+pub fn callers_text(text: &[u8], names: &Names) -> Result<Option<Vec<Caller>>, ConfigError> {
+    let value: Value = serde_json::from_slice(text).map_err(ConfigError::NotJson)?;
+    let callers = Node::root(&value).at("callers");
+    if callers.absent() {
+        return Ok(None);
+    }
+    callers.list()?.iter().map(|c| caller(c, names)).collect::<Result<_, _>>().map(Some)
+}
+
 fn caller(node: &Node, names: &Names) -> Result<Caller, ConfigError> {
     let (account, plan) = (node.at("account"), node.at("plan"));
     let customer = platform::customer(account.need_text()?).ok_or(account.fault("is not 16 hex digits"))?;
@@ -353,6 +412,8 @@
     pub discovery: Option<String>,
     /// Path of the second front's file; no variable names it, so that it is never on by accident.
     pub introspection: Option<String>,
+    /// Path of the file of the instances that agree on a configuration; likewise.
+    pub raft: Option<String>,
 }
 
 impl Environment {
@@ -365,6 +426,7 @@
             listen: get("ROUTER_LISTEN"),
             discovery: get("ROUTER_DISCOVERY"),
             introspection: None,
+            raft: None,
         }
     }
 
@@ -376,6 +438,9 @@
         if let Some(path) = self.introspection.clone() {
             config.introspect(&read(path)?)?;
         }
+        if let Some(path) = self.raft.clone() {
+            config.agree(&read(path)?)?;
+        }
         Ok(config)
     }
 
@@ -418,6 +483,7 @@
             limits: limits(&node, &settings_node)?,
             settings,
             introspection: None,
+            cluster: None,
         })
     }
 }
--- a/limiter/src/front/introspection.rs
+++ b/limiter/src/front/introspection.rs
@@ -226,7 +226,7 @@
 }
 
 /// Compares without telling by its time how much was right.
-fn same(a: &str, b: &str) -> bool {
+pub fn same(a: &str, b: &str) -> bool {
     let differ = a.bytes().zip(b.bytes()).fold(0, |differ, (a, b)| differ | (a ^ b));
     a.len() == b.len() && differ == 0
 }
--- a/limiter/src/lib.rs
+++ b/limiter/src/lib.rs
@@ -14,5 +14,6 @@
 pub mod net;
 pub mod peers;
 pub mod probes;
+pub mod raft;
 pub mod routing_table;
 pub mod slots;
--- a/limiter/src/net/host/acquirers.rs
+++ b/limiter/src/net/host/acquirers.rs
@@ -81,8 +81,10 @@
             let (status, text): (u16, &[u8]) = if serving { (200, b"up\n") } else { (503, b"not serving\n") };
             return self.answer(key, status, &[], text);
         }
-        if door == Door::Introspection {
-            return self.read_bearing(now, key, request);
+        match door {
+            Door::Platform => {}
+            Door::Introspection => return self.read_bearing(now, key, request),
+            Door::Agreement => return self.read_agreement(key, &request),
         }
         match self.platform.read(&request, &self.limits, now) {
             Ok(authorisation) => {
--- /dev/null
+++ b/limiter/src/net/host/agreement.rs
@@ -0,0 +1,165 @@
+//! The configuration that a few instances agree on: its messages, its ticks, and what is done with a document.
+
+use super::*;
+use crate::config::{self, Cluster};
+use crate::front::introspection::same;
+use crate::net::framing::Request;
+use crate::raft::{self, Member, RaftError};
+
+struct Other {
+    id: u64,
+    address: SocketAddr,
+    connection: Option<ConnectionKey>,
+}
+
+/// This instance among the members.
+pub(super) struct Agreement {
+    member: Member,
+    others: Vec<Other>,
+    secret: String,
+}
+
+impl Agreement {
+    pub(super) fn open(cluster: &Cluster) -> io::Result<Agreement> {
+        let ids: Vec<u64> = cluster.members.iter().map(|(id, _)| *id).collect();
+        let member = Member::open(cluster.id, &ids, &cluster.folder).map_err(io::Error::other)?;
+        let others = cluster.members.iter().filter(|(id, _)| *id != cluster.id);
+        let others = others.map(|(id, address)| Other { id: *id, address: *address, connection: None });
+        Ok(Agreement { member, others: others.collect(), secret: cluster.secret.clone() })
+    }
+}
+
+impl Host {
+    pub(super) fn raft_tick(&mut self, now: Micros) {
+        self.deadlines.enter(now + self.limits.raft_tick, Due::RaftTick);
+        if let Some(agreement) = &mut self.agreement {
+            let stepped = agreement.member.tick();
+            _ = self.stepped(stepped);
+        }
+    }
+
+    /// Sends what is to be sent and takes a new document. A member whose journal fails takes no further part: it
+    /// could promise what it would forget.
+    fn stepped(&mut self, stepped: Result<raft::News, RaftError>) -> Result<(), RaftError> {
+        match stepped {
+            Ok(news) => {
+                news.letters.into_iter().for_each(|letter| self.post(letter));
+                if let Some(document) = news.document {
+                    self.take_document(&document);
+                }
+                Ok(())
+            }
+            Err(error) => {
+                if matches!(error, RaftError::Io(_) | RaftError::Protocol(_)) {
+                    self.log(&format!("raft: {error}; no further part is taken"));
+                    self.agreement = None;
+                }
+                Err(error)
+            }
+        }
+    }
+
+    fn post(&mut self, letter: raft::Letter) {
+        let Some(agreement) = &self.agreement else { return };
+        let Some(at) = agreement.others.iter().position(|other| other.id == letter.to) else { return };
+        let (address, known) = (agreement.others[at].address, agreement.others[at].connection);
+        let head = format!(
+            "POST /raft HTTP/1.1\r\nHost: {address}\r\nAuthorization: Bearer {}\r\nContent-Length: {}\r\n\r\n",
+            agreement.secret,
+            letter.bytes.len()
+        );
+        let key = match known {
+            Some(key) => key,
+            None => match self.connect(address, Role::Member(at)) {
+                Ok(key) => key,
+                Err(_) => return,
+            },
+        };
+        if let Some(agreement) = &mut self.agreement {
+            agreement.others[at].connection = Some(key);
+        }
+        // Guards the memory where a member takes nothing in: the protocol bears the loss of messages.
+        if self.connections.get(key).is_some_and(|c| c.output.len() < 4 * self.limits.body_bytes) {
+            self.write(key, head.as_bytes());
+            self.write(key, &letter.bytes);
+        }
+    }
+
+    /// Other members' answers say nothing that the protocol's own messages don't.
+    pub(super) fn read_receipts(&mut self, key: ConnectionKey) {
+        let Some(connection) = self.connections.get_mut(key) else { return };
+        loop {
+            match framing::answer(&connection.input, false, &self.limits) {
+                Ok(Some((_, length))) => _ = connection.input.drain(..length),
+                Ok(None) => return,
+                Err(_) => return self.broken(key),
+            }
+        }
+    }
+
+    pub(super) fn member_lost(&mut self, at: usize) {
+        if let Some(agreement) = &mut self.agreement {
+            agreement.others[at].connection = None;
+        }
+    }
+
+    /// A request at the members' own address.
+    pub(super) fn read_agreement(&mut self, key: ConnectionKey, request: &Request) {
+        let Some(agreement) = &mut self.agreement else { return self.answer(key, 503, &[], b"") };
+        let shown = request.headers.get("Authorization").and_then(|value| value.strip_prefix("Bearer "));
+        if !shown.is_some_and(|shown| same(shown, &agreement.secret)) {
+            return self.answer(key, 401, &[("WWW-Authenticate", "Bearer")], b"");
+        }
+        match (request.method.as_str(), request.target.as_str()) {
+            ("POST", "/raft") => {
+                let stepped = agreement.member.receive(&request.body);
+                let status = if self.stepped(stepped).is_ok() { 200 } else { 400 };
+                self.answer(key, status, &[], b"");
+            }
+            ("GET", "/configuration") => {
+                let (document, index) = agreement.member.document();
+                let (document, tag) = (document.to_vec(), format!("\"{index}\""));
+                self.answer(key, 200, &[("Content-Type", "application/json"), ("ETag", &tag)], &document);
+            }
+            ("PUT", "/configuration") => {
+                if let Err(error) = config::callers_text(&request.body, &self.platform.names) {
+                    return self.answer(key, 400, &[], error.to_string().as_bytes());
+                }
+                let stepped = agreement.member.propose(&request.body);
+                match self.stepped(stepped) {
+                    Ok(()) => self.answer(key, 202, &[], b""),
+                    Err(RaftError::NotLeader(Some(leader))) => self.point_to(key, leader),
+                    Err(RaftError::BadDocument) => self.answer(key, 400, &[], b"no JSON object, or too long"),
+                    Err(error) => {
+                        self.decline(key, 503, self.limits.stay_away, &[], error.to_string().as_bytes())
+                    }
+                }
+            }
+            _ => self.answer(key, 404, &[], b""),
+        }
+    }
+
+    fn point_to(&mut self, key: ConnectionKey, leader: u64) {
+        let others = self.agreement.as_ref().map_or(&[][..], |agreement| &agreement.others);
+        let place = others.iter().find(|other| other.id == leader);
+        match place.map(|other| format!("http://{}/configuration", other.address)) {
+            Some(place) => self.answer(key, 307, &[("Location", &place)], b""),
+            None => self.decline(key, 503, self.limits.stay_away, &[], b""),
+        }
+    }
+
+    /// The members agree on this: from now on it holds here too.
+    fn take_document(&mut self, document: &[u8]) {
+        match config::callers_text(document, &self.platform.names) {
+            Ok(Some(callers)) => {
+                self.log(&format!("configuration agreed on: {} callers", callers.len()));
+                if let Some(tokens) = &mut self.tokens {
+                    tokens.set_callers(callers);
+                }
+            }
+            Ok(None) => self.log("configuration agreed on: callers as before"),
+            // Other members may know plans that this one does not.
+            Err(error) => self.log(&format!("configuration not taken: {error}")),
+        }
+    }
+}
--- a/limiter/src/net/host/mod.rs
+++ b/limiter/src/net/host/mod.rs
@@ -1,6 +1,7 @@
 //! The host: connections, and who is behind them.
 
 mod acquirers;
+mod agreement;
 mod counting;
 mod datagrams;
 mod ending;
@@ -18,6 +19,7 @@
 use socket2::{Domain, Protocol, Socket, Type};
 use streamarch::{ListKind, LoadReport, Micros, Outcome, ServerEntry, ServerId};
 
+use self::agreement::Agreement;
 use self::tokens::Tokens;
 use super::Clock;
 use super::framing::{self, Answer};
@@ -46,6 +48,7 @@
 enum Door {
     Platform,
     Introspection,
+    Agreement,
 }
 
 /// An engine with its servers and what is out.
@@ -73,6 +76,8 @@
     Counter(usize),
     /// Discovery's.
     Watch,
+    /// Another member's, among those that agree on the configuration.
+    Member(usize),
 }
 
 struct Connection {
@@ -96,6 +101,7 @@
     Errand(ConnectionKey, Errand),
     Counter(usize),
     Retire,
+    RaftTick,
     WatchRetry,
     WatchSilent(ConnectionKey, Micros),
     NoticeOver,
@@ -159,6 +165,7 @@
     platform: Platform,
     services: Vec<Service>,
     tokens: Option<Tokens>,
+    agreement: Option<Agreement>,
     table: RoutingTable,
     discovery: SocketAddr,
     watch: Watch,
@@ -230,6 +237,11 @@
             services.push(Service::new(Engine::new(front.settings.clone(), !config.seed, limits.held)));
             tokens = Some(Tokens::new(front, plans));
         }
+        let mut agreement = None;
+        if let Some(cluster) = &config.cluster {
+            listeners.push(listen(&handle, Door::Agreement, cluster.listen)?);
+            agreement = Some(Agreement::open(cluster)?);
+        }
         let datagrams = match config.peer_listen.filter(|_| tell) {
             Some(address) => {
                 let socket = UdpSocket::bind(address)?;
@@ -260,6 +272,7 @@
             platform,
             services,
             tokens,
+            agreement,
             table,
             discovery: config.discovery,
             watch: Watch { wait: limits.watch_retry, ..Watch::default() },
@@ -273,6 +286,9 @@
         };
         host.take_news(known);
         host.list_upstreams();
+        if host.agreement.is_some() {
+            host.deadlines.enter(host.now(), Due::RaftTick);
+        }
         host.open_watch();
         for line in 0..host.lines.len() {
             host.open_line(line);
@@ -369,6 +385,7 @@
                 }
                 self.deadlines.enter(now + self.limits.leg_idle / 4, Due::Retire);
             }
+            Due::RaftTick => self.raft_tick(now),
             Due::WatchRetry => self.open_watch(),
             Due::WatchSilent(key, heard) => {
                 if self.watch.connection != Some(key) {
@@ -473,7 +490,7 @@
                 self.resume_accepting();
             }
             Role::Server { service, server, .. } => self.services[service].pool.closed(server, key),
-            Role::Counter(_) | Role::Watch => {}
+            Role::Counter(_) | Role::Watch | Role::Member(_) => {}
         }
         Some(connection)
     }
@@ -507,6 +524,7 @@
                 self.take_counted(counted);
             }
             Role::Watch => self.watch_lost(),
+            Role::Member(at) => self.member_lost(at),
         }
     }
 
@@ -543,7 +561,7 @@
                 self.watch.heard = now;
                 self.deadlines.enter(now + self.limits.watch_silent, Due::WatchSilent(key, now));
             }
-            Some(Role::Acquirer { .. }) | None => {}
+            Some(Role::Acquirer { .. } | Role::Member(_)) | None => {}
         }
     }
 
@@ -569,6 +587,7 @@
             Some((Role::Server { .. }, false)) => self.read_answer(key),
             Some((Role::Counter(line), false)) => self.read_totals(key, line),
             Some((Role::Watch, false)) => self.read_watch(key),
+            Some((Role::Member(_), false)) => self.read_receipts(key),
             _ => {}
         }
         if ended {
--- a/limiter/src/net/host/tokens.rs
+++ b/limiter/src/net/host/tokens.rs
@@ -39,6 +39,13 @@
     }
 }
 
+impl Tokens {
+    /// Who may ask from now on.
+    pub(super) fn set_callers(&mut self, callers: Vec<Caller>) {
+        self.callers = callers;
+    }
+}
+
 impl Host {
     /// The introspection servers are the token engine's routing table; it never changes.
     pub(super) fn list_upstreams(&mut self) {
