Check the network code against models, and cover discovery, configuration and the members

The time for the end after SIGTERM now follows the longest deadline of the settings in place of a constant (config.rs, limits).

--- a/limiter/src/config.rs
+++ b/limiter/src/config.rs
@@ -498,6 +498,8 @@
     // watch, datagrams, and some to spare.
     let spare = 100;
     let share = if sockets == 0 { usize::MAX } else { (sockets.saturating_sub(spare) / 2).max(8) };
+    let classes = settings.at("Lanes").list()?;
+    let waits = classes.iter().map(|c| c.at("GiveUpUs").micros()).collect::<Result<Vec<_>, _>>()?;
     let most_units = facts.at("MostUnits").number()?;
     Ok(Limits {
         acquirer_connections: defaults.acquirer_connections.min(share),
@@ -507,6 +509,8 @@
         connect: or(allow.at("ConnectTimeoutUs").micros()?, defaults.connect),
         leg_idle: defaults.leg_idle.min(or(allow.at("ConnIdleUs").micros()?, 15_000_000) * 6 / 10),
         counter_wait: or(facts.at("CounterTimeoutUs").micros()?, defaults.counter_wait),
+        // The end by force comes no sooner than the longest deadline, 3 s at least, and 0.7 s more.
+        drain: waits.into_iter().fold(3_000_000, Micros::max) + 600_000,
         ..defaults
     })
 }
--- a/limiter/src/routing_table.rs
+++ b/limiter/src/routing_table.rs
@@ -133,3 +133,68 @@
         Ok((name.to_string(), address, entry))
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn line(index: u64, full: bool, entries: &[(&str, &str)]) -> Vec<u8> {
+        let entry = |(name, status): &(&str, &str)| {
+            format!(
+                "{{\"name\":\"{name}\",\"address\":\"127.0.0.1:80\",\"zone\":\"b\",\"type\":\"m2\",\"group\":3,\
+                 \"status\":\"{status}\",\"weight\":1.5,\"since_ms\":7}}"
+            )
+        };
+        let entries: Vec<String> = entries.iter().map(entry).collect();
+        format!("{{\"index\":{index},\"snapshot\":{full},\"endpoints\":[{}]}}\n", entries.join(","))
+            .into_bytes()
+    }
+
+    fn table() -> RoutingTable {
+        RoutingTable::new(vec!["a".into(), "b".into()], vec!["m1".into(), "m2".into()])
+    }
+
+    #[test]
+    fn entries_are_read_and_a_name_keeps_its_number() {
+        let mut table = table();
+        let news = table.line(&line(4, true, &[("s-1", "Ready"), ("s-2", "Ready")])).unwrap().unwrap();
+        let first = &news.entries[0];
+        assert_eq!((first.zone, first.kind, first.cell, first.weight, first.started), (1, 1, 3, 1.5, 7_000));
+        let again = table.line(&line(5, false, &[("s-1", "Terminating")])).unwrap().unwrap();
+        assert_eq!((again.kind, again.entries[0].server), (ListKind::Changes, first.server));
+        assert_eq!((again.entries[0].state, table.index), (ServerState::Draining, 5));
+        assert!(table.serving(), "the other is ready");
+    }
+
+    #[test]
+    fn what_is_gone_or_missing_from_a_whole_list_is_told_as_gone_once() {
+        let mut table = table();
+        table.line(&line(1, true, &[("s-1", "Ready"), ("s-2", "Ready"), ("s-3", "Ready")])).unwrap();
+        let news = table.line(&line(2, false, &[("s-1", "Gone"), ("s-9", "Gone")])).unwrap().unwrap();
+        assert_eq!((news.entries.len(), news.gone.len()), (1, 1), "of s-9 nobody had heard");
+        let news = table.line(&line(3, true, &[("s-3", "Ready")])).unwrap().unwrap();
+        assert_eq!((news.entries.len(), news.gone.len()), (1, 1));
+        let back = table.line(&line(4, false, &[("s-1", "Ready")])).unwrap().unwrap();
+        assert!(back.entries[0].server.0 > 3, "a number is not used twice");
+    }
+
+    #[test]
+    fn a_bad_line_changes_nothing_and_an_empty_one_says_nothing() {
+        let mut table = table();
+        table.line(&line(1, true, &[("s-1", "Ready")])).unwrap();
+        let good = String::from_utf8(line(2, true, &[("s-2", "Ready"), ("s-3", "Ready")])).unwrap();
+        for (from, to) in [
+            ("\"index\":2", "\"index\":\"2\""),
+            ("true", "1"),
+            ("\"s-3\"", "3"),
+            ("Ready", "Up"),
+            ("127.0.0.1:80", "nowhere"),
+            ("endpoints", "hosts"),
+            ("{", ""),
+        ] {
+            assert!(table.line(good.replacen(from, to, 1).as_bytes()).is_err(), "{from}");
+        }
+        assert_eq!((table.index, table.numbers.len()), (1, 1));
+        assert_eq!(table.line(b"\r\n"), Ok(None));
+    }
+}
--- a/limiter/tests/common/mod.rs
+++ b/limiter/tests/common/mod.rs
@@ -154,7 +154,12 @@
 
 impl Limiter {
     pub fn start(config: &str, introspection: Option<&str>) -> Limiter {
+        Limiter::start_with(config, introspection, None)
+    }
+
+    pub fn start_with(config: &str, introspection: Option<&str>, raft: Option<&str>) -> Limiter {
         let mut config = Environment::default().parse(config).expect("a good configuration");
+        raft.into_iter().for_each(|text| config.agree(text).expect("good members"));
         introspection.into_iter().for_each(|text| config.introspect(text).expect("a good second front"));
         let hand = Arc::new(AtomicI64::new(START));
         let clock = Clock::driven(hand.clone());
--- /dev/null
+++ b/limiter/tests/config.rs
@@ -0,0 +1,82 @@
+//! Configuration: what is read, and messages that name the faulty key.
+
+mod common;
+
+use common::{config, nobody};
+use limiter::config::Environment;
+
+fn fault(text: &str) -> String {
+    Environment::default().parse(text).expect_err("a fault").to_string()
+}
+
+#[test]
+fn a_faulty_key_is_named_with_those_it_lies_under() {
+    let good = config(&[nobody()], nobody());
+    assert!(Environment::default().parse(&good).is_ok());
+    for (from, to, key) in [
+        ("\"listen\":\"127.0.0.1:0\"", "\"listen\":\"here\"", "key 'listen'"),
+        ("\"listen\":\"127.0.0.1:0\",", "", "key 'listen': is missing"),
+        ("\"settings\"", "\"other\"", "key 'settings': is missing"),
+        ("\"PeriodUs\":1", "\"PeriodUs\":\"1\"", "key 'settings.PeriodUs'"),
+        ("\"retryable\"", "\"often\"", "key 'settings.Lanes[0].Semantics': unknown semantics 'often'"),
+        ("\"Group\":\"cell\"", "\"Group\":\"rack\"", "key 'settings.Lanes[1].Group'"),
+        ("\"Name\":\"empresa\",", "", "key 'settings.Tariffs[1].Name': is missing"),
+        ("\"MaxAttempts\":4", "\"MaxAttempts\":-4", "key 'settings.Permissions.MaxAttempts'"),
+        ("\"Counter\":true", "\"Counter\":\"yes\"", "key 'settings.Specifics.Counter'"),
+        ("\"seed\":\"7\"", "\"seed\":\"x\"", "key 'seed'"),
+    ] {
+        let text = good.replacen(from, to, 1);
+        assert_ne!(text, good, "{from}");
+        assert!(fault(&text).starts_with(key), "{}", fault(&text));
+    }
+    assert!(fault("{").starts_with("not JSON"));
+}
+
+#[test]
+fn variables_stand_above_keys_and_are_named_when_faulty() {
+    let good = config(&[], nobody());
+    let with =
+        |listen: &str| Environment { listen: Some(listen.into()), ..Environment::default() }.parse(&good);
+    assert_eq!(with("127.0.0.1:9").unwrap().listen.port(), 9);
+    assert!(with("nine").unwrap_err().to_string().starts_with("key 'ROUTER_LISTEN'"));
+}
+
+#[test]
+fn limits_keep_within_what_the_machine_allows() {
+    let text = config(&[], nobody()).replacen('{', "{\"limits\":{\"sockets\":300,\"memory_mb\":192},", 1);
+    let limits = Environment::default().parse(&text).unwrap().limits;
+    assert_eq!((limits.acquirer_connections, limits.leg_connections), (100, 100));
+    assert!(limits.leg_idle < 10_000_000, "well before the server's 15 s");
+    assert_eq!(limits.drain, 4_600_000);
+}
+
+#[test]
+fn the_second_front_and_raft_are_off_without_an_address_and_their_faults_are_named() {
+    let mut read = Environment::default().parse(&config(&[], nobody())).unwrap();
+    read.introspect(include_str!("../../deploy/introspection.json")).unwrap();
+    read.agree(include_str!("../../deploy/raft.json")).unwrap();
+    assert!(read.introspection.is_none() && read.cluster.is_none(), "as they are shipped");
+    let front = |rest: &str| format!("{{\"listen\":\"127.0.0.1:0\",{rest}}}");
+    let caller = "\"upstreams\":[\"127.0.0.1:1\"],\"id\":\"a\",\"secret\":\"b\",\"callers\":[{\"id\":\"c\",\"secret\":\"d\"";
+    for (text, key) in [
+        (front("\"upstreams\":[]"), "key 'introspection.upstreams'"),
+        (front("\"upstreams\":[\"x\"]"), "key 'introspection.upstreams[0]'"),
+        (front("\"upstreams\":[\"127.0.0.1:1\"],\"id\":\"a\""), "key 'introspection.secret'"),
+        (front(&format!("{caller}}}]")), "key 'introspection.callers[0].account'"),
+        (
+            front(&format!("{caller},\"account\":\"0000000000000001\",\"plan\":\"gold\"}}]")),
+            "key 'introspection.callers[0].plan'",
+        ),
+    ] {
+        let error = read.introspect(&text).unwrap_err().to_string();
+        assert!(error.starts_with(key), "{error}");
+    }
+    let members = "\"members\":[{\"id\":1,\"address\":\"127.0.0.1:1\"}],\"folder\":\"f\"";
+    for (text, key) in [
+        (front(&format!("{members},\"id\":2,\"secret\":\"0123456789abcdef\"")), "key 'raft.id'"),
+        (front(&format!("{members},\"id\":1,\"secret\":\"short\"")), "key 'raft.secret'"),
+    ] {
+        let error = read.agree(&text).unwrap_err().to_string();
+        assert!(error.starts_with(key), "{error}");
+    }
+}
--- /dev/null
+++ b/limiter/tests/models.rs
@@ -0,0 +1,351 @@
+//! Models of the connections' states, against which random steps are checked. Seeds are fixed: the same verdict
+//! every time.
+
+use std::collections::VecDeque;
+
+use limiter::counter::Line;
+use limiter::engine::{Authorisation, Engine, Order};
+use limiter::legs::{Errand, LegState, Pool};
+use limiter::limits::Limits;
+use limiter::net::framing;
+use limiter::slots::{AuthorisationKey, ConnectionKey, SlotMap};
+use quickcheck::{Arbitrary, Gen, QuickCheck, Testable};
+use streamarch::{
+    Class, CounterName, CustomerId, Group, ListKind, Outcome, Plan, Repeat, ServerEntry, ServerId,
+    ServerState, Settings,
+};
+
+/// Runs a property on the same random steps each time.
+fn check<T: Testable>(seed: u64, property: T) {
+    QuickCheck::new().rng(Gen::from_size_and_seed(60, seed)).tests(300).quickcheck(property);
+}
+
+/// A step, and a number to choose by.
+#[derive(Clone, Copy, Debug)]
+struct Step(u8, u8);
+
+impl Arbitrary for Step {
+    fn arbitrary(g: &mut Gen) -> Step {
+        Step(u8::arbitrary(g), u8::arbitrary(g))
+    }
+}
+
+#[test]
+fn a_leg_can_have_run_only_once_its_last_byte_was_written() {
+    fn property(steps: Vec<Step>) -> bool {
+        let errand = Errand::Probe;
+        let mut state = LegState::Connecting(errand);
+        let (mut up, mut whole) = (false, false);
+        for Step(kind, _) in steps {
+            state = match kind % 3 {
+                0 => {
+                    up = true;
+                    state.connected()
+                }
+                1 => {
+                    whole |= up;
+                    state.written()
+                }
+                _ => {
+                    (up, whole) = (true, false);
+                    LegState::Sending(errand)
+                }
+            };
+            let never = (Outcome::ConnectFailed, Outcome::ConnectFailed);
+            let expected = if whole { (Outcome::Reset, Outcome::TimedOut) } else { never };
+            if (state.broken(), state.overdue()) != expected || state.errand() != Some(errand) {
+                return false;
+            }
+        }
+        true
+    }
+    check(1, property as fn(Vec<Step>) -> bool);
+}
+
+#[test]
+fn every_counter_call_has_one_outcome_and_answers_are_matched_in_order() {
+    fn property(steps: Vec<Step>) -> bool {
+        let limits = Limits::default();
+        let mut line = Line::default();
+        // The model: calls not written, and written ones with whether their outcome was given.
+        let mut unsent: VecDeque<(u64, i64)> = VecDeque::new();
+        let mut sent: VecDeque<(u64, i64, bool)> = VecDeque::new();
+        let (mut up, mut now, mut next) = (false, 1_000_i64, 0_u64);
+        for Step(kind, by) in steps {
+            let mut got = Vec::new();
+            let mut expected = Vec::new();
+            match kind % 6 {
+                0 => {
+                    line.call(0, CounterName(next), 1.0, 1_000, now + 30);
+                    unsent.push_back((next, now + 30));
+                    next += 1;
+                }
+                1 => {
+                    line.connected(now);
+                    up = true;
+                }
+                2 => {
+                    let mut out = Vec::new();
+                    line.write(now, "counter", &mut out);
+                    let mut written = 0;
+                    while let Some((request, length)) = framing::request(&out, &limits).unwrap() {
+                        let (name, deadline) = unsent.pop_front().unwrap();
+                        if !request.target.starts_with(&format!("/v2/numbers/{name}?delta=1&life_ms=1")) {
+                            return false;
+                        }
+                        sent.push_back((name, deadline, false));
+                        out.drain(..length);
+                        written += 1;
+                    }
+                    if (!up && written > 0) || (up && !unsent.is_empty()) {
+                        return false;
+                    }
+                }
+                3 => {
+                    let status = [200, 503, 404][usize::from(by) % 3];
+                    let mut bytes = Vec::new();
+                    framing::write_answer(&mut bytes, status, &[], b"7.5", false);
+                    let (answer, _) = framing::answer(&bytes, false, &limits).unwrap().unwrap();
+                    got.extend(line.answered(now, &answer));
+                    let outcome = [Outcome::Ok, Outcome::Full, Outcome::Error][usize::from(by) % 3];
+                    expected.extend(sent.pop_front().filter(|c| !c.2).map(|c| (c.0, outcome)));
+                }
+                4 => {
+                    now += i64::from(by);
+                    line.expire(now, &mut got);
+                    for call in sent.iter_mut().filter(|c| !c.2 && c.1 <= now) {
+                        call.2 = true;
+                        expected.push((call.0, Outcome::TimedOut));
+                    }
+                    expected
+                        .extend(unsent.iter().filter(|c| c.1 <= now).map(|c| (c.0, Outcome::ConnectFailed)));
+                    unsent.retain(|c| c.1 > now);
+                }
+                _ => {
+                    line.broken(&mut got);
+                    up = false;
+                    expected.extend(sent.drain(..).filter(|c| !c.2).map(|c| (c.0, Outcome::TimedOut)));
+                    expected.extend(unsent.drain(..).map(|c| (c.0, Outcome::ConnectFailed)));
+                }
+            }
+            if !got.iter().map(|c| (c.name.0, c.outcome)).eq(expected.iter().copied()) {
+                return false;
+            }
+        }
+        true
+    }
+    check(2, property as fn(Vec<Step>) -> bool);
+}
+
+#[test]
+fn the_pool_counts_what_is_open_and_gives_each_idle_connection_once() {
+    fn property(steps: Vec<Step>) -> bool {
+        let address = "127.0.0.1:9".parse().unwrap();
+        let mut keys: SlotMap<ConnectionKey, ()> = SlotMap::with_key();
+        let mut pool = Pool::default();
+        (0..3).for_each(|n| pool.listed(ServerId(n), address));
+        let mut listed = [true; 3];
+        let mut open: Vec<(u32, ConnectionKey, Option<i64>)> = Vec::new();
+        for (now, Step(kind, by)) in (0_i64..).zip(steps) {
+            let server = u32::from(by) % 3;
+            let at = usize::from(by) % open.len().max(1);
+            match kind % 6 {
+                0 if listed[server as usize] => {
+                    pool.opened(ServerId(server));
+                    open.push((server, keys.insert(()), None));
+                }
+                1 if at < open.len() => {
+                    let (server, key, _) = open.remove(at);
+                    pool.closed(ServerId(server), key);
+                }
+                2 if at < open.len() && open[at].2.is_none() => {
+                    let rests = pool.rest(ServerId(open[at].0), open[at].1, now);
+                    if rests != listed[open[at].0 as usize] {
+                        return false;
+                    }
+                    open[at].2 = rests.then_some(now);
+                }
+                3 => {
+                    let idle = open.iter_mut().filter(|c| c.0 == server && c.2.is_some());
+                    let last = idle.max_by_key(|c| c.2);
+                    if pool.reuse(ServerId(server)) != last.as_ref().map(|c| c.1) {
+                        return false;
+                    }
+                    last.into_iter().for_each(|c| c.2 = None);
+                }
+                4 => {
+                    for key in pool.retire(now - 5) {
+                        let Some(place) = open.iter().position(|c| c.1 == key) else { return false };
+                        if open[place].2.is_none_or(|since| since > now - 5) {
+                            return false;
+                        }
+                        let (server, key, _) = open.remove(place);
+                        pool.closed(ServerId(server), key);
+                    }
+                }
+                5 => {
+                    for key in pool.unlisted(ServerId(server)) {
+                        open.retain(|c| c.1 != key);
+                        pool.closed(ServerId(server), key);
+                    }
+                    listed[server as usize] = false;
+                }
+                _ => {}
+            }
+            if pool.connections() != open.len() {
+                return false;
+            }
+        }
+        true
+    }
+    check(3, property as fn(Vec<Step>) -> bool);
+}
+
+fn settings() -> Settings {
+    let class = |repeat| Class {
+        aim: 500_000,
+        deadline: 1_000_000,
+        late_worth: 0.0,
+        worth: 1.0,
+        repeat,
+        stream: false,
+    };
+    let keyed = Repeat::Keyed { group: Group::Cell, window: 800_000 };
+    Settings {
+        gateways: 1,
+        classes: vec![class(Repeat::Safe), class(keyed), class(Repeat::Unsafe)],
+        plans: vec![Plan { rate: 20.0, burst: 20.0, price: 1.0, over_cost: 1.0, ..Plan::default() }],
+        period: 2_000,
+        counter: true,
+        counter_timeout: 30_000,
+        may_cancel: true,
+        max_attempts: 3,
+        retry_after: true,
+        max_retry_after: 1_000_000,
+        ..Settings::default()
+    }
+}
+
+/// What the model of an authorisation knows.
+#[derive(Default)]
+struct Seen {
+    class: usize,
+    out: Option<u32>,
+    legs: u32,
+    ended: bool,
+    may_have_run: bool,
+}
+
+fn find(known: &mut [(AuthorisationKey, Seen)], key: AuthorisationKey) -> Option<&mut Seen> {
+    known.iter_mut().find(|(k, _)| *k == key).map(|(_, seen)| seen)
+}
+
+#[test]
+fn whatever_happens_there_is_one_final_answer_one_leg_out_and_none_after_the_end() {
+    fn property(steps: Vec<Step>) -> bool {
+        let mut engine = Engine::new(settings(), 7, 1_000);
+        let state = ServerState::Ready;
+        let entry = |n| ServerEntry {
+            server: ServerId(n),
+            zone: 0,
+            kind: 0,
+            cell: n / 2,
+            state,
+            weight: 1.0,
+            started: 0,
+        };
+        engine.listed(ListKind::Full, (0..4).map(entry).collect());
+        let mut now = 1_000_000;
+        let mut known: Vec<(AuthorisationKey, Seen)> = Vec::new();
+        let mut asked = VecDeque::new();
+        let mut calm = steps;
+        // At the end time passes until all deadlines are over.
+        calm.extend([Step(0, 255); 40]);
+        for Step(kind, by) in calm {
+            let mut orders = Vec::new();
+            match kind % 8 {
+                0 | 1 => now += i64::from(by) * 1_000,
+                2 | 3 => {
+                    let class = usize::from(by) % 3;
+                    let authorisation = Authorisation {
+                        class,
+                        customer: CustomerId(u64::from(by % 4)),
+                        deadline: now + 1_000_000,
+                        units: 1.0,
+                        spread: 1,
+                        valid_until: (by > 200).then_some(now + 100_000),
+                        ..Authorisation::default()
+                    };
+                    let key = engine.take(authorisation).unwrap();
+                    known.push((key, Seen { class, ..Seen::default() }));
+                }
+                4 | 5 if !known.is_empty() => {
+                    let at = usize::from(by) % known.len();
+                    let (key, seen) = &mut known[at];
+                    let outcome = [
+                        Outcome::Ok,
+                        Outcome::Error,
+                        Outcome::Full,
+                        Outcome::TimedOut,
+                        Outcome::Reset,
+                        Outcome::ConnectFailed,
+                    ][usize::from(by / 40) % 6];
+                    // A leg that was never started, or has ended, is nobody's.
+                    let leg = seen.out.unwrap_or(seen.legs + 1);
+                    let answers = engine.leg_ended(now, *key, leg, outcome, None);
+                    if answers != (seen.out.is_some() && outcome == Outcome::Ok && !seen.ended) {
+                        return false;
+                    }
+                    if seen.out.take().is_some() {
+                        seen.may_have_run |= !matches!(outcome, Outcome::Full | Outcome::ConnectFailed);
+                    }
+                    seen.ended |= answers;
+                }
+                6 if !known.is_empty() => {
+                    let at = usize::from(by) % known.len();
+                    engine.client_left(now, known[at].0, &mut orders);
+                    known[at].1.ended = true;
+                }
+                _ => {
+                    if let Some(name) = asked.pop_front() {
+                        engine.counted(
+                            name,
+                            if by > 200 { Outcome::TimedOut } else { Outcome::Ok },
+                            f64::from(by),
+                        );
+                    }
+                }
+            }
+            engine.handle(now, &mut orders);
+            for order in orders {
+                let good = match order {
+                    Order::StartLeg { key, leg, deadline, .. } => find(&mut known, key).is_some_and(|seen| {
+                        let fresh = !seen.ended && seen.out.is_none() && leg >= seen.legs && leg < 3;
+                        let harmless = seen.class != 2 || !seen.may_have_run;
+                        (seen.out, seen.legs) = (Some(leg), leg + 1);
+                        fresh && harmless && deadline > now
+                    }),
+                    Order::StopLeg { key, leg } => {
+                        find(&mut known, key).is_some_and(|seen| seen.out.take() == Some(leg))
+                    }
+                    Order::Answer { key, .. } => {
+                        find(&mut known, key).is_some_and(|seen| !std::mem::replace(&mut seen.ended, true))
+                    }
+                    Order::Count { name, .. } => {
+                        asked.push_back(name);
+                        true
+                    }
+                    Order::Probe(_) | Order::Tell(..) | Order::Log(_) => true,
+                };
+                if !good {
+                    return false;
+                }
+            }
+            if engine.open() != known.iter().filter(|(_, seen)| !seen.ended).count() {
+                return false;
+            }
+        }
+        engine.open() == 0
+    }
+    check(4, property as fn(Vec<Step>) -> bool);
+}
