Have the test of the watch pass time only until it is opened anew

The loop that moved the clock went on while the other thread accepted, up to the 7 s after which a silent watch is given up: the limiter was right.

--- a/limiter/tests/discovery.rs
+++ b/limiter/tests/discovery.rs
@@ -7,8 +7,10 @@
 
 use common::*;
 
-fn watched(listener: &TcpListener) -> (TcpStream, String) {
-    let (mut stream, _) = listener.accept().unwrap();
+const UP: &str = "GET /up HTTP/1.1\r\nHost: x\r\n\r\n";
+
+fn watched(mut stream: TcpStream) -> (TcpStream, String) {
+    stream.set_nonblocking(false).unwrap();
     let mut bytes = vec![0; 1024];
     let length = stream.read(&mut bytes).unwrap();
     let line = String::from_utf8_lossy(&bytes[..length]).lines().next().unwrap().to_string();
@@ -16,6 +18,20 @@
     (stream, line)
 }
 
+/// Lets time pass step by step until a watch is opened. An answer after each step shows that the step was taken in,
+/// so that no more time passes than it needs.
+fn next_watch(listener: &TcpListener, limiter: &Limiter, step: i64) -> (TcpStream, String) {
+    listener.set_nonblocking(true).unwrap();
+    for _ in 0..1_000 {
+        limiter.pass(step);
+        ask(limiter.platform, UP);
+        if let Ok((stream, _)) = listener.accept() {
+            return watched(stream);
+        }
+    }
+    panic!("no watch was opened");
+}
+
 /// Writes a line in two chunks: a line is not a chunk.
 fn tell(stream: &mut TcpStream, line: &str) {
     let (a, b) = line.split_at(line.len() / 2);
@@ -26,9 +42,8 @@
 
 /// Asks until the limiter has heard: what was written before is read in its next turns.
 fn up_becomes(limiter: &Limiter, status: u16) {
-    let up = "GET /up HTTP/1.1\r\nHost: x\r\n\r\n";
     let mut client = Client::connect(limiter.platform);
-    let heard = (0..100_000).any(|_| client.ask(up).status == status);
+    let heard = (0..100_000).any(|_| client.ask(UP).status == status);
     assert!(heard, "{status} is told in the end");
 }
 
@@ -42,7 +57,7 @@
     let to = from + text[from..].find(',').unwrap();
     let limiter = Limiter::start(&format!("{}{discovery}{}", &text[..from], &text[to..]), None);
 
-    let (mut watch, line) = watched(&listener);
+    let (mut watch, line) = watched(listener.accept().unwrap().0);
     assert_eq!(line, "GET /discovery/hosts?watch=1&from=1 HTTP/1.1");
     up_becomes(&limiter, 503);
     let entry = |status: &str| {
@@ -59,21 +74,12 @@
 
     drop(watch);
     // The loss is noticed, then the wait before a new watch passes.
-    let opened = std::thread::spawn(move || (watched(&listener), listener));
-    while !opened.is_finished() {
-        limiter.pass(100_000);
-        std::thread::yield_now();
-    }
-    let ((mut watch, line), listener) = opened.join().unwrap();
+    let (mut watch, line) = next_watch(&listener, &limiter, 100_000);
     assert_eq!(line, "GET /discovery/hosts?watch=1&from=3 HTTP/1.1");
     tell(&mut watch, &change(4, "Ready"));
     up_becomes(&limiter, 200);
 
     // A silent one is given up, though its connection stands.
-    let opened = std::thread::spawn(move || watched(&listener));
-    while !opened.is_finished() {
-        limiter.pass(1_000_000);
-        std::thread::yield_now();
-    }
-    assert!(opened.join().unwrap().1.contains("from=4"));
+    let (_watch, line) = next_watch(&listener, &limiter, 1_000_000);
+    assert!(line.contains("from=4"));
 }
