Do not queue counter calls behind those that a dead counter left unanswered

One was the check for a counter connection that has gone stale: it was made only when a call's time was up (net/host/mod.rs, due), so that the first call after a silent spell went out behind calls that nobody answers and timed out too. It is made before the call is written now. The other was the check that a server's answer is all that came on its connection; it had no test. Accepting that the system refuses pauses for 100 ms in place of spinning on the listener.

--- a/limiter/src/limits.rs
+++ b/limiter/src/limits.rs
@@ -52,6 +52,8 @@
     pub introspection_wait: Micros,
     /// Advice to come back where the module gives none.
     pub stay_away: Micros,
+    /// Accepting that the system refused is tried again after this.
+    pub accept_retry: Micros,
     /// Between two ticks of the protocol by which instances agree.
     pub raft_tick: Micros,
     /// After SIGTERM new connections are taken for this long.
@@ -85,6 +87,7 @@
             watch_retry_longest: 2 * SECOND,
             introspection_wait: 2 * SECOND,
             stay_away: 200 * MS,
+            accept_retry: 100 * MS,
             raft_tick: 50 * MS,
             notice: 550 * MS,
             drain: 4_600 * MS,
--- a/limiter/src/net/host/acquirers.rs
+++ b/limiter/src/net/host/acquirers.rs
@@ -27,8 +27,11 @@
                 true
             }
             Err(error) => {
-                if error.kind() != io::ErrorKind::WouldBlock {
+                let passing = [io::ErrorKind::WouldBlock, io::ErrorKind::ConnectionAborted];
+                if !passing.contains(&error.kind()) {
                     self.log(&format!("cannot accept: {error}"));
+                    self.pause_accepting();
+                    self.deadlines.enter(self.now() + self.limits.accept_retry, Due::Accept);
                 }
                 false
             }
@@ -45,11 +48,15 @@
             return self.close(key).is_some();
         }
         self.log("at the most connections: accepting paused");
-        // Guards against a loop that spins on a listener whose connections it cannot take.
+        self.pause_accepting();
+        false
+    }
+
+    /// Guards against a loop that spins on a listener whose connections it cannot take.
+    fn pause_accepting(&mut self) {
         for (_, _, token) in &self.listeners {
             self.accepting &= self.handle.disable(token).is_err();
         }
-        false
     }
 
     pub(super) fn resume_accepting(&mut self) {
--- a/limiter/src/net/host/mod.rs
+++ b/limiter/src/net/host/mod.rs
@@ -102,6 +102,7 @@
     Counter(usize),
     Retire,
     RaftTick,
+    Accept,
     WatchRetry,
     WatchSilent(ConnectionKey, Micros),
     NoticeOver,
@@ -379,10 +380,6 @@
                 let mut counted = Vec::new();
                 self.lines[line].expire(now, &mut counted);
                 self.take_counted(counted);
-                let stale = self.lines[line].stale(now - self.limits.counter_stale);
-                if let Some(key) = self.lines[line].connection.filter(|_| stale) {
-                    self.broken(key);
-                }
             }
             Due::Retire => {
                 let before = now - self.limits.leg_idle;
@@ -393,6 +390,7 @@
                 self.deadlines.enter(now + self.limits.leg_idle / 4, Due::Retire);
             }
             Due::RaftTick => self.raft_tick(now),
+            Due::Accept => self.resume_accepting(),
             Due::WatchRetry => self.open_watch(),
             Due::WatchSilent(key, heard) => {
                 if self.watch.connection != Some(key) {
@@ -423,9 +421,12 @@
             Order::Count { name, add, life } => {
                 let line = (name.0 % self.lines.len().max(1) as u64) as usize;
                 let deadline = now + self.limits.counter_wait;
-                let rested = self.lines[line].rested(now - self.limits.counter_idle);
-                if let Some(old) = self.lines[line].connection.filter(|_| rested) {
-                    // Guards against a call that crosses the counter's close of an idle connection.
+                let (known, limits) = (&self.lines[line], &self.limits);
+                let of_no_use =
+                    known.rested(now - limits.counter_idle) || known.stale(now - limits.counter_stale);
+                if let Some(old) = known.connection.filter(|_| of_no_use) {
+                    // Guards against a call that crosses the counter's close of an idle connection, or that waits
+                    // behind calls which a counter that died will never answer.
                     self.broken(old);
                 }
                 self.lines[line].call(service, name, add, life, deadline);
--- a/limiter/tests/common/mod.rs
+++ b/limiter/tests/common/mod.rs
@@ -23,6 +23,8 @@
 pub enum Reply {
     /// Answers.
     Answer(u16, Vec<(&'static str, &'static str)>, String),
+    /// Answers 200 with this body, and once more unasked.
+    Twice(&'static str),
     /// Closes the connection.
     Drop,
     /// Waits for a word of the test, then does this.
@@ -65,9 +67,16 @@
                             let _ = word.recv_timeout(HANG);
                             reply = *then;
                         }
-                        let Reply::Answer(status, headers, body) = reply else { break };
                         let mut out = Vec::new();
-                        framing::write_answer(&mut out, status, &headers, body.as_bytes(), false);
+                        match reply {
+                            Reply::Answer(status, headers, body) => {
+                                framing::write_answer(&mut out, status, &headers, body.as_bytes(), false)
+                            }
+                            Reply::Twice(body) => (0..2).for_each(|_| {
+                                framing::write_answer(&mut out, 200, &[], body.as_bytes(), false)
+                            }),
+                            Reply::Drop | Reply::Held(..) => break,
+                        }
                         if stream.write_all(&out).is_err() {
                             break;
                         }
--- a/limiter/tests/platform.rs
+++ b/limiter/tests/platform.rs
@@ -222,3 +222,37 @@
     limiter.pass(30_000);
     assert_eq!(client.answer().unwrap().status, 200);
 }
+
+#[test]
+fn a_connection_on_which_more_came_than_was_asked_is_closed() {
+    let (server, limiter) = start(1, |_, n| if n == 0 { Reply::Twice("first") } else { ok("second") });
+    let mut client = Client::connect(limiter.platform);
+    assert_eq!(client.ask(&sign_off("k0")).body, b"first");
+    server.closed.recv_timeout(std::time::Duration::from_secs(5)).expect("its connection is closed");
+    assert_eq!(client.ask(&sign_off("k1")).body, b"second");
+}
+
+#[test]
+fn calls_do_not_wait_behind_those_that_a_dead_counter_left_unanswered() {
+    let server = StandIn::start(|_, _| ok("done"));
+    let (reached, arrived) = mpsc::channel();
+    // The first call is never answered, and so is nothing behind it on its connection.
+    let counter = StandIn::start(move |_, n| {
+        if n > 0 {
+            return ok("2");
+        }
+        let (word, held) = mpsc::channel();
+        std::mem::forget(word);
+        reached.send(()).unwrap();
+        Reply::Held(held, Box::new(Reply::Drop))
+    });
+    let limiter = Limiter::start(&config(&[server.address], counter.address), None);
+    let mut client = Client::connect(limiter.platform);
+    client.send(&sign_off("k0"));
+    arrived.recv().unwrap();
+    limiter.pass(30_000);
+    assert_eq!(client.answer().unwrap().status, 200, "passes without an answer of the counter");
+    limiter.pass(500_000);
+    assert_eq!(client.ask(&sign_off("k1")).status, 200, "and the clock stands still for this one");
+    assert!(counter.count() >= 2);
+}
