--- a/limiter/src/engine.rs
+++ b/limiter/src/engine.rs
@@ -272,14 +272,9 @@
         self.events.push(Event::Told(notice));
     }
 
-    /// The end of the period in which the module is not called again; `None` before its first call.
-    pub fn rests_until(&self) -> Option<Micros> {
-        self.handled.map(|at| at + self.period)
-    }
-
     /// When [`Engine::handle`] has something to do next; the module is not called more often than its period.
     pub fn next(&self) -> Option<Micros> {
-        let earliest = self.rests_until().unwrap_or(Micros::MIN);
+        let earliest = self.handled.map_or(Micros::MIN, |at| at + self.period);
         let wanted = if self.events.is_empty() { self.wake } else { Some(Micros::MIN) };
         wanted.map(|at| at.max(earliest))
     }
--- a/limiter/src/net/host/mod.rs
+++ b/limiter/src/net/host/mod.rs
@@ -317,13 +317,6 @@
         self.deadlines.earliest().into_iter().chain(engines).min()
     }
 
-    /// Lets events gather for as long as no engine may call its module again.
-    pub fn gather(&self) {
-        if let Some(at) = self.services.iter().filter_map(|service| service.engine.rests_until()).min() {
-            self.clock.rest_until(at);
-        }
-    }
-
     /// All is done that was to be done.
     pub fn finished(&self) -> bool {
         self.phase == Phase::Finished
--- a/limiter/src/net/mod.rs
+++ b/limiter/src/net/mod.rs
@@ -42,14 +42,6 @@
         Clock(Source::Driven(hand))
     }
 
-    /// Lets time pass up to an instant; a driven clock passes by its hand alone.
-    pub fn rest_until(&self, at: Micros) {
-        let left = at.saturating_sub(self.now());
-        if let (Source::System(..), 1..) = (&self.0, left) {
-            std::thread::sleep(Duration::from_micros(left as u64));
-        }
-    }
-
     /// The present time.
     pub fn now(&self) -> Micros {
         match &self.0 {
@@ -115,9 +107,6 @@
             let wait = self.host.next().map(|at| Duration::from_micros(at.saturating_sub(now).max(0) as u64));
             self.events.dispatch(wait, &mut self.host)?;
             self.host.turn();
-            // Guards the processor: a wait costs five system calls, and what comes in while the module rests can
-            // only be decided on together. The first event after a quiet time is taken in at once.
-            self.host.gather();
         }
         Ok(())
     }
