Take a new configuration at SIGHUP: move watch and counter, keep the rest

Cause: net/mod.rs `serve` registered only SIGTERM and SIGINT, so SIGHUP had its default effect, and nothing could replace `Host::discovery` and `Host::counter`, which were set once in `Host::open`.

Now the whole file is read and checked before any of it is taken; a faulty one is logged and changes nothing. The watch is opened anew at the new address from the version held. ROUTER_DISCOVERY stands above the file until the file's own key changes.

Ruled out: closing the lines at once, which fails the calls that are out, and four of those in a row make the module take the counter for lost.

Tests: the move with a call out and a faulty file against the real process; the model of a line gains the move.

--- a/limiter/src/cli.rs
+++ b/limiter/src/cli.rs
@@ -5,7 +5,7 @@
 
 use lexopt::prelude::*;
 
-use crate::config::{Config, ConfigError, Environment};
+use crate::config::Environment;
 use crate::net;
 
 const HELP: &str = "\
@@ -63,7 +63,6 @@
             return ExitCode::from(2);
         }
     };
-    let load = || -> Result<Config, ConfigError> { environment.load() };
     let done = match command {
         Command::Help => {
             print!("{HELP}");
@@ -73,9 +72,13 @@
             println!("streamarch {}", env!("CARGO_PKG_VERSION"));
             Ok(())
         }
-        Command::CheckConfig => load().map(|_| println!("configuration in order")).map_err(|e| e.to_string()),
+        Command::CheckConfig => {
+            environment.load().map(|_| println!("configuration in order")).map_err(|e| e.to_string())
+        }
         Command::Serve => {
-            load().map_err(|e| e.to_string()).and_then(|config| net::serve(config).map_err(|e| e.to_string()))
+            let loaded = environment.load();
+            let serve = |config| net::serve(config, move || environment.load()).map_err(|e| e.to_string());
+            loaded.map_err(|e| e.to_string()).and_then(serve)
         }
     };
     match done {
--- a/limiter/src/config.rs
+++ b/limiter/src/config.rs
@@ -204,6 +204,8 @@
     pub listen: SocketAddr,
     /// Discovery.
     pub discovery: SocketAddr,
+    /// Discovery as the file names it, whatever the environment says.
+    pub discovery_in_file: Option<SocketAddr>,
     /// The counter, if there is one.
     pub counter: Option<SocketAddr>,
     /// Where datagrams of other limiters arrive.
@@ -473,6 +475,7 @@
             name: self.name.clone().or(node.at("name").text()?.map(str::to_string)).unwrap_or_default(),
             listen: over(&self.listen, "ROUTER_LISTEN", node.at("listen"))?,
             discovery: over(&self.discovery, "ROUTER_DISCOVERY", node.at("discovery"))?,
+            discovery_in_file: node.at("discovery").address()?,
             counter: node.at("counter").address()?,
             peer_listen: node.at("peer_listen").address()?,
             peers: peers?,
--- a/limiter/src/counter.rs
+++ b/limiter/src/counter.rs
@@ -52,6 +52,8 @@
     waiting: VecDeque<Call>,
     /// When something last went out or came in.
     used: Micros,
+    /// The counter has moved: nothing more is written on this connection.
+    leaving: bool,
 }
 
 impl Line {
@@ -67,7 +69,7 @@
 
     /// Writes what may be written.
     pub fn write(&mut self, now: Micros, host: &str, out: &mut Vec<u8>) {
-        if !self.up {
+        if !self.up || self.leaving {
             return;
         }
         while let Some(call) = self.unsent.pop_front() {
@@ -83,6 +85,23 @@
         }
     }
 
+    /// The counter is to be found elsewhere. What is written is waited for here: its answers must come before
+    /// those to later calls of the same name.
+    pub fn leave(&mut self) {
+        self.leaving = true;
+    }
+
+    /// If this line is leaving and owes no outcome for what it wrote: forgets its connection, which is given, and
+    /// keeps the calls not written for the next one.
+    pub fn left(&mut self) -> Option<Option<ConnectionKey>> {
+        if !self.leaving || self.waiting.iter().any(|call| !call.given) {
+            return None;
+        }
+        (self.up, self.leaving) = (false, false);
+        self.waiting.clear();
+        Some(self.connection.take())
+    }
+
     /// Nothing is out and nothing was for so long that the counter may be closing the connection just now.
     pub fn rested(&self, before: Micros) -> bool {
         self.up && self.waiting.is_empty() && self.used <= before
@@ -131,7 +150,7 @@
 
     /// The connection is gone. What was written may have been added; what was not never will be.
     pub fn broken(&mut self, counted: &mut Vec<Counted>) {
-        (self.connection, self.up) = (None, false);
+        (self.connection, self.up, self.leaving) = (None, false, false);
         let written = self.waiting.drain(..).filter(|call| !call.given);
         counted.extend(written.map(|call| call.ended(Outcome::TimedOut)));
         let unsent = self.unsent.drain(..);
--- a/limiter/src/net/host/counting.rs
+++ b/limiter/src/net/host/counting.rs
@@ -49,6 +49,15 @@
         if bad {
             self.broken(key);
         }
+        self.move_line(line);
+    }
+
+    /// A line whose counter has moved goes on at the new address as soon as its written calls have their outcomes.
+    pub(super) fn move_line(&mut self, line: usize) {
+        if let Some(former) = self.lines[line].left() {
+            former.into_iter().for_each(|key| _ = self.close(key));
+            self.open_line(line);
+        }
     }
 
     pub(super) fn take_counted(&mut self, counted: Vec<Counted>) {
--- a/limiter/src/net/host/mod.rs
+++ b/limiter/src/net/host/mod.rs
@@ -6,6 +6,7 @@
 mod datagrams;
 mod ending;
 mod errands;
+mod reloading;
 mod tokens;
 mod watching;
 
@@ -17,7 +18,7 @@
 use calloop::{Interest, LoopHandle, Mode, PostAction, Readiness, RegistrationToken};
 use slotmap::SecondaryMap;
 use socket2::{Domain, Protocol, Socket, Type};
-use streamarch::{ListKind, LoadReport, Micros, Outcome, ServerEntry, ServerId};
+use streamarch::{ListKind, LoadReport, Micros, Outcome, ServerEntry, ServerId, Settings};
 
 use self::agreement::Agreement;
 use self::tokens::Tokens;
@@ -169,6 +170,7 @@
     agreement: Option<Agreement>,
     table: RoutingTable,
     discovery: SocketAddr,
+    discovery_in_file: Option<SocketAddr>,
     watch: Watch,
     counter: Option<SocketAddr>,
     lines: Vec<Line>,
@@ -176,6 +178,9 @@
     peers: Vec<SocketAddr>,
     plans: usize,
     reports: bool,
+    /// As at the start: a reload changes neither.
+    listen: SocketAddr,
+    settings: Settings,
 }
 
 fn nonblocking_connect(address: SocketAddr) -> io::Result<TcpStream> {
@@ -221,6 +226,7 @@
         let limits = config.limits;
         let mut table = RoutingTable::new(config.names.zones.clone(), config.names.kinds.clone());
         let settings = config.settings;
+        let module = settings.clone();
         let platform =
             Platform { names: config.names, classes: settings.classes.clone(), limiters: settings.gateways };
         let tell = settings.may_tell;
@@ -276,6 +282,7 @@
             agreement,
             table,
             discovery: config.discovery,
+            discovery_in_file: config.discovery_in_file,
             watch: Watch { wait: limits.watch_retry, ..Watch::default() },
             counter,
             lines: (0..limits.counter_connections).map(|_| Line::default()).collect(),
@@ -283,6 +290,8 @@
             peers: config.peers,
             plans,
             reports: config.reports,
+            listen: config.listen,
+            settings: module,
             limits,
         };
         host.take_news(known);
@@ -295,7 +304,7 @@
             host.open_line(line);
         }
         host.deadlines.enter(host.now() + host.limits.leg_idle / 4, Due::Retire);
-        host.log(&format!("serving on {}", config.listen));
+        host.log(&format!("serving on {}", host.addresses()?.0));
         Ok(host)
     }
 
@@ -373,6 +382,7 @@
                 let mut counted = Vec::new();
                 self.lines[line].expire(now, &mut counted);
                 self.take_counted(counted);
+                self.move_line(line);
             }
             Due::Retire => {
                 let before = now - self.limits.leg_idle;
@@ -384,6 +394,8 @@
             }
             Due::RaftTick => self.raft_tick(now),
             Due::Accept => self.resume_accepting(),
+            // A reload may have opened one meanwhile.
+            Due::WatchRetry if self.watch.connection.is_some() => {}
             Due::WatchRetry => self.open_watch(),
             Due::WatchSilent(key, heard) => {
                 if self.watch.connection != Some(key) {
--- /dev/null
+++ b/limiter/src/net/host/reloading.rs
@@ -0,0 +1,52 @@
+//! A new configuration under load: what may change while the program runs is taken over, the rest is named.
+
+use super::*;
+use crate::config::ConfigError;
+
+impl Host {
+    /// Goes over to a configuration that was read and checked whole. Connections, counts and requests stay; the
+    /// watch and the counter's lines move if their addresses have changed.
+    pub fn reload(&mut self, config: Config) {
+        // Guards the override: the environment names the address of the start, and stands above the file until the
+        // file itself changes.
+        let changed = config.discovery_in_file.filter(|_| config.discovery_in_file != self.discovery_in_file);
+        self.discovery_in_file = config.discovery_in_file;
+        if let Some(discovery) = changed.filter(|address| *address != self.discovery) {
+            self.discovery = discovery;
+            self.watch.wait = self.limits.watch_retry;
+            // The watch goes on from the version of the list held here, so that no change is missed.
+            self.open_watch();
+        }
+        let counter = config.counter.filter(|_| self.settings.counter);
+        if counter != self.counter {
+            self.counter = counter;
+            for line in 0..self.lines.len() {
+                self.lines[line].leave();
+                self.move_line(line);
+            }
+        }
+        self.peers = config.peers;
+        if let (Some(tokens), Some(front), None) = (&mut self.tokens, config.introspection, &self.agreement) {
+            tokens.set_callers(front.callers);
+        }
+        let kept = [
+            ("listen", config.listen == self.listen),
+            ("settings", config.settings == self.settings),
+            ("limits", config.limits == self.limits),
+        ];
+        let told = |address: Option<SocketAddr>| address.map_or("none".to_string(), |a| a.to_string());
+        self.log(&format!(
+            "configuration taken: discovery {}, counter {}",
+            self.discovery,
+            told(self.counter)
+        ));
+        for (key, _) in kept.iter().filter(|(_, same)| !same) {
+            self.log(&format!("configuration: '{key}' has changed, which holds from the next start"));
+        }
+    }
+
+    /// A configuration that cannot be used changes nothing.
+    pub fn refuse_reload(&self, error: &ConfigError) {
+        self.log(&format!("configuration not taken, all stays as it was: {error}"));
+    }
+}
--- a/limiter/src/net/host/watching.rs
+++ b/limiter/src/net/host/watching.rs
@@ -4,7 +4,10 @@
 
 impl Host {
     pub(super) fn open_watch(&mut self) {
-        (self.watch.streaming, self.watch.connection) = (false, None);
+        if let Some(former) = self.watch.connection.take() {
+            self.close(former);
+        }
+        self.watch.streaming = false;
         self.watch.line.clear();
         match self.connect(self.discovery, Role::Watch) {
             Ok(key) => self.watch.connection = Some(key),
--- a/limiter/src/net/mod.rs
+++ b/limiter/src/net/mod.rs
@@ -11,11 +11,12 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use calloop::EventLoop;
+use calloop::channel::{self, Sender};
 use calloop::ping::{Ping, make_ping};
-use calloop::signals::{Signal, Signals};
+use calloop::signals::{Event, Signal, Signals};
 use streamarch::Micros;
 
-use crate::config::Config;
+use crate::config::{Config, ConfigError};
 pub use host::Host;
 
 /// The host's clock: microseconds since the epoch.
@@ -56,9 +57,16 @@
 pub struct Remote {
     stop: Ping,
     wake: Ping,
+    reload: Sender<Config>,
 }
 
 impl Remote {
+    /// Has the daemon take over what a new configuration may change while it runs.
+    pub fn reload(&self, config: Config) {
+        // A daemon that has ended takes nothing over any more.
+        let _ = self.reload.send(config);
+    }
+
     /// Tells the daemon to finish what it has taken and end.
     pub fn stop(&self) {
         self.stop.ping();
@@ -84,10 +92,17 @@
         let handle = events.handle();
         let (stop, stopped) = make_ping()?;
         let (wake, woken) = make_ping()?;
+        let (reload, reloaded) = channel::channel();
         handle.insert_source(stopped, |(), _, host: &mut Host| host.drain()).map_err(|e| e.error)?;
         handle.insert_source(woken, |(), _, _: &mut Host| {}).map_err(|e| e.error)?;
+        let take = |event, _: &mut _, host: &mut Host| {
+            if let channel::Event::Msg(config) = event {
+                host.reload(config);
+            }
+        };
+        handle.insert_source(reloaded, take).map_err(|e| e.error)?;
         let host = Host::open(config, handle, clock)?;
-        Ok(Daemon { events, host, remote: Remote { stop, wake } })
+        Ok(Daemon { events, host, remote: Remote { stop, wake, reload } })
     }
 
     /// Where the fronts listen: the platform's, and introspection's if it is on.
@@ -112,11 +127,19 @@
     }
 }
 
-/// Runs the limiter until SIGTERM or SIGINT.
-pub fn serve(config: Config) -> io::Result<()> {
-    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT])?;
+/// Runs the limiter until SIGTERM or SIGINT. At SIGHUP the configuration is loaded anew; one that is faulty is
+/// logged and changes nothing.
+pub fn serve(config: Config, load: impl Fn() -> Result<Config, ConfigError> + 'static) -> io::Result<()> {
+    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP])?;
     let daemon = Daemon::open(config, Clock::system())?;
     let handle = daemon.events.handle();
-    handle.insert_source(signals, |_, _, host: &mut Host| host.drain()).map_err(|e| e.error)?;
+    let signalled = move |event: Event, _: &mut _, host: &mut Host| match event.signal() {
+        Signal::SIGHUP => match load() {
+            Ok(config) => host.reload(config),
+            Err(error) => host.refuse_reload(&error),
+        },
+        _ => host.drain(),
+    };
+    handle.insert_source(signals, signalled).map_err(|e| e.error)?;
     daemon.run()
 }
--- a/limiter/tests/common/mod.rs
+++ b/limiter/tests/common/mod.rs
@@ -137,6 +137,11 @@
 
 /// The configuration of a limiter in front of these servers.
 pub fn config(servers: &[SocketAddr], counter: SocketAddr) -> String {
+    config_at(nobody(), servers, counter)
+}
+
+/// The same with discovery at this address.
+pub fn config_at(discovery: SocketAddr, servers: &[SocketAddr], counter: SocketAddr) -> String {
     let endpoint = |(n, address): (usize, &SocketAddr)| {
         format!(
             "{{\"name\":\"s-{n}\",\"address\":\"{address}\",\"zone\":\"a\",\"type\":\"m\",\"group\":1,\
@@ -145,9 +150,8 @@
     };
     let endpoints: Vec<String> = servers.iter().enumerate().map(endpoint).collect();
     format!(
-        "{{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"{}\",\"seed\":\"7\",\"counter\":\"{counter}\",\
+        "{{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"{discovery}\",\"seed\":\"7\",\"counter\":\"{counter}\",\
          \"known\":{{\"index\":1,\"snapshot\":true,\"endpoints\":[{}]}},\"settings\":{SETTINGS}}}",
-        nobody(),
         endpoints.join(",")
     )
 }
@@ -193,6 +197,11 @@
         self.hand.load(Ordering::SeqCst)
     }
 
+    /// Gives it a new configuration.
+    pub fn reload(&self, config: &str) {
+        self.remote.reload(Environment::default().parse(config).expect("a good configuration"));
+    }
+
     /// Tells it to end.
     pub fn stop(&self) {
         self.remote.stop();
--- a/limiter/tests/discovery.rs
+++ b/limiter/tests/discovery.rs
@@ -4,6 +4,7 @@
 
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
+use std::sync::mpsc;
 
 use common::*;
 
@@ -51,11 +52,8 @@
 fn the_watch_is_read_and_opened_anew_from_where_it_was() {
     let server = StandIn::start(|_, _| ok("served"));
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let discovery = format!("\"discovery\":\"{}\"", listener.local_addr().unwrap());
-    let text = config(&[], counter().address);
-    let from = text.find("\"discovery\"").unwrap();
-    let to = from + text[from..].find(',').unwrap();
-    let limiter = Limiter::start(&format!("{}{discovery}{}", &text[..from], &text[to..]), None);
+    let discovery = listener.local_addr().unwrap();
+    let limiter = Limiter::start(&config_at(discovery, &[], counter().address), None);
 
     let (mut watch, line) = watched(listener.accept().unwrap().0);
     assert_eq!(line, "GET /discovery/hosts?watch=1&from=1 HTTP/1.1");
@@ -83,3 +81,43 @@
     let (_watch, line) = next_watch(&listener, &limiter, 1_000_000);
     assert!(line.contains("from=4"));
 }
+
+fn lookup(account: u32) -> String {
+    format!(
+        "GET /lookup?account={account:016x} HTTP/1.1\r\nHost: x\r\nX-Trace-Id: t-{account}\r\nX-Qos: lookup\r\n\
+         X-Tier: empresa\r\nX-Expires-In: 2.5\r\nX-Call-Terms: units=1,spread=1,first=0\r\n\r\n"
+    )
+}
+
+#[test]
+fn a_reload_moves_watch_and_counter_and_takes_the_answers_that_are_still_out() {
+    let (release, held) = mpsc::channel();
+    let (reached, arrived) = mpsc::channel();
+    let mut held = Some(held);
+    let first = StandIn::start(move |_, _| {
+        reached.send(()).unwrap();
+        // A total far beyond any allowance: whoever hears it declines.
+        let over = || ok("1000000");
+        held.take().map_or_else(over, |word| Reply::Held(word, Box::new(over())))
+    });
+    let (second, server) = (counter(), StandIn::start(|_, _| ok("served")));
+    let (old, new) = (TcpListener::bind("127.0.0.1:0").unwrap(), TcpListener::bind("127.0.0.1:0").unwrap());
+    let at = |listener: &TcpListener, counter| {
+        config_at(listener.local_addr().unwrap(), &[server.address], counter)
+    };
+    let limiter = Limiter::start(&at(&old, first.address), None);
+    let (mut former, _) = watched(old.accept().unwrap().0);
+    let mut client = Client::connect(limiter.platform);
+    client.send(&lookup(5));
+    arrived.recv().unwrap();
+
+    limiter.reload(&at(&new, second.address));
+    let (_watch, line) = watched(new.accept().unwrap().0);
+    assert_eq!(line, "GET /discovery/hosts?watch=1&from=1 HTTP/1.1");
+    assert_eq!(former.read(&mut [0; 16]).unwrap(), 0, "the former watch is closed");
+    release.send(()).unwrap();
+    assert_eq!(client.answer().unwrap().status, 429, "the former counter's answer is heard");
+    let before = first.count();
+    assert_eq!(client.ask(&lookup(6)).status, 200, "on the connection from before");
+    assert!(second.count() > 0 && first.count() == before, "later calls go to the new counter");
+}
--- a/limiter/tests/models.rs
+++ b/limiter/tests/models.rs
@@ -70,11 +70,11 @@
         // The model: calls not written, and written ones with whether their outcome was given.
         let mut unsent: VecDeque<(u64, i64)> = VecDeque::new();
         let mut sent: VecDeque<(u64, i64, bool)> = VecDeque::new();
-        let (mut up, mut now, mut next) = (false, 1_000_i64, 0_u64);
+        let (mut up, mut leaving, mut now, mut next) = (false, false, 1_000_i64, 0_u64);
         for Step(kind, by) in steps {
             let mut got = Vec::new();
             let mut expected = Vec::new();
-            match kind % 6 {
+            match kind % 7 {
                 0 => {
                     line.call(0, CounterName(next), 1.0, 1_000, now + 30);
                     unsent.push_back((next, now + 30));
@@ -97,7 +97,8 @@
                         out.drain(..length);
                         written += 1;
                     }
-                    if (!up && written > 0) || (up && !unsent.is_empty()) {
+                    let may = up && !leaving;
+                    if (!may && written > 0) || (may && !unsent.is_empty()) {
                         return false;
                     }
                 }
@@ -121,9 +122,13 @@
                         .extend(unsent.iter().filter(|c| c.1 <= now).map(|c| (c.0, Outcome::ConnectFailed)));
                     unsent.retain(|c| c.1 > now);
                 }
+                5 => {
+                    line.leave();
+                    leaving = true;
+                }
                 _ => {
                     line.broken(&mut got);
-                    up = false;
+                    (up, leaving) = (false, false);
                     expected.extend(sent.drain(..).filter(|c| !c.2).map(|c| (c.0, Outcome::TimedOut)));
                     expected.extend(unsent.drain(..).map(|c| (c.0, Outcome::ConnectFailed)));
                 }
@@ -131,6 +136,15 @@
             if !got.iter().map(|c| (c.name.0, c.outcome)).eq(expected.iter().copied()) {
                 return false;
             }
+            // It leaves once all that it wrote has its outcome, and takes along what it did not write.
+            let leaves = leaving && sent.iter().all(|c| c.2);
+            if line.left().is_some() != leaves {
+                return false;
+            }
+            if leaves {
+                sent.clear();
+                (up, leaving) = (false, false);
+            }
         }
         true
     }
--- /dev/null
+++ b/limiter/tests/process.rs
@@ -0,0 +1,55 @@
+//! The program as a process: what a signal does to it.
+
+mod common;
+
+use std::io::{BufRead, BufReader};
+use std::process::{Child, Command, Stdio};
+
+use common::*;
+
+/// Ends the process also when the test fails.
+struct Process(Child);
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+#[test]
+fn at_sighup_a_faulty_file_changes_nothing_and_a_good_one_is_taken() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("config.json");
+    let server = StandIn::start(|_, _| ok("served"));
+    let write = |text: &str| std::fs::write(&path, text).unwrap();
+    write(&config(&[server.address], nobody()));
+    let mut child = Command::new(env!("CARGO_BIN_EXE_streamarch"))
+        .args(["serve", "--config"])
+        .arg(&path)
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let mut log = BufReader::new(child.stderr.take().unwrap()).lines();
+    let process = Process(child);
+    // Ends with the log if the program does.
+    let mut line_with =
+        |text: &str| log.by_ref().map(Result::unwrap).find(|line| line.contains(text)).expect(text);
+    let serving = line_with("serving on ");
+    let address = serving.rsplit(' ').next().unwrap().parse().unwrap();
+    let signal = |name: &str| {
+        let told = Command::new("sh").args(["-c", &format!("kill -{name} {}", process.0.id())]).status();
+        assert!(told.unwrap().success());
+    };
+
+    let good = config(&[server.address], nobody());
+    write(&good.replace("\"discovery\":\"", "\"discovery\":\"nowhere"));
+    signal("HUP");
+    assert!(line_with("configuration not taken").contains("key 'discovery'"));
+    assert_eq!(ask(address, "GET /up HTTP/1.1\r\nHost: x\r\n\r\n").status, 200);
+    write(&good);
+    signal("HUP");
+    line_with("configuration taken");
+    signal("TERM");
+    line_with("told to end");
+}
