Give clients' connections deadlines and bounds, and spare the ones whose first request may come

Causes, in the lines as they were: `make_room` (net/host/acquirers.rs) closed the first connection in slot order that had neither input nor a request, so mostly one just taken, whose request was on its way; with 256 descriptors only 78 clients fitted (`spare = 100`, half each, config.rs). No deadline was entered for a client's connection. `answer` called `read_request`, which calls `answer`: thousands of bad requests at once went down the stack. `read` took in up to 1.1 MB while a request was out. A close with input unread reset the connection under the error just written. `read_totals` kept a connection after a 200 without a number, or waited for 90 bytes of a total that never come: all calls behind it ran out of time, four in a row are a lost counter.

Now `visits` says, without input or output, what is owed on a connection, until when, and how well it can be spared; one entry among the deadlines serves it. A request is looked at only when the answer before it is written. What is taken in beside an open request, and of unfinished requests together, is bounded. The last answer is followed by the end of sending and a short time of throwing away. The id of an open request is not taken twice (409). Behind a spoilt answer of the counter its connection is given up.

--- a/limiter/src/config.rs
+++ b/limiter/src/config.rs
@@ -497,16 +497,23 @@
     let (allow, facts) = (settings.at("Permissions"), settings.at("Specifics"));
     let or = |value: Micros, default: Micros| if value > 0 { value } else { default };
     let sockets = node.at("limits").at("sockets").count()? as usize;
-    // What is neither a client's nor a server's connection: standard streams, loop, timers, listeners, counter,
-    // watch, datagrams, and some to spare.
-    let spare = 100;
-    let share = if sockets == 0 { usize::MAX } else { (sockets.saturating_sub(spare) / 2).max(8) };
+    // What is neither a client's nor a server's connection: standard streams, loop, timers, listeners, counter
+    // (twice while it moves), watch, datagrams, and some to spare. Of the rest clients have the larger share: a
+    // third of all descriptors may be held for requests at once, and silent connections come on top.
+    let spare = 40;
+    let share = |tenths: usize| match sockets {
+        0 => usize::MAX,
+        _ => (sockets.saturating_sub(spare) * tenths / 10).max(8),
+    };
+    let memory = node.at("limits").at("memory_mb").count()? as usize * 1024 * 1024;
+    let eighth = if memory == 0 { usize::MAX } else { memory / 8 };
     let classes = settings.at("Lanes").list()?;
     let waits = classes.iter().map(|c| c.at("GiveUpUs").micros()).collect::<Result<Vec<_>, _>>()?;
     let most_units = facts.at("MostUnits").number()?;
     Ok(Limits {
-        acquirer_connections: defaults.acquirer_connections.min(share),
-        leg_connections: defaults.leg_connections.min(share),
+        acquirer_connections: defaults.acquirer_connections.min(share(6)),
+        leg_connections: defaults.leg_connections.min(share(4)),
+        partial_bytes: defaults.partial_bytes.min(eighth),
         held: or(Micros::from(allow.at("MostHeld").count()?), defaults.held as Micros) as usize,
         most_units: if most_units > 0.0 { (most_units * 1_000.0) as u64 } else { defaults.most_units },
         connect: or(allow.at("ConnectTimeoutUs").micros()?, defaults.connect),
--- a/limiter/src/counter.rs
+++ b/limiter/src/counter.rs
@@ -41,6 +41,21 @@
     }
 }
 
+/// The total in an answer, where it can be read.
+fn total(answer: &Answer) -> Option<f64> {
+    let text = std::str::from_utf8(&answer.body).ok()?;
+    text.trim().parse::<f64>().ok().filter(|total| total.is_finite())
+}
+
+/// Whether an answer came whole from the counter. Behind one that is spoilt nothing more is to be expected on its
+/// connection: calls that went on there would only run out of time, and the counter pass for lost.
+pub fn sound(answer: &Answer) -> bool {
+    match answer.status {
+        200 => answer.keep_alive && total(answer).is_some(),
+        status => answer.keep_alive && matches!(status, 400 | 404 | 503),
+    }
+}
+
 /// One connection's calls.
 #[derive(Debug, Default)]
 pub struct Line {
@@ -112,6 +127,11 @@
         self.up && self.waiting.front().is_some_and(|call| call.given) && self.used <= before
     }
 
+    /// The answer to the earliest call written did not come in time.
+    pub fn overdue(&self) -> bool {
+        self.waiting.front().is_some_and(|call| call.given)
+    }
+
     /// An answer came: it belongs to the earliest call written. None if that one's outcome was given before,
     /// or if nothing was asked.
     pub fn answered(&mut self, now: Micros, answer: &Answer) -> Option<Counted> {
@@ -121,9 +141,7 @@
         if call.given {
             return None;
         }
-        let text = std::str::from_utf8(&answer.body).ok();
-        let total = text.and_then(|t| t.trim().parse::<f64>().ok()).filter(|t| t.is_finite());
-        let (outcome, total) = match (answer.status, total) {
+        let (outcome, total) = match (answer.status, total(answer)) {
             (200, Some(total)) => (Outcome::Ok, total),
             // It was added, but what the total is remains unknown.
             (200, None) => (Outcome::TimedOut, 0.0),
--- a/limiter/src/front/introspection.rs
+++ b/limiter/src/front/introspection.rs
@@ -298,7 +298,7 @@
             self.path,
             body.len()
         );
-        Forward { head: head.into_bytes(), body }
+        Forward { head: head.into_bytes(), body, id: String::new() }
     }
 }
 
--- a/limiter/src/front/mod.rs
+++ b/limiter/src/front/mod.rs
@@ -12,6 +12,8 @@
     pub head: Vec<u8>,
     /// The body, unchanged.
     pub body: Vec<u8>,
+    /// The id that servers know the request by; empty where they know none.
+    pub id: String,
 }
 
 impl Forward {
@@ -26,7 +28,8 @@
         if request.method != "GET" || !request.body.is_empty() {
             head.push_str(&format!("Content-Length: {}\r\n", request.body.len()));
         }
-        Forward { head: head.into_bytes(), body: request.body.clone() }
+        let id = request.headers.get("X-Trace-Id").unwrap_or_default().to_string();
+        Forward { head: head.into_bytes(), body: request.body.clone(), id }
     }
 }
 
--- a/limiter/src/lib.rs
+++ b/limiter/src/lib.rs
@@ -17,3 +17,4 @@
 pub mod raft;
 pub mod routing_table;
 pub mod slots;
+pub mod visits;
--- a/limiter/src/limits.rs
+++ b/limiter/src/limits.rs
@@ -20,10 +20,32 @@
     pub datagram_bytes: usize,
     /// Most connections of the acquirer side.
     pub acquirer_connections: usize,
+    /// Taken in from a client while its request is out or its answer is not written, in bytes.
+    pub pipelined_bytes: usize,
+    /// Taken in from a client after its last answer, and thrown away, in bytes.
+    pub linger_bytes: usize,
+    /// Held of all clients' requests that are not whole yet, in bytes.
+    pub partial_bytes: usize,
+    /// A connection of the acquirer side brings its first request whole within this, and each later one.
+    pub acquirer_first: Micros,
+    /// One that has been answered may be idle for this long.
+    pub acquirer_idle: Micros,
+    /// One that was taken so lately that its first request may be on its way is not closed to make room.
+    pub acquirer_fresh: Micros,
+    /// A client takes in an answer within this.
+    pub acquirer_write: Micros,
+    /// After the last answer a client has this long to read it before the connection is closed for good.
+    pub acquirer_linger: Micros,
+    /// Connections that may wait with the system to be taken.
+    pub backlog: i32,
+    /// That accepting is paused is logged no more often than this.
+    pub full_log: Micros,
     /// Most connections to servers, idle ones included.
     pub leg_connections: usize,
     /// Connections to the counter.
     pub counter_connections: usize,
+    /// Longest answer of the counter, in bytes: a number.
+    pub total_bytes: usize,
     /// Most authorisations held at once.
     pub held: usize,
     /// Most units that one authorisation may take, in thousandths.
@@ -70,9 +92,20 @@
             line_bytes: 1024 * 1024,
             read_bytes: 32 * 1024,
             datagram_bytes: 256,
-            acquirer_connections: 440,
-            leg_connections: 440,
+            acquirer_connections: 560,
+            pipelined_bytes: 4 * 1024,
+            linger_bytes: 256 * 1024,
+            partial_bytes: 8 * 1024 * 1024,
+            acquirer_first: 2_300 * MS,
+            acquirer_idle: 6 * SECOND,
+            acquirer_fresh: 60 * MS,
+            acquirer_write: 4 * SECOND,
+            acquirer_linger: 500 * MS,
+            backlog: 1_024,
+            full_log: 10 * SECOND,
+            leg_connections: 400,
             counter_connections: 4,
+            total_bytes: 64,
             held: 20_000,
             most_units: 1_000_000,
             answer_margin: 12 * MS,
@@ -87,7 +120,7 @@
             watch_retry_longest: 2 * SECOND,
             introspection_wait: 2 * SECOND,
             stay_away: 200 * MS,
-            accept_retry: 100 * MS,
+            accept_retry: 30 * MS,
             raft_tick: 50 * MS,
             notice: 550 * MS,
             drain: 4_600 * MS,
--- a/limiter/src/net/host/acquirers.rs
+++ b/limiter/src/net/host/acquirers.rs
@@ -1,5 +1,7 @@
 //! The acquirer side: connections of clients, their requests and the final answers.
 
+use std::net::Shutdown;
+
 use super::*;
 use crate::engine::{Authorisation, Ending};
 
@@ -12,8 +14,10 @@
 
     /// Takes one connection; false if there is none to take.
     fn accept_one(&mut self, at: usize) -> bool {
-        if self.acquirers >= self.limits.acquirer_connections {
-            return self.make_room();
+        // One more than the most is taken, so that none has to go before another is there.
+        let full = |host: &Host| host.acquirers > host.limits.acquirer_connections;
+        if full(self) && !self.make_room() {
+            return false;
         }
         let (door, listener, _) = &self.listeners[at];
         let role = Role::Acquirer { door: *door, waits: None };
@@ -21,10 +25,13 @@
             Ok((stream, _)) => {
                 let ready = stream.set_nonblocking(true).and_then(|()| stream.set_nodelay(true));
                 match ready.and_then(|()| self.register(stream, role, true)) {
-                    Ok(_) => self.acquirers += 1,
+                    Ok(key) => {
+                        self.acquirers += 1;
+                        self.arm(key);
+                    }
                     Err(error) => self.log(&format!("cannot take a connection: {error}")),
                 }
-                true
+                !full(self) || self.make_room()
             }
             Err(error) => {
                 let passing = [io::ErrorKind::WouldBlock, io::ErrorKind::ConnectionAborted];
@@ -38,17 +45,28 @@
         }
     }
 
-    /// At the most connections an idle one makes room: it may be closed between requests. Else new ones wait with
-    /// the system until one ends. True if there is room.
+    /// At the most connections the one that can best be spared makes room. Else new ones wait with the system until
+    /// one ends, or can be spared. True if there is room.
     fn make_room(&mut self) -> bool {
-        let idle = |(_, c): &(ConnectionKey, &Connection)| {
-            matches!(c.role, Role::Acquirer { waits: None, .. }) && c.input.is_empty() && c.output.is_empty()
-        };
-        if let Some(key) = self.connections.iter().find(idle).map(|(key, _)| key) {
-            return self.close(key).is_some();
+        let now = self.now();
+        loop {
+            let acquirers = self.connections.iter().filter(|(_, c)| matches!(c.role, Role::Acquirer { .. }));
+            let spared = acquirers.filter_map(|(key, c)| Some((c.visit.spared(now, &self.limits)?, key)));
+            let Some((rank, key)) = spared.min() else { break };
+            // Guards a request that is there already, but not read.
+            self.read(key);
+            let still = |c: &Connection| c.visit.spared(now, &self.limits) == Some(rank);
+            if self.connections.get(key).is_none_or(still) {
+                self.close(key);
+                return true;
+            }
+        }
+        if now - self.told_full >= self.limits.full_log {
+            self.told_full = now;
+            self.log("at the most connections: accepting paused");
         }
-        self.log("at the most connections: accepting paused");
         self.pause_accepting();
+        self.deadlines.enter(now + self.limits.accept_retry, Due::Accept);
         false
     }
 
@@ -65,24 +83,105 @@
         }
     }
 
+    /// Sees to it that the connection is looked at when its time is up. One entry serves it for as long as its
+    /// deadline only moves on.
+    fn arm(&mut self, key: ConnectionKey) {
+        let Some(connection) = self.connections.get_mut(key) else { return };
+        if let Some(at) = connection.visit.deadline(&self.limits).filter(|at| *at < connection.armed) {
+            connection.armed = at;
+            self.deadlines.enter(at, Due::Visit(key));
+        }
+    }
+
+    /// A connection may have been as it is for too long.
+    pub(super) fn visit_due(&mut self, now: Micros, key: ConnectionKey) {
+        let Some(connection) = self.connections.get_mut(key) else { return };
+        connection.armed = Micros::MAX;
+        let over = |c: &Connection, limits: &Limits| c.visit.deadline(limits).is_some_and(|at| at <= now);
+        if over(connection, &self.limits) {
+            // What is there already is taken, not lost to the close.
+            self.read(key);
+        }
+        let Some(connection) = self.connections.get_mut(key) else { return };
+        if !over(connection, &self.limits) {
+            return self.arm(key);
+        }
+        match connection.visit.stage {
+            Stage::Partial => {
+                self.reject(
+                    key,
+                    &Rejection { status: 408, text: "the request did not come whole in time" },
+                    true,
+                );
+            }
+            Stage::Idle | Stage::Lingering => _ = self.close(key),
+            // A client that takes nothing in has gone away.
+            Stage::Open | Stage::Answering => self.broken(key),
+        }
+    }
+
+    /// An answer is written whole: the connection is free for the next request, or ends.
+    pub(super) fn answer_written(&mut self, key: ConnectionKey) {
+        let now = self.now();
+        let Some(connection) = self.connections.get_mut(key) else { return };
+        let closing = connection.closing;
+        let more = connection.unread || !connection.input.is_empty();
+        connection.visit.written(now, closing);
+        if closing && !more {
+            self.close(key);
+            return;
+        }
+        if closing {
+            // Guards the answer: a close with input unread would reset the connection, and the client might never
+            // read why. It is told the end, and what it still sends is thrown away for a while.
+            if connection.stream.shutdown(Shutdown::Write).is_err() {
+                self.close(key);
+                return;
+            }
+            self.consume(key, usize::MAX);
+        }
+        self.arm(key);
+        if more {
+            self.again.push(key);
+        }
+    }
+
+    /// Takes what has been read off a connection's input.
+    fn consume(&mut self, key: ConnectionKey, length: usize) {
+        let Some(connection) = self.connections.get_mut(key) else { return };
+        let length = length.min(connection.input.len());
+        connection.input.drain(..length);
+        connection.input.shrink_to(connection.input.len().max(1024));
+        self.partial -= length;
+    }
+
     pub(super) fn read_request(&mut self, key: ConnectionKey) {
         let now = self.now();
         let Some(connection) = self.connections.get_mut(key) else { return };
         // One request at a time: what comes while one is out waits.
-        let Role::Acquirer { door, waits: None } = connection.role else { return };
-        if connection.closing {
+        let Role::Acquirer { door, .. } = connection.role else { return };
+        if connection.closing || !matches!(connection.visit.stage, Stage::Idle | Stage::Partial) {
             return;
         }
         let (request, length) = match framing::request(&connection.input, &self.limits) {
-            Ok(None) => return,
+            Ok(None) if connection.unread => {
+                // No more may be held of it: it is too long, or all clients' together are.
+                let long = connection.input.len() > self.limits.body_bytes;
+                let status = if long { 413 } else { 503 };
+                return self.reject(key, &Rejection { status, text: "no room for the request" }, true);
+            }
+            Ok(None) => {
+                connection.visit.partial(now);
+                return self.arm(key);
+            }
             Ok(Some(whole)) => whole,
             Err(malformed) => {
                 let rejection = Rejection { status: malformed.status(), text: "malformed" };
                 return self.reject(key, &rejection, true);
             }
         };
-        connection.input.drain(..length);
         connection.last = !request.keep_alive;
+        self.consume(key, length);
         if request.method == "GET" && request.target == "/up" {
             let serving = self.phase == Phase::Serving && self.table.serving();
             let (status, text): (u16, &[u8]) = if serving { (200, b"up\n") } else { (503, b"not serving\n") };
@@ -110,14 +209,28 @@
         forward: Forward,
         purpose: Purpose,
     ) {
+        // Guards the rule on duplicates: servers would run a second request under an id that is out as a copy of
+        // the first, and drop or answer one for the other.
+        if self.open_ids.contains(&forward.id) {
+            return self.reject(
+                key,
+                &Rejection { status: 409, text: "X-Trace-Id is that of an open request" },
+                false,
+            );
+        }
+        let now = self.now();
         let known = &mut self.services[service];
         match known.engine.take(authorisation) {
             Ok(authorisation) => {
+                if !forward.id.is_empty() {
+                    self.open_ids.insert(forward.id.clone());
+                }
                 known.pending.insert(authorisation, Pending { origin: key, forward, purpose });
-                if let Some(Connection { role: Role::Acquirer { waits, .. }, .. }) =
-                    self.connections.get_mut(key)
+                if let Some(connection) = self.connections.get_mut(key)
+                    && let Role::Acquirer { waits, .. } = &mut connection.role
                 {
                     *waits = Some((service, authorisation));
+                    connection.visit.taken(now);
                 }
             }
             Err(_) => self.decline(key, 503, self.limits.stay_away, &[], b""),
@@ -133,16 +246,16 @@
 
     /// Writes an answer to a client; the connection is then free for the next request.
     pub(super) fn answer(&mut self, key: ConnectionKey, status: u16, headers: &[(&str, &str)], body: &[u8]) {
+        let now = self.now();
         let Some(connection) = self.connections.get_mut(key) else { return };
         let close = connection.last || self.phase == Phase::Draining;
         let Role::Acquirer { waits, .. } = &mut connection.role else { return };
         *waits = None;
         framing::write_answer(&mut connection.output, status, headers, body, close);
         connection.closing = close;
+        connection.visit.answering(now);
         self.dirty.push(key);
-        if !connection.input.is_empty() && !close {
-            self.read_request(key);
-        }
+        self.arm(key);
     }
 
     /// An answer that tells when to come back.
@@ -162,9 +275,16 @@
         self.answer(key, status, &all, body);
     }
 
+    /// The final answer of an authorisation is no longer owed.
+    pub(super) fn settle(&mut self, ticket: Ticket) -> Option<Pending> {
+        let pending = self.services[ticket.0].pending.remove(ticket.1)?;
+        self.open_ids.remove(&pending.forward.id);
+        Some(pending)
+    }
+
     /// The final answer of an authorisation that no server's answer ends.
     pub(super) fn ended(&mut self, ticket: Ticket, ending: Ending) {
-        let Some(pending) = self.services[ticket.0].pending.remove(ticket.1) else { return };
+        let Some(pending) = self.settle(ticket) else { return };
         match pending.purpose {
             Purpose::Platform => {
                 let (status, stay_away) = platform::status(ending);
@@ -176,7 +296,7 @@
 
     /// The final answer of an authorisation that a server gave.
     pub(super) fn served(&mut self, ticket: Ticket, answer: Answer) {
-        let Some(pending) = self.services[ticket.0].pending.remove(ticket.1) else { return };
+        let Some(pending) = self.settle(ticket) else { return };
         match pending.purpose {
             Purpose::Platform | Purpose::Record => {
                 let kind = answer.headers.get("Content-Type").map(|kind| ("Content-Type", kind));
--- a/limiter/src/net/host/counting.rs
+++ b/limiter/src/net/host/counting.rs
@@ -29,13 +29,15 @@
         let now = self.now();
         let mut counted = Vec::new();
         let (mut at, mut bad) = (0, false);
+        // Guards against an answer that claims to be longer than any number: it would swallow those behind it.
+        let limits = Limits { body_bytes: self.limits.total_bytes, ..self.limits.clone() };
         let Some(connection) = self.connections.get_mut(key) else { return };
         while at < connection.input.len() {
-            match framing::answer(&connection.input[at..], false, &self.limits) {
+            match framing::answer(&connection.input[at..], false, &limits) {
                 Ok(Some((answer, length))) => {
                     at += length;
                     counted.extend(self.lines[line].answered(now, &answer));
-                    bad |= !answer.keep_alive;
+                    bad = !counter::sound(&answer);
                 }
                 Ok(None) => break,
                 Err(_) => bad = true,
@@ -49,6 +51,30 @@
         if bad {
             self.broken(key);
         }
+        self.drop_stuck(line);
+        self.move_line(line);
+    }
+
+    /// Where an answer has begun and does not end in time, nothing more will be heard on its connection.
+    fn drop_stuck(&mut self, line: usize) {
+        let begun = |key| self.connections.get(key).is_some_and(|c| !c.input.is_empty());
+        if let Some(key) = self.lines[line].connection.filter(|key| self.lines[line].overdue() && begun(*key))
+        {
+            self.broken(key);
+        }
+    }
+
+    /// Gives the outcomes of a line's calls whose time is up.
+    pub(super) fn expire_line(&mut self, now: Micros, line: usize) {
+        let mut counted = Vec::new();
+        self.lines[line].expire(now, &mut counted);
+        self.take_counted(counted);
+        let begun = |key| self.connections.get(key).is_some_and(|c| !c.input.is_empty());
+        if let Some(key) = self.lines[line].connection.filter(|key| self.lines[line].overdue() && begun(*key))
+        {
+            // An answer has begun and does not end: nothing more will be heard on this connection.
+            self.broken(key);
+        }
         self.move_line(line);
     }
 
--- a/limiter/src/net/host/ending.rs
+++ b/limiter/src/net/host/ending.rs
@@ -26,8 +26,7 @@
             // What is there already is taken; a close that crosses a request is made good by the client.
             self.read(key);
             let Some(connection) = self.connections.get_mut(key) else { continue };
-            let idle = matches!(connection.role, Role::Acquirer { waits: None, .. });
-            if idle && connection.input.is_empty() && connection.output.is_empty() {
+            if connection.visit.stage == Stage::Idle {
                 self.close(key);
             }
         }
--- a/limiter/src/net/host/mod.rs
+++ b/limiter/src/net/host/mod.rs
@@ -10,6 +10,7 @@
 mod tokens;
 mod watching;
 
+use std::collections::BTreeSet;
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::rc::Rc;
@@ -25,7 +26,7 @@
 use super::Clock;
 use super::framing::{self, Answer};
 use crate::config::{Config, Introspection};
-use crate::counter::{Counted, Line};
+use crate::counter::{self, Counted, Line};
 use crate::deadlines::Deadlines;
 use crate::engine::{Engine, Order};
 use crate::front::platform::{self, Platform};
@@ -36,6 +37,7 @@
 use crate::probes;
 use crate::routing_table::{News, RoutingTable};
 use crate::slots::{AuthorisationKey, ConnectionKey, SlotMap};
+use crate::visits::{Stage, Visit};
 
 /// Positions of the services: the records servers, and the introspection servers that we ask.
 const RECORDS: usize = 0;
@@ -89,6 +91,13 @@
     input: Vec<u8>,
     output: Vec<u8>,
     written: usize,
+    /// Of the acquirer side: where it stands, and the earliest deadline entered for it.
+    visit: Visit,
+    armed: Micros,
+    /// Reading has stopped though more may be there: no event will tell of it again.
+    unread: bool,
+    /// Bytes thrown away after the last answer.
+    discarded: usize,
     /// The client asked that the answer be the last.
     last: bool,
     /// To be closed once all is written.
@@ -100,6 +109,7 @@
 enum Due {
     Connect(ConnectionKey),
     Errand(ConnectionKey, Errand),
+    Visit(ConnectionKey),
     Counter(usize),
     Retire,
     RaftTick,
@@ -160,6 +170,14 @@
     acquirers: usize,
     deadlines: Deadlines<Due>,
     dirty: Vec<ConnectionKey>,
+    /// Clients' connections to be looked at again: what has come on them had to wait.
+    again: Vec<ConnectionKey>,
+    /// Bytes of clients' requests that are not whole yet, on all connections together.
+    partial: usize,
+    /// Ids of the requests whose final answers are owed.
+    open_ids: BTreeSet<String>,
+    /// When it was last logged that there is no room.
+    told_full: Micros,
     scratch: Vec<u8>,
     orders: Vec<Order>,
     listeners: Vec<(Door, Rc<TcpListener>, RegistrationToken)>,
@@ -207,10 +225,15 @@
     handle: &LoopHandle<'static, Host>,
     door: Door,
     address: SocketAddr,
+    limits: &Limits,
 ) -> io::Result<(Door, Rc<TcpListener>, RegistrationToken)> {
-    let listener = TcpListener::bind(address)?;
-    listener.set_nonblocking(true)?;
-    let listener = Rc::new(listener);
+    let kind = Type::STREAM.nonblocking().cloexec();
+    let socket = Socket::new(Domain::for_address(address), kind, Some(Protocol::TCP))?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&address.into())?;
+    // Guards against connections that come by hundreds: one too many for the queue tries again a second later.
+    socket.listen(limits.backlog)?;
+    let listener = Rc::new(TcpListener::from(socket));
     let source = Generic::new(listener.clone(), Interest::READ, Mode::Level);
     let accept = |_: Readiness, _: &mut _, host: &mut Host| {
         host.accept();
@@ -236,17 +259,17 @@
         });
         let plans = settings.plans.len();
         let counter = config.counter.filter(|_| settings.counter);
-        let mut listeners = vec![listen(&handle, Door::Platform, config.listen)?];
+        let mut listeners = vec![listen(&handle, Door::Platform, config.listen, &limits)?];
         let mut services = vec![Service::new(Engine::new(settings, config.seed, limits.held))];
         let mut tokens = None;
         if let Some(front) = config.introspection {
-            listeners.push(listen(&handle, Door::Introspection, front.listen)?);
+            listeners.push(listen(&handle, Door::Introspection, front.listen, &limits)?);
             services.push(Service::new(Engine::new(front.settings.clone(), !config.seed, limits.held)));
             tokens = Some(Tokens::new(front, plans));
         }
         let mut agreement = None;
         if let Some(cluster) = &config.cluster {
-            listeners.push(listen(&handle, Door::Agreement, cluster.listen)?);
+            listeners.push(listen(&handle, Door::Agreement, cluster.listen, &limits)?);
             agreement = Some(Agreement::open(cluster)?);
         }
         let datagrams = match config.peer_listen.filter(|_| tell) {
@@ -272,6 +295,10 @@
             acquirers: 0,
             deadlines: Deadlines::default(),
             dirty: Vec::new(),
+            again: Vec::new(),
+            partial: 0,
+            open_ids: BTreeSet::new(),
+            told_full: Micros::MIN / 2,
             scratch: vec![0; limits.read_bytes],
             orders: Vec::new(),
             listeners,
@@ -322,6 +349,9 @@
 
     /// When something is due next.
     pub fn next(&self) -> Option<Micros> {
+        if !self.again.is_empty() {
+            return Some(Micros::MIN);
+        }
         let engines = self.services.iter().filter_map(|service| service.engine.next());
         self.deadlines.earliest().into_iter().chain(engines).min()
     }
@@ -352,6 +382,10 @@
         for line in 0..self.lines.len() {
             self.write_line(now, line);
         }
+        // One request of each: a client that sends many at once waits for the others.
+        for key in std::mem::take(&mut self.again) {
+            self.read(key);
+        }
         for key in std::mem::take(&mut self.dirty) {
             self.flush(key);
         }
@@ -378,12 +412,8 @@
                     self.close(key);
                 }
             }
-            Due::Counter(line) => {
-                let mut counted = Vec::new();
-                self.lines[line].expire(now, &mut counted);
-                self.take_counted(counted);
-                self.move_line(line);
-            }
+            Due::Visit(key) => self.visit_due(now, key),
+            Due::Counter(line) => self.expire_line(now, line),
             Due::Retire => {
                 let before = now - self.limits.leg_idle;
                 let old = self.services.iter_mut().flat_map(|service| service.pool.retire(before));
@@ -455,6 +485,7 @@
     }
 
     fn register(&mut self, stream: TcpStream, role: Role, up: bool) -> io::Result<ConnectionKey> {
+        let now = self.now();
         let stream = Rc::new(stream);
         let source = Generic::new(stream.clone(), Interest::BOTH, Mode::Edge);
         let key = self.connections.insert(Connection {
@@ -465,6 +496,10 @@
             input: Vec::new(),
             output: Vec::new(),
             written: 0,
+            visit: Visit::new(now),
+            armed: Micros::MAX,
+            unread: false,
+            discarded: 0,
             last: false,
             closing: false,
         });
@@ -500,6 +535,7 @@
         match connection.role {
             Role::Acquirer { .. } => {
                 self.acquirers -= 1;
+                self.partial -= connection.input.len();
                 self.resume_accepting();
             }
             Role::Server { service, server, .. } => self.services[service].pool.closed(server, key),
@@ -514,8 +550,8 @@
         let Some(connection) = self.close(key) else { return };
         match connection.role {
             Role::Acquirer { waits: Some((service, authorisation)), .. } => {
+                self.settle((service, authorisation));
                 let known = &mut self.services[service];
-                known.pending.remove(authorisation);
                 let mut orders = std::mem::take(&mut self.orders);
                 known.engine.client_left(now, authorisation, &mut orders);
                 for order in orders.drain(..) {
@@ -578,22 +614,55 @@
         }
     }
 
-    /// Reads all there is; then what came is looked at, and only then an end.
+    /// How many bytes may be taken in now on a connection.
+    fn room(&self, connection: &Connection) -> usize {
+        let limits = &self.limits;
+        let most = match (connection.role, connection.visit.stage) {
+            (Role::Acquirer { .. }, Stage::Idle | Stage::Partial) => {
+                limits.head_bytes + 2 * limits.body_bytes
+            }
+            // Guards the memory against a client that sends on and on while its request is out. A little is read,
+            // so that its leaving is seen.
+            (Role::Acquirer { .. }, Stage::Open | Stage::Answering) => limits.pipelined_bytes,
+            (Role::Acquirer { .. }, Stage::Lingering) => {
+                return limits.linger_bytes.saturating_sub(connection.discarded);
+            }
+            // Guards the memory against a peer that only ever sends.
+            _ => {
+                let most = limits.head_bytes + limits.body_bytes + limits.line_bytes;
+                return most.saturating_sub(connection.input.len());
+            }
+        };
+        // A usual request has room also where large ones have taken all that may be held.
+        let shared = limits.partial_bytes.saturating_sub(self.partial);
+        let own = limits.pipelined_bytes.saturating_sub(connection.input.len());
+        most.saturating_sub(connection.input.len()).min(shared.max(own))
+    }
+
+    /// Reads all there is and may be taken in; then what came is looked at, and only then an end.
     fn read(&mut self, key: ConnectionKey) {
-        let most = self.limits.head_bytes + self.limits.body_bytes + self.limits.line_bytes;
         let ended = loop {
+            let Some(room) = self.connections.get(key).map(|c| self.room(c)) else { return };
             let Some(connection) = self.connections.get_mut(key) else { return };
-            match (&*connection.stream).read(&mut self.scratch) {
+            let acquirer = matches!(connection.role, Role::Acquirer { .. });
+            connection.unread = room == 0;
+            if room == 0 {
+                break !acquirer;
+            }
+            let size = room.min(self.scratch.len());
+            match (&*connection.stream).read(&mut self.scratch[..size]) {
                 Ok(0) => break true,
-                Ok(length) => connection.input.extend_from_slice(&self.scratch[..length]),
+                Ok(length) if acquirer && connection.visit.stage == Stage::Lingering => {
+                    connection.discarded += length
+                }
+                Ok(length) => {
+                    connection.input.extend_from_slice(&self.scratch[..length]);
+                    self.partial += if acquirer { length } else { 0 };
+                }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => break false,
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 Err(_) => break true,
             }
-            // Guards the memory against a peer that only ever sends.
-            if connection.input.len() > most {
-                break true;
-            }
         };
         match self.connections.get(key).map(|c| (c.role, c.input.is_empty())) {
             Some((Role::Acquirer { .. }, false)) => self.read_request(key),
@@ -627,11 +696,15 @@
         }
         connection.output.clear();
         connection.written = 0;
+        // Guards the memory on a long day: one large message must not be paid for as long as the connection lasts.
+        connection.output.shrink_to(4 * 1024);
         if let Role::Server { state, .. } = &mut connection.role {
             *state = state.written();
         }
-        if connection.closing {
-            self.close(key);
+        match connection.role {
+            Role::Acquirer { .. } => self.answer_written(key),
+            _ if connection.closing => _ = self.close(key),
+            _ => {}
         }
     }
 }
--- a/limiter/tests/common/mod.rs
+++ b/limiter/tests/common/mod.rs
@@ -25,6 +25,8 @@
     Answer(u16, Vec<(&'static str, &'static str)>, String),
     /// Answers 200 with this body, and once more unasked.
     Twice(&'static str),
+    /// Sends these bytes.
+    Raw(&'static [u8]),
     /// Closes the connection.
     Drop,
     /// Waits for a word of the test, then does this.
@@ -75,6 +77,7 @@
                             Reply::Twice(body) => (0..2).for_each(|_| {
                                 framing::write_answer(&mut out, 200, &[], body.as_bytes(), false)
                             }),
+                            Reply::Raw(bytes) => out.extend_from_slice(bytes),
                             Reply::Drop | Reply::Held(..) => break,
                         }
                         if stream.write_all(&out).is_err() {
--- a/limiter/tests/config.rs
+++ b/limiter/tests/config.rs
@@ -45,7 +45,9 @@
 fn limits_keep_within_what_the_machine_allows() {
     let text = config(&[], nobody()).replacen('{', "{\"limits\":{\"sockets\":300,\"memory_mb\":192},", 1);
     let limits = Environment::default().parse(&text).unwrap().limits;
-    assert_eq!((limits.acquirer_connections, limits.leg_connections), (100, 100));
+    assert_eq!((limits.acquirer_connections, limits.leg_connections), (156, 104));
+    assert!(limits.acquirer_connections > 300 / 3, "silent connections come on top of the busy ones");
+    assert!(limits.partial_bytes < 32 << 20);
     assert!(limits.leg_idle < 10_000_000, "well before the server's 15 s");
     assert_eq!(limits.drain, 4_600_000);
 }
--- a/limiter/tests/models.rs
+++ b/limiter/tests/models.rs
@@ -9,6 +9,7 @@
 use limiter::limits::Limits;
 use limiter::net::framing;
 use limiter::slots::{AuthorisationKey, ConnectionKey, SlotMap};
+use limiter::visits::{Stage, Visit};
 use quickcheck::{Arbitrary, Gen, QuickCheck, Testable};
 use streamarch::{
     Class, CounterName, CustomerId, Group, ListKind, Outcome, Plan, Repeat, ServerEntry, ServerId,
@@ -215,6 +216,64 @@
     check(3, property as fn(Vec<Step>) -> bool);
 }
 
+#[test]
+fn a_visit_has_a_deadline_unless_its_answer_is_owed_and_is_spared_only_between_requests() {
+    fn property(steps: Vec<Step>) -> bool {
+        let limits = Limits::default();
+        let mut now = 1_000_000;
+        let mut visit = Visit::new(now);
+        // The model: since when nothing whole has come, whether an answer was ever written, what is going on.
+        let (mut waiting_since, mut answered, mut owed, mut writing, mut last) =
+            (now, false, false, false, false);
+        let mut part = false;
+        for Step(kind, by) in steps {
+            now += i64::from(by) * 10_000;
+            let between = !owed && !writing && !last;
+            match kind % 4 {
+                0 if between => {
+                    if !part && answered {
+                        waiting_since = now;
+                    }
+                    part = true;
+                    visit.partial(now);
+                }
+                1 if between => {
+                    (owed, part) = (true, false);
+                    visit.taken(now);
+                }
+                2 if !last => {
+                    (owed, writing, part) = (false, true, false);
+                    visit.answering(now);
+                }
+                3 => {
+                    if writing {
+                        (writing, answered, waiting_since, last) = (false, true, now, by > 250);
+                    }
+                    visit.written(now, by > 250);
+                }
+                _ => {}
+            }
+            let span = match (last, answered, part) {
+                (true, _, _) => limits.acquirer_linger,
+                (false, true, false) => limits.acquirer_idle,
+                (false, _, _) => limits.acquirer_first,
+            };
+            let good = match visit.stage {
+                Stage::Open => owed && visit.deadline(&limits).is_none(),
+                Stage::Answering => writing && visit.deadline(&limits).is_some(),
+                _ => !owed && !writing && visit.deadline(&limits) == Some(waiting_since + span),
+            };
+            let fresh = now - waiting_since < limits.acquirer_fresh;
+            let kept = owed || writing || (!last && fresh && (part || !answered));
+            if !good || visit.spared(now, &limits).is_none() != kept {
+                return false;
+            }
+        }
+        true
+    }
+    check(5, property as fn(Vec<Step>) -> bool);
+}
+
 fn settings() -> Settings {
     let class = |repeat| Class {
         aim: 500_000,
--- a/limiter/tests/platform.rs
+++ b/limiter/tests/platform.rs
@@ -256,3 +256,33 @@
     assert_eq!(client.ask(&sign_off("k1")).status, 200, "and the clock stands still for this one");
     assert!(counter.count() >= 2);
 }
+
+#[test]
+fn behind_a_spoilt_answer_of_the_counter_its_connection_is_given_up() {
+    let spoilt: [&[u8]; 4] = [
+        b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n--3",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+        // The number is longer than any, and what follows would be taken for its end.
+        b"HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\n",
+        // A head that does not end.
+        b"HTTP/1.1 200 OK\r\nX-Pad: p",
+    ];
+    for (n, bytes) in spoilt.into_iter().enumerate() {
+        let server = StandIn::start(|_, _| ok("done"));
+        let counter = StandIn::start(move |_, n| if n == 0 { Reply::Raw(bytes) } else { ok("2") });
+        let limiter = Limiter::start(&config(&[server.address], counter.address), None);
+        let mut client = Client::connect(limiter.platform);
+        client.send(&sign_off("k0"));
+        if n == 3 {
+            while counter.count() == 0 {
+                std::thread::yield_now();
+            }
+            // What has begun may still end until the call's time is up.
+            ask(limiter.platform, "GET /up HTTP/1.1\r\n\r\n");
+            limiter.pass(30_000);
+        }
+        assert_eq!(client.answer().unwrap().status, 200);
+        counter.closed.recv_timeout(std::time::Duration::from_secs(5)).expect("its connection is closed");
+        assert_eq!(client.ask(&sign_off("k1")).status, 200, "and the clock stands still for this one");
+    }
+}
