Count counter failures that come together as one sign of a lost counter

Cause: `counter_heard` (src/logic.rs) takes four failures in a row for a lost counter, and one connection that breaks fails all calls written on it at the same instant. Each of them also cut the pace by a quarter. Now failures within 10 ms of one another count once. In a real outage calls run out of time one by one, some 30 ms apart here, so it is found as soon as before. Ruled out: a larger LOST_AFTER, which finds real outages later.

Test: a connection that breaks under many calls is no lost counter (fails without the change).

--- a/limiter/src/net/host/counting.rs
+++ b/limiter/src/net/host/counting.rs
@@ -69,12 +69,7 @@
         let mut counted = Vec::new();
         self.lines[line].expire(now, &mut counted);
         self.take_counted(counted);
-        let begun = |key| self.connections.get(key).is_some_and(|c| !c.input.is_empty());
-        if let Some(key) = self.lines[line].connection.filter(|key| self.lines[line].overdue() && begun(*key))
-        {
-            // An answer has begun and does not end: nothing more will be heard on this connection.
-            self.broken(key);
-        }
+        self.drop_stuck(line);
         self.move_line(line);
     }
 
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -19,6 +19,8 @@
 const WAIT_SHARE: f64 = 0.15;
 /// So many calls in a row without any sign of life, and the counter counts as lost.
 const LOST_AFTER: u32 = 4;
+/// Calls that fail within this of one another are one sign: they were on one connection that broke.
+const FAILURES_APART: Micros = 10_000;
 /// Pace, the share of requests that make a call: at first that of so many gateways in all, times the
 /// climb while no call has failed yet; then cut and raised by calls, down to the least. Low: as if lost.
 const PACE_FIRST: f64 = 64.0;
@@ -263,7 +265,12 @@
     /// A gateway that has just started and knows nothing but its settings.
     pub fn new(settings: Settings, seed: u64) -> Balancer {
         let means = vec![0.0; settings.classes.len()];
-        let counter = CounterHealth { pace: first_pace(&settings), climbs: true, ..CounterHealth::default() };
+        let counter = CounterHealth {
+            pace: first_pace(&settings),
+            climbs: true,
+            failed: Micros::MIN / 2,
+            ..CounterHealth::default()
+        };
         Balancer { settings, random: seed, means, counter, retries: RETRY_MOST / 2.0, ..Balancer::default() }
     }
 
@@ -541,6 +548,12 @@
     /// Danger: a crowded counter taken for lost. One that turns calls away is alive and only asked less.
     fn counter_heard(&mut self, outcome: Outcome) {
         let lost = self.counter_lost();
+        // Danger: one connection that breaks fails all calls on it at once, and the counter passes for lost.
+        let unheard = !matches!(outcome, Outcome::Ok | Outcome::Full);
+        if unheard && self.now - self.counter.failed < FAILURES_APART {
+            return;
+        }
+        self.counter.failed = if unheard { self.now } else { self.counter.failed };
         let (factor, silent) = match outcome {
             Outcome::Ok if self.counter.climbs => (PACE_CLIMB, 0),
             Outcome::Ok => (PACE_RISE, 0),
--- a/src/state.rs
+++ b/src/state.rs
@@ -71,6 +71,8 @@
 #[derive(Default)]
 pub(crate) struct CounterHealth {
     pub(crate) failures: u32,
+    /// When the last of them was heard of.
+    pub(crate) failed: Micros,
     pub(crate) next_probe: Micros,
     /// Share of the requests that make a call.
     pub(crate) pace: f64,
--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -80,6 +80,7 @@
     let mut gateway = Gateway::with_servers(settings(), 8);
     let mut log = Vec::new();
     for customer in 0..200 {
+        gateway.now += 10 * MS;
         let (id, mut actions) = gateway.ask(0, 1, customer);
         for (name, _) in counts(&actions) {
             actions.extend(gateway.feed(Event::Counted { name, outcome: Outcome::TimedOut, total: 0.0 }));
@@ -97,6 +98,21 @@
     assert!(back.contains(&Action::Log("counter is back".into())));
 }
 
+#[test]
+fn a_connection_that_breaks_under_many_calls_is_no_lost_counter() {
+    let mut gateway = Gateway::with_servers(settings(), 8);
+    let mut out = Vec::new();
+    for customer in 0..20 {
+        out.extend(counts(&gateway.ask(0, 1, customer).1));
+    }
+    assert!(out.len() >= 8);
+    let failed = |(name, _)| Event::Counted { name, outcome: Outcome::TimedOut, total: 0.0 };
+    let actions = gateway.feed_all(&out.into_iter().map(failed).collect::<Vec<_>>());
+    assert!(!actions.contains(&Action::Log("counter lost: requests pass".into())));
+    gateway.now += 20 * MS;
+    assert_eq!(counts(&gateway.ask(0, 1, 50).1).len(), 1, "it is asked again at once");
+}
+
 #[test]
 fn a_counter_that_comes_back_empty_grants_no_fresh_store() {
     let (mut gateway, mut counter) = (Gateway::with_servers(settings(), 4), Counter::default());
