Tell the module of legs that it asked for just as the client left

Cause: `Engine::client_left` removed the slot of an authorisation without a leg at once. When a counter's answer stood before the leaving in the same batch, the module decided to send, `Engine::send` found no slot and returned without a word, and the module counted a leg as out at that server, and a request as held, for ever. Each such leaving took a place of the server's bound. Now the slot stays until the module has decided once more, and the leg that it asks for meanwhile ends as moot.

Test: 500 clients leave at that instant, and the next one is still served (fails without the change).

--- a/limiter/src/engine.rs
+++ b/limiter/src/engine.rs
@@ -145,6 +145,8 @@
     wake: Option<Micros>,
     events: Vec<Event>,
     actions: Vec<Action>,
+    /// Left by their clients since the module last decided: it may yet send for them.
+    left: Vec<AuthorisationKey>,
     open: usize,
 }
 
@@ -170,6 +172,7 @@
             wake: None,
             events: Vec::new(),
             actions: Vec::new(),
+            left: Vec::new(),
             open: 0,
         }
     }
@@ -246,7 +249,7 @@
 
     /// The client left: nothing is owed any more, and a leg that is out is stopped.
     pub fn client_left(&mut self, now: Micros, key: AuthorisationKey, orders: &mut Vec<Order>) {
-        if self.end(key) {
+        if self.end(key, true) {
             self.events.push(Event::ClientLeft(id(key)));
             self.stop_leg(now, key, orders);
         }
@@ -303,6 +306,9 @@
             self.carry_out(now, action, orders);
         }
         self.actions = actions;
+        for key in std::mem::take(&mut self.left) {
+            self.held.remove(key);
+        }
     }
 
     fn carry_out(&mut self, now: Micros, action: Action, orders: &mut Vec<Order>) {
@@ -339,11 +345,11 @@
         timeout: Micros,
         orders: &mut Vec<Order>,
     ) {
-        // The slot of an authorisation that ended in this batch is gone: the module learns by its end.
         let Some(held) = self.held.get_mut(key) else { return };
         let leg = held.legs;
         held.legs += 1;
-        // Guards rule 2: never two legs out, none after the end, whatever asks for them.
+        // Guards rule 2: never two legs out, none after the end, whatever asks for them. The module is told that the
+        // leg it asked for is over: else it would count it as out at its server for ever.
         if held.out.is_some() || held.done {
             let end = AttemptEnd {
                 request: id(key),
@@ -375,20 +381,23 @@
         orders.push(Order::StartLeg { key, leg, server, deadline });
     }
 
-    /// Marks the end; true if it had not ended before.
-    fn end(&mut self, key: AuthorisationKey) -> bool {
+    /// Marks the end; true if it had not ended before. Where the module does not know of it yet, the slot is kept
+    /// until it has decided again: what it decides on an earlier event may still be to send.
+    fn end(&mut self, key: AuthorisationKey, unknown: bool) -> bool {
         let Some(held) = self.held.get_mut(key).filter(|h| !h.done) else { return false };
         held.done = true;
         self.open -= 1;
-        if held.out.is_none() {
-            self.held.remove(key);
+        match (held.out.is_none(), unknown) {
+            (true, true) => self.left.push(key),
+            (true, false) => _ = self.held.remove(key),
+            (false, _) => {}
         }
         true
     }
 
     fn answer(&mut self, now: Micros, key: AuthorisationKey, ending: Ending, orders: &mut Vec<Order>) {
         // Guards rule 1: the second of two final answers goes nowhere.
-        if self.end(key) {
+        if self.end(key, false) {
             orders.push(Order::Answer { key, ending });
             self.stop_leg(now, key, orders);
         }
--- a/limiter/tests/models.rs
+++ b/limiter/tests/models.rs
@@ -429,3 +429,48 @@
     }
     check(4, property as fn(Vec<Step>) -> bool);
 }
+
+#[test]
+fn a_client_that_leaves_just_as_its_leg_is_decided_on_leaves_nothing_behind() {
+    let mut engine = Engine::new(settings(), 7, 1_000);
+    let entry = |n| ServerEntry {
+        server: ServerId(n),
+        zone: 0,
+        kind: 0,
+        cell: 0,
+        state: ServerState::Ready,
+        weight: 1.0,
+        started: 0,
+    };
+    engine.listed(ListKind::Full, (0..4).map(entry).collect());
+    let mut now = 1_000_000;
+    let mut ask = |engine: &mut Engine, customer, leaves: bool| {
+        let authorisation = Authorisation {
+            customer: CustomerId(customer),
+            deadline: now + 1_000_000,
+            units: 1.0,
+            spread: 1,
+            ..Authorisation::default()
+        };
+        let key = engine.take(authorisation).unwrap();
+        let mut orders = Vec::new();
+        now += 10_000;
+        engine.handle(now, &mut orders);
+        for order in std::mem::take(&mut orders) {
+            if let Order::Count { name, .. } = order {
+                engine.counted(name, Outcome::Ok, 1.0);
+            }
+        }
+        // The counter's answer and the client's leaving come to the module together.
+        if leaves {
+            engine.client_left(now, key, &mut orders);
+        }
+        now += 10_000;
+        engine.handle(now, &mut orders);
+        orders.iter().any(|order| matches!(order, Order::StartLeg { .. }))
+    };
+    for customer in 0..500 {
+        assert!(!ask(&mut engine, customer, true));
+    }
+    assert!(ask(&mut engine, 1_000, false), "no server is taken to be full of legs that were never sent");
+}
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -545,7 +545,7 @@
                     Some(held) => held.counted.retain(|(open, _, _)| !open),
                     None => meter.carry += add,
                 }
-                chance >= grant
+                meter.estimate() + meter.carry > room || chance >= grant
             }
         }
     }
