Give up a counter line that went silent, also while calls are written to it

`Line::stale` went by `used`, which each write moved on (counter.rs, `write`): a line that went silent under load was never given up, and failed its calls until the pace was so low that 100 ms passed between two of them.

It now goes by what came in, and by when the earliest open call was written.

--- a/limiter/src/counter.rs
+++ b/limiter/src/counter.rs
@@ -18,6 +18,8 @@
     add: f64,
     life: Micros,
     deadline: Micros,
+    /// When it was written.
+    written: Micros,
     /// Its outcome has been given; what still comes for it is only matched off.
     given: bool,
 }
@@ -79,8 +81,9 @@
     /// Calls not written, and written ones whose answers are to come.
     unsent: VecDeque<Call>,
     waiting: VecDeque<Call>,
-    /// When something last went out or came in.
+    /// When something last went out or came in, and when something last came in.
     used: Micros,
+    heard: Micros,
     /// The counter has moved: nothing more is written on this connection.
     leaving: bool,
 }
@@ -88,12 +91,12 @@
 impl Line {
     /// Enters a call.
     pub fn call(&mut self, asker: usize, name: CounterName, add: f64, life: Micros, deadline: Micros) {
-        self.unsent.push_back(Call { asker, name, add, life, deadline, given: false });
+        self.unsent.push_back(Call { asker, name, add, life, deadline, written: 0, given: false });
     }
 
     /// The connection is up.
     pub fn connected(&mut self, now: Micros) {
-        (self.up, self.used) = (true, now);
+        (self.up, self.used, self.heard) = (true, now, now);
     }
 
     /// Writes what may be written.
@@ -101,8 +104,8 @@
         if !self.up || self.leaving {
             return;
         }
-        while let Some(call) = self.unsent.pop_front() {
-            self.used = now;
+        while let Some(mut call) = self.unsent.pop_front() {
+            (self.used, call.written) = (now, now);
             let life = (call.life / 1_000).max(1);
             // Writing to a vector cannot fail.
             let _ = write!(
@@ -136,9 +139,11 @@
         self.up && self.waiting.is_empty() && self.used <= before
     }
 
-    /// Calls are out, and nothing at all has come for them since `before`.
+    /// A call has been out since `before`, and nothing at all has come since then. What was written meanwhile does not
+    /// matter: a line that went silent under load would be written to, and fail its calls, for as long as they come.
     pub fn stale(&self, before: Micros) -> bool {
-        self.up && self.waiting.front().is_some_and(|call| call.given) && self.used <= before
+        let earliest = self.waiting.front();
+        self.up && self.heard <= before && earliest.is_some_and(|call| call.given && call.written <= before)
     }
 
     /// The answer to the earliest call written did not come in time.
@@ -148,7 +153,7 @@
 
     /// An answer came: it belongs to the earliest call written.
     pub fn answered(&mut self, now: Micros, answer: &Answer) -> Heard {
-        self.used = now;
+        (self.used, self.heard) = (now, now);
         let Some(call) = self.waiting.pop_front() else { return Heard::Unasked };
         // Guards the order: a late answer is matched off to its own call, and its total told to nobody.
         if call.given {
--- a/limiter/tests/models.rs
+++ b/limiter/tests/models.rs
@@ -159,6 +159,28 @@
     check(2, property as fn(Vec<Step>) -> bool);
 }
 
+#[test]
+fn a_line_that_went_silent_is_of_no_use_however_much_is_written_to_it() {
+    let (mut line, mut out, mut counted) = (Line::default(), Vec::new(), Vec::new());
+    line.connected(0);
+    for now in (0..=200).step_by(10) {
+        line.call(0, CounterName(1), 1.0, 1_000, now + 30);
+        line.write(now, "counter", &mut out);
+        line.expire(now, &mut counted);
+        if now == 50 {
+            let mut bytes = Vec::new();
+            framing::write_answer(&mut bytes, 200, &[], b"1", false);
+            let (answer, _) = framing::answer(&bytes, false, &Limits::default()).unwrap().unwrap();
+            assert_eq!(line.answered(now, &answer), Heard::Late { asker: 0 });
+        }
+        assert_eq!(line.stale(now - 100), now >= 150, "at {now}");
+    }
+    // Nothing is owed to one on which everything was answered.
+    let mut rested = Line::default();
+    rested.connected(0);
+    assert!(!rested.stale(1_000));
+}
+
 #[test]
 fn the_pool_counts_what_is_open_and_gives_each_idle_connection_once() {
     fn property(steps: Vec<Step>) -> bool {
