End connections with their answers where room is scarce, instead of breaking idle ones

Ruled out: first requests cut off (all came within 10 ms of the accept, and a silent connection has 60 ms); accepting paused (never logged); no server.

Beyond three quarters of the places (`limits.acquirer_kept`) an answer now says `Connection: close`, so that no request is written into a connection that is being closed. Usual clients hold at most a third of all descriptors, which is less than that.

--- a/limiter/src/config.rs
+++ b/limiter/src/config.rs
@@ -510,8 +510,10 @@
     let classes = settings.at("Lanes").list()?;
     let waits = classes.iter().map(|c| c.at("GiveUpUs").micros()).collect::<Result<Vec<_>, _>>()?;
     let most_units = facts.at("MostUnits").number()?;
+    let acquirer_connections = defaults.acquirer_connections.min(share(6));
     Ok(Limits {
-        acquirer_connections: defaults.acquirer_connections.min(share(6)),
+        acquirer_connections,
+        acquirer_kept: acquirer_connections * 3 / 4,
         leg_connections: defaults.leg_connections.min(share(4)),
         partial_bytes: defaults.partial_bytes.min(eighth),
         held: or(Micros::from(allow.at("MostHeld").count()?), defaults.held as Micros) as usize,
--- a/limiter/src/limits.rs
+++ b/limiter/src/limits.rs
@@ -22,6 +22,8 @@
     pub datagram_bytes: usize,
     /// Most connections of the acquirer side.
     pub acquirer_connections: usize,
+    /// Beyond so many of them each answer is the last of its connection.
+    pub acquirer_kept: usize,
     /// Taken in from a client while its request is out or its answer is not written, in bytes.
     pub pipelined_bytes: usize,
     /// Taken in from a client after its last answer, and thrown away, in bytes.
@@ -98,6 +100,7 @@
             read_bytes: 32 * 1024,
             datagram_bytes: 256,
             acquirer_connections: 560,
+            acquirer_kept: 420,
             pipelined_bytes: 4 * 1024,
             linger_bytes: 256 * 1024,
             partial_bytes: 8 * 1024 * 1024,
--- a/limiter/src/net/host/acquirers.rs
+++ b/limiter/src/net/host/acquirers.rs
@@ -248,7 +248,10 @@
     pub(super) fn answer(&mut self, key: ConnectionKey, status: u16, headers: &[(&str, &str)], body: &[u8]) {
         let now = self.now();
         let Some(connection) = self.connections.get_mut(key) else { return };
-        let close = connection.last || self.phase == Phase::Draining;
+        // Guards requests of clients whose idle connections would be closed for room: where it is scarce they are told
+        // that this answer is the last, and write no other into a connection that is being closed.
+        let scarce = self.acquirers > self.limits.acquirer_kept;
+        let close = connection.last || self.phase == Phase::Draining || scarce;
         let Role::Acquirer { waits, .. } = &mut connection.role else { return };
         *waits = None;
         framing::write_answer(&mut connection.output, status, headers, body, close);
