--- /dev/null
+++ b/load/src/cli.rs
@@ -0,0 +1,492 @@
+//! The command line.
+
+use std::ffi::OsString;
+use std::fs::File;
+use std::io::{BufReader, IsTerminal};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use indicatif::{ProgressBar, ProgressStyle};
+use lexopt::prelude::*;
+use serde_json::Value as Json;
+use standins::serving::Serving;
+
+use crate::driver::{self, Outcomes, Progress};
+use crate::generator::Setup;
+use crate::report;
+use crate::scenario::Scenario;
+use crate::schedule::Schedule;
+use crate::summary::Summary;
+use crate::trace::{self, mend};
+use crate::trial::{self, Trial};
+
+const HELP: &str = "\
+usage: streamarch-load COMMAND
+
+  try                                a small world of its own: nodes, counter, discovery, two limiters, a surge
+  run SCENARIO                       a scenario, against limiters in an emulated world or against --target
+  compare DIR DIR...                 reports side by side; the first is what the others are measured against
+  sweep SCENARIO --key PATH --values A,B,C
+                                     one scenario over the values of one key, and where it bends
+  trace import IN OUT                CSV (.csv) or JSON lines into a trace
+  trace inspect FILE                 what a trace holds
+  trace replay FILE                  sends a trace
+  stand-ins SCENARIO                 only the emulated world; prints a limiter's configuration for it
+  version, help
+
+  --target ADDRESS      send there and start nothing else; may be given more than once
+  --seconds N           how long requests arrive (try, run, sweep)
+  --seed N              in place of the scenario's
+  --report DIR          write report.json, report.html and records.parquet there
+  --json                print report.json alone
+  --limiter PATH        the limiter's program; by default streamarch beside this one
+  --speed X             a trace so many times as fast
+  --scenario FILE       plans, classes, world and limiters for a trace
+  --duplicates keep|drop, --gaps keep|close, --gap SECONDS
+                        what is done with a trace's duplicates and gaps
+  --log-format text|json, --log-level error|warn|info|debug
+";
+
+/// The scenario of `try`.
+const TRY: &str = include_str!("../scenarios/term-end.json");
+
+#[derive(Default)]
+struct Options {
+    words: Vec<String>,
+    targets: Vec<SocketAddr>,
+    seconds: Option<f64>,
+    seed: Option<u64>,
+    report: Option<PathBuf>,
+    json: bool,
+    limiter: Option<PathBuf>,
+    speed: Option<f64>,
+    scenario: Option<PathBuf>,
+    key: Option<String>,
+    values: Option<String>,
+    drop_duplicates: bool,
+    close_gaps: bool,
+    gap: Option<f64>,
+    log_json: bool,
+    log_level: Option<tracing::Level>,
+}
+
+/// What ends the program: a wrong call, or a fault on the way.
+enum Failure {
+    Usage(String),
+    Fault(String),
+}
+
+fn fault(error: impl std::fmt::Display) -> Failure {
+    Failure::Fault(error.to_string())
+}
+
+fn usage(text: impl Into<String>) -> Failure {
+    Failure::Usage(text.into())
+}
+
+fn parse(args: impl IntoIterator<Item = OsString>) -> Result<Options, lexopt::Error> {
+    let mut parser = lexopt::Parser::from_args(args);
+    let mut options = Options::default();
+    while let Some(arg) = parser.next()? {
+        match arg {
+            Long("target") => {
+                let text = parser.value()?.string()?;
+                let address = text.strip_prefix("http://").unwrap_or(&text).trim_end_matches('/');
+                let address = address.replace("localhost", "127.0.0.1");
+                let parsed =
+                    address.parse().map_err(|_| format!("--target: '{text}' is no address with a port"))?;
+                options.targets.push(parsed);
+            }
+            Long("seconds") => options.seconds = Some(parser.value()?.parse()?),
+            Long("seed") => options.seed = Some(parser.value()?.parse()?),
+            Long("report") => options.report = Some(parser.value()?.into()),
+            Long("json") => options.json = true,
+            Long("limiter") => options.limiter = Some(parser.value()?.into()),
+            Long("speed") => options.speed = Some(parser.value()?.parse()?),
+            Long("scenario") => options.scenario = Some(parser.value()?.into()),
+            Long("key") => options.key = Some(parser.value()?.string()?),
+            Long("values") => options.values = Some(parser.value()?.string()?),
+            Long("duplicates") => {
+                options.drop_duplicates = choice(&mut parser, "--duplicates", ["keep", "drop"])?
+            }
+            Long("gaps") => options.close_gaps = choice(&mut parser, "--gaps", ["keep", "close"])?,
+            Long("gap") => options.gap = Some(parser.value()?.parse()?),
+            Long("log-format") => options.log_json = choice(&mut parser, "--log-format", ["text", "json"])?,
+            Long("log-level") => options.log_level = Some(parser.value()?.parse()?),
+            Short('h') | Long("help") => options.words.insert(0, "help".into()),
+            Short('V') | Long("version") => options.words.insert(0, "version".into()),
+            Value(word) => options.words.push(word.string()?),
+            other => return Err(other.unexpected()),
+        }
+    }
+    Ok(options)
+}
+
+/// Whether the second of two words was given.
+fn choice(parser: &mut lexopt::Parser, option: &str, words: [&str; 2]) -> Result<bool, lexopt::Error> {
+    let word = parser.value()?.string()?;
+    match words.iter().position(|w| *w == word) {
+        Some(position) => Ok(position == 1),
+        None => Err(format!("{option}: '{word}' is neither '{}' nor '{}'", words[0], words[1]).into()),
+    }
+}
+
+/// Runs the program with these arguments, its name left out. Exit codes: 0 done, 1 a fault on the way, 2 a wrong call
+/// or a scenario that can't be used.
+pub fn main(args: impl IntoIterator<Item = OsString>) -> ExitCode {
+    let done = parse(args).map_err(|e| usage(e.to_string())).and_then(|options| {
+        let level = options.log_level.unwrap_or(tracing::Level::INFO);
+        let log =
+            tracing_subscriber::fmt().with_writer(std::io::stderr).with_max_level(level).with_target(false);
+        // Only the first one of a process holds: a second call from a test changes nothing.
+        let _ = if options.log_json { log.json().try_init() } else { log.with_ansi(false).try_init() };
+        command(&options)
+    });
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(Failure::Usage(text)) => {
+            eprintln!("streamarch-load: {text}\n\n{HELP}");
+            ExitCode::from(2)
+        }
+        Err(Failure::Fault(text)) => {
+            eprintln!("streamarch-load: {text}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn command(options: &Options) -> Result<(), Failure> {
+    let words: Vec<&str> = options.words.iter().map(String::as_str).collect();
+    match words.as_slice() {
+        ["help", ..] => {
+            print!("{HELP}");
+            Ok(())
+        }
+        ["version", ..] => {
+            println!("streamarch-load {}", env!("CARGO_PKG_VERSION"));
+            Ok(())
+        }
+        ["try"] => {
+            let scenario = Scenario::read(TRY).map_err(fault)?;
+            play(options, seconds(scenario, options)?).map(drop)
+        }
+        ["run", path] => play(options, seconds(scenario(Path::new(path))?, options)?).map(drop),
+        ["compare", folders @ ..] if folders.len() >= 2 => compare(options, folders),
+        ["sweep", path] => sweep(options, Path::new(path)),
+        ["trace", "import", from, to] => import(options, Path::new(from), Path::new(to)),
+        ["trace", "inspect", path] => inspect(options, Path::new(path)),
+        ["trace", "replay", path] => replay(options, Path::new(path)),
+        ["stand-ins", path] => stand_ins(options, &scenario(Path::new(path))?),
+        [] => Err(usage("a command is missing")),
+        ["compare", ..] => Err(usage("compare takes two folders or more")),
+        other => Err(usage(format!("'{}' is no command, or not with these words", other.join(" ")))),
+    }
+}
+
+fn scenario(path: &Path) -> Result<Scenario, Failure> {
+    let text = std::fs::read_to_string(path).map_err(|e| fault(format!("{}: {e}", path.display())))?;
+    Scenario::read(&text).map_err(|e| fault(format!("{}: {e}", path.display())))
+}
+
+fn seconds(mut scenario: Scenario, options: &Options) -> Result<Scenario, Failure> {
+    if let Some(seconds) = options.seconds {
+        scenario.seconds = seconds;
+        scenario.check().map_err(|e| usage(format!("--seconds: {e}")))?;
+    }
+    Ok(scenario)
+}
+
+/// Set by SIGINT and SIGTERM: the run ends, and its report is written.
+fn stopped() -> Result<Arc<AtomicBool>, Failure> {
+    let stop = Arc::new(AtomicBool::new(false));
+    for signal in [signal_hook::consts::SIGINT, signal_hook::consts::SIGTERM] {
+        // A second signal ends the program at once: nobody has to wait for a run that hangs.
+        signal_hook::flag::register_conditional_shutdown(signal, 130, stop.clone()).map_err(fault)?;
+        signal_hook::flag::register(signal, stop.clone()).map_err(fault)?;
+    }
+    Ok(stop)
+}
+
+/// Plays a scenario as the options say, prints and reports.
+fn play(options: &Options, mut scenario: Scenario) -> Result<Summary, Failure> {
+    if !options.targets.is_empty() {
+        scenario.limiters.count = options.targets.len();
+    }
+    let seed = options.seed.unwrap_or(scenario.seed);
+    let schedule = Schedule::lay(&scenario, seed, scenario.limiters.count);
+    send(options, scenario, schedule, seed, options.report.as_deref(), stopped()?)
+}
+
+fn send(
+    options: &Options,
+    scenario: Scenario,
+    schedule: Schedule,
+    seed: u64,
+    folder: Option<&Path>,
+    stop: Arc<AtomicBool>,
+) -> Result<Summary, Failure> {
+    if let Some(folder) = folder {
+        // Before the run: a folder that can't be made should not cost one.
+        std::fs::create_dir_all(folder).map_err(|e| fault(format!("{}: {e}", folder.display())))?;
+    }
+    let requests = schedule.requests.len();
+    let trial = if options.targets.is_empty() {
+        let program = options.limiter.clone().unwrap_or_else(trial::program);
+        tracing::info!(
+            limiters = scenario.limiters.count,
+            nodes = scenario.world.nodes.count,
+            "starting the world"
+        );
+        Some(Trial::start(&scenario, seed, &program, folder).map_err(fault)?)
+    } else {
+        None
+    };
+    let targets = trial.as_ref().map_or_else(|| options.targets.clone(), Trial::targets);
+    let cores = std::thread::available_parallelism().map_or(1, usize::from);
+    let threads = match scenario.generator.threads {
+        0 => driver::threads_for(requests as f64 / scenario.seconds, cores),
+        threads => threads,
+    };
+    let setup = Arc::new(Setup { scenario, schedule, targets: targets.len(), seed });
+    tracing::info!(requests, seconds = setup.scenario.seconds, threads, "sending");
+    let before = trial.as_ref().map(Trial::cpu_us);
+    if let Some(trial) = &trial {
+        trial.begin(&setup.scenario);
+    }
+    let progress = Progress { stop, ..Progress::default() };
+    let outcomes = watched(&setup, &targets, threads, &progress)?;
+    let mut summary = Summary::of(&setup, &outcomes);
+    if let (Some(trial), Some(before)) = (trial, before) {
+        let after = trial.cpu_us();
+        summary.limiter_cpu_us = after.iter().zip(&before).map(|(a, b)| a.saturating_sub(*b)).collect();
+        summary.world = Some(trial.stop());
+    }
+    if !summary.adds_up {
+        return Err(fault("the outcomes do not add up to what was offered: a fault of this program"));
+    }
+    if let Some(folder) = folder {
+        report::write(folder, &setup, &outcomes.tries, &summary).map_err(fault)?;
+        tracing::info!(folder = %folder.display(), "report written");
+    }
+    if options.json {
+        println!("{}", report::json(&summary));
+    } else {
+        print!("{}", summary.text());
+    }
+    Ok(summary)
+}
+
+/// Sends, with a bar on a terminal.
+fn watched(
+    setup: &Arc<Setup>,
+    targets: &[SocketAddr],
+    threads: usize,
+    progress: &Progress,
+) -> Result<Outcomes, Failure> {
+    if !std::io::stderr().is_terminal() {
+        return driver::run(setup, targets, threads, progress).map_err(fault);
+    }
+    let bar = ProgressBar::new(setup.schedule.requests.len() as u64);
+    if let Ok(style) =
+        ProgressStyle::with_template("{wide_bar} {pos}/{len} requests, {msg} tries ended, {eta} left")
+    {
+        bar.set_style(style);
+    }
+    let over = AtomicBool::new(false);
+    std::thread::scope(|scope| {
+        scope.spawn(|| {
+            while !over.load(Ordering::Relaxed) {
+                bar.set_position(progress.taken.load(Ordering::Relaxed));
+                bar.set_message(progress.ended.load(Ordering::Relaxed).to_string());
+                std::thread::sleep(Duration::from_millis(200));
+            }
+            bar.finish_and_clear();
+        });
+        let outcomes = driver::run(setup, targets, threads, progress).map_err(fault);
+        over.store(true, Ordering::Relaxed);
+        outcomes
+    })
+}
+
+fn compare(options: &Options, folders: &[&str]) -> Result<(), Failure> {
+    let read =
+        |folder: &&str| report::read(Path::new(folder)).map(|s| (folder.to_string(), s)).map_err(fault);
+    let runs = folders.iter().map(read).collect::<Result<Vec<_>, _>>()?;
+    shown(options, "compare.html", report::compare(&runs))
+}
+
+fn shown(options: &Options, name: &str, (text, page): (String, String)) -> Result<(), Failure> {
+    print!("{text}");
+    if let Some(folder) = &options.report {
+        std::fs::create_dir_all(folder).map_err(|e| fault(format!("{}: {e}", folder.display())))?;
+        report::write_text(&folder.join(name), &page).map_err(fault)?;
+    }
+    Ok(())
+}
+
+/// Puts a value at a path such as `arrivals.0.rate` or `arrivals[0].rate`.
+fn put(text: &mut Json, path: &str, value: Json) -> Result<(), Failure> {
+    let parts: Vec<String> = path.replace('[', ".").replace(']', "").split('.').map(str::to_string).collect();
+    let mut at = text;
+    for part in &parts {
+        at = match at {
+            Json::Array(items) => {
+                let item = part.parse::<usize>().ok().and_then(|k| items.get_mut(k));
+                item.ok_or_else(|| usage(format!("--key: '{path}' leads nowhere at '{part}'")))?
+            }
+            Json::Object(keys) => keys.entry(part.clone()).or_insert(Json::Null),
+            other => {
+                *other = Json::Object(serde_json::Map::new());
+                other
+                    .as_object_mut()
+                    .map(|keys| keys.entry(part.clone()).or_insert(Json::Null))
+                    .ok_or_else(|| usage(path))?
+            }
+        };
+    }
+    *at = value;
+    Ok(())
+}
+
+fn sweep(options: &Options, path: &Path) -> Result<(), Failure> {
+    let (Some(key), Some(values)) = (&options.key, &options.values) else {
+        return Err(usage("sweep needs --key and --values"));
+    };
+    let text = std::fs::read_to_string(path).map_err(|e| fault(format!("{}: {e}", path.display())))?;
+    let base: Json =
+        serde_json::from_str(&text).map_err(|e| fault(format!("{}: not JSON: {e}", path.display())))?;
+    let mut scenarios = Vec::new();
+    for value in values.split(',').map(str::trim) {
+        let mut text = base.clone();
+        put(&mut text, key, serde_json::from_str(value).unwrap_or_else(|_| Json::String(value.to_string())))?;
+        // All are checked before the first one runs.
+        let scenario =
+            Scenario::read(&text.to_string()).map_err(|e| fault(format!("{key} = {value}: {e}")))?;
+        scenarios.push((value.to_string(), seconds(scenario, options)?));
+    }
+    let stop = stopped()?;
+    let mut runs = Vec::new();
+    for (value, mut scenario) in scenarios {
+        if !options.targets.is_empty() {
+            scenario.limiters.count = options.targets.len();
+        }
+        let seed = options.seed.unwrap_or(scenario.seed);
+        let schedule = Schedule::lay(&scenario, seed, scenario.limiters.count);
+        let folder = options.report.as_ref().map(|f| f.join(value.replace('/', "-")));
+        println!("{key} = {value}");
+        runs.push((value, send(options, scenario, schedule, seed, folder.as_deref(), stop.clone())?));
+        if stop.load(Ordering::Relaxed) {
+            break;
+        }
+    }
+    shown(options, "sweep.html", report::knee(key, &runs))
+}
+
+fn mending(options: &Options) -> Result<mend::Mending, Failure> {
+    let gap = match options.gap {
+        Some(s) if s > 0.0 && s.is_finite() => Some((s * 1e6) as crate::Micros),
+        Some(s) => return Err(usage(format!("--gap: {s} is no length of time"))),
+        None => None,
+    };
+    Ok(mend::Mending {
+        duplicates: if options.drop_duplicates { mend::Duplicates::Drop } else { mend::Duplicates::Keep },
+        gaps: if options.close_gaps { mend::Gaps::Close } else { mend::Gaps::Keep },
+        gap,
+    })
+}
+
+fn odd(found: &mend::Found, options: &Options) -> String {
+    format!(
+        "out of order: {} (sorted)\nduplicates: {} ({})\ngaps: {}, {:.3} s in all, the longest {:.3} s ({})",
+        found.out_of_order,
+        found.duplicates,
+        if options.drop_duplicates { "dropped" } else { "kept" },
+        found.gaps,
+        found.in_gaps as f64 / 1e6,
+        found.longest_gap as f64 / 1e6,
+        if options.close_gaps { "closed" } else { "kept" }
+    )
+}
+
+fn import(options: &Options, from: &Path, to: &Path) -> Result<(), Failure> {
+    let mending = mending(options)?;
+    let file = File::open(from).map_err(|e| fault(format!("{}: {e}", from.display())))?;
+    let csv = from.extension().is_some_and(|e| e.eq_ignore_ascii_case("csv"));
+    let read = if csv { trace::read::csv(file) } else { trace::read::json_lines(BufReader::new(file)) };
+    let mut rows = read.map_err(|e| fault(format!("{}: {e}", from.display())))?;
+    let count = rows.len();
+    let found = mend::mend(&mut rows, &mending);
+    trace::store::write(to, &rows).map_err(fault)?;
+    println!("read: {count} requests\n{}\nwritten: {} requests", odd(&found, options), rows.len());
+    Ok(())
+}
+
+fn inspect(options: &Options, path: &Path) -> Result<(), Failure> {
+    let mut rows = trace::store::read(path).map_err(fault)?;
+    let found = mend::mend(&mut rows, &mending(options)?);
+    let span = rows.last().map_or(0.0, |r| r.at as f64 / 1e6);
+    let accounts: std::collections::HashSet<u64> = rows.iter().map(|r| r.account).collect();
+    let mut seconds = vec![0_u64; span as usize + 1];
+    rows.iter().for_each(|r| seconds[(r.at / 1_000_000) as usize] += 1);
+    let busiest = seconds.iter().max().copied().unwrap_or(0);
+    println!(
+        "requests: {}\nlength: {span:.3} s\na second: {:.1} on average, {busiest} in the busiest\ncustomers: {}\n{}",
+        rows.len(),
+        rows.len() as f64 / span.max(1e-6),
+        accounts.len(),
+        odd(&found, options)
+    );
+    for (what, get) in [("plan", (|r| &r.plan) as fn(&trace::Row) -> &String), ("class", |r| &r.class)] {
+        let mut counts = std::collections::BTreeMap::<&str, usize>::new();
+        rows.iter().for_each(|r| *counts.entry(get(r)).or_default() += 1);
+        counts.iter().for_each(|(name, count)| println!("{what} {name}: {count}"));
+    }
+    Ok(())
+}
+
+fn replay(options: &Options, path: &Path) -> Result<(), Failure> {
+    let speed = options.speed.unwrap_or(1.0);
+    if !(1e-3..=1e6).contains(&speed) {
+        return Err(usage(format!("--speed: {speed} is not between 0.001 and 1000000")));
+    }
+    let mut rows = trace::store::read(path).map_err(fault)?;
+    if rows.is_empty() {
+        return Err(fault(format!("{}: holds no requests", path.display())));
+    }
+    mend::mend(&mut rows, &mending(options)?);
+    let mut scenario = match &options.scenario {
+        Some(path) => scenario(path)?,
+        None => Scenario { name: format!("Replay of {}", path.display()), ..Scenario::default() },
+    };
+    if !options.targets.is_empty() {
+        scenario.limiters.count = options.targets.len();
+    }
+    let seed = options.seed.unwrap_or(scenario.seed);
+    let limiters = scenario.limiters.count;
+    let schedule = trace::replay::lay(&mut scenario, &rows, limiters, speed);
+    send(options, scenario, schedule, seed, options.report.as_deref(), stopped()?).map(drop)
+}
+
+fn stand_ins(options: &Options, scenario: &Scenario) -> Result<(), Failure> {
+    let seed = options.seed.unwrap_or(scenario.seed);
+    let world = Serving::start(&scenario.world, seed, scenario.limiters.count).map_err(fault)?;
+    let peers = trial::datagram_addresses(scenario.limiters.count).map_err(fault)?;
+    for number in 0..scenario.limiters.count {
+        let listen = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        println!("{}", trial::configuration(scenario, seed, number, listen, &peers, &world));
+    }
+    let stop = stopped()?;
+    world.begin((scenario.seconds * 1e6) as crate::Micros);
+    // As long as it is wanted; without --seconds until a signal.
+    let until =
+        options.seconds.map(|s| std::time::Instant::now() + Duration::from_secs_f64(s.clamp(0.0, 86_400.0)));
+    while !stop.load(Ordering::Relaxed) && until.is_none_or(|at| std::time::Instant::now() < at) {
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    eprintln!("{}", serde_json::to_string(&world.stop()).unwrap_or_default());
+    Ok(())
+}
--- /dev/null
+++ b/load/src/driver.rs
@@ -0,0 +1,409 @@
+//! The clients on sockets: a loop a thread, each with its part of the requests, connections of its own, and records in
+//! memory until the run is over.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Instant;
+
+use slab::Slab;
+use standins::http;
+use standins::reactor::{self, Reactor, Ready};
+
+use crate::Micros;
+use crate::generator::{End, Generator, Order, Sending, Setup, write_request};
+use crate::records::Try;
+
+/// Bytes taken from a socket at once.
+const READ: usize = 16 * 1024;
+/// Longest answer that is taken in.
+const ANSWER: usize = 4 * 1024 * 1024;
+/// After an interrupt what is out may still be answered for so long.
+const GRACE: Micros = 200_000;
+/// Longest wait of a loop, so that an interrupt is seen.
+const LOOK: Micros = 50_000;
+/// Orders carried out before sockets are looked at again.
+const AT_ONCE: usize = 256;
+
+/// What a run shows while it goes on.
+#[derive(Debug, Default)]
+pub struct Progress {
+    /// Requests taken up.
+    pub taken: AtomicU64,
+    /// Tries ended.
+    pub ended: AtomicU64,
+    /// Set to end the run before its time.
+    pub stop: Arc<AtomicBool>,
+}
+
+/// What a run brought.
+#[derive(Debug, Default)]
+pub struct Outcomes {
+    /// Every try.
+    pub tries: Vec<Try>,
+    /// It was ended before its time.
+    pub interrupted: bool,
+    /// Times that the system gave no descriptor or no port.
+    pub no_sockets: u64,
+    /// Times that a try waited because all connections were taken.
+    pub no_connections: u64,
+    /// Connections opened.
+    pub opened: u64,
+    /// Length of the run.
+    pub span: Micros,
+}
+
+/// Sends the whole schedule to the targets, on so many threads, and waits for its end.
+///
+/// # Errors
+/// The system's, before the first request goes out.
+pub fn run(
+    setup: &Arc<Setup>,
+    targets: &[SocketAddr],
+    threads: usize,
+    progress: &Progress,
+) -> io::Result<Outcomes> {
+    let most = (setup.scenario.generator.connections / threads).max(1);
+    let start = Instant::now();
+    let reactors: Vec<Reactor> = (0..threads).map(|_| Reactor::new()).collect::<io::Result<_>>()?;
+    let clients = reactors.into_iter().enumerate().map(|(part, reactor)| Clients {
+        setup: setup.clone(),
+        generator: Generator::new(setup.clone(), part, threads),
+        reactor,
+        targets: targets.iter().map(|at| Target { at: *at, idle: Vec::new() }).collect(),
+        lines: Slab::new(),
+        by_token: BTreeMap::new(),
+        waiting: VecDeque::new(),
+        most,
+        start,
+        outcomes: Outcomes::default(),
+        buffer: vec![0; READ],
+    });
+    let parts: Vec<Outcomes> = std::thread::scope(|scope| {
+        let run = |clients: Clients| scope.spawn(move || clients.run(progress));
+        let running: Vec<_> = clients.map(run).collect();
+        running.into_iter().filter_map(|thread| thread.join().ok()).collect()
+    });
+    if parts.len() < threads {
+        return Err(io::Error::other("a part of the generator ended in a panic"));
+    }
+    let mut whole = Outcomes::default();
+    for part in parts {
+        whole.tries.extend(part.tries);
+        whole.interrupted |= part.interrupted;
+        whole.no_sockets += part.no_sockets;
+        whole.no_connections += part.no_connections;
+        whole.opened += part.opened;
+        whole.span = whole.span.max(part.span);
+    }
+    whole.tries.sort_unstable_by_key(|t| (t.request, t.number));
+    Ok(whole)
+}
+
+/// So many threads hold a rate in requests a second, on so many cores.
+pub fn threads_for(rate: f64, cores: usize) -> usize {
+    ((rate / 25_000.0).ceil() as usize).clamp(1, (cores / 2).max(1))
+}
+
+struct Target {
+    at: SocketAddr,
+    idle: Vec<usize>,
+}
+
+struct Line {
+    socket: TcpStream,
+    target: usize,
+    up: bool,
+    token: Option<usize>,
+    /// The request as it is written, kept whole until an answer begins: it may have to go out once more.
+    out: Vec<u8>,
+    done: usize,
+    read: Vec<u8>,
+    /// It has carried a request before this one.
+    used: bool,
+}
+
+struct Clients {
+    setup: Arc<Setup>,
+    generator: Generator,
+    reactor: Reactor,
+    targets: Vec<Target>,
+    lines: Slab<Line>,
+    by_token: BTreeMap<usize, usize>,
+    waiting: VecDeque<(usize, Sending)>,
+    most: usize,
+    start: Instant,
+    outcomes: Outcomes,
+    buffer: Vec<u8>,
+}
+
+impl Clients {
+    fn now(&self) -> Micros {
+        self.start.elapsed().as_micros() as Micros
+    }
+
+    fn run(mut self, progress: &Progress) -> Outcomes {
+        self.reactor.exact();
+        let mut ready: Vec<Ready> = Vec::new();
+        let mut ends: Option<Micros> = None;
+        let (mut taken, mut ended) = (0, 0);
+        loop {
+            let mut budget = AT_ONCE;
+            while let Some(order) = self.generator.poll(self.now()) {
+                match order {
+                    Order::Send(token, sending) => self.send(token, sending),
+                    Order::GiveUp(token) => self.give_up(token),
+                }
+                budget -= 1;
+                if budget == 0 {
+                    break;
+                }
+            }
+            let (more_taken, more_ended) = self.generator.progress();
+            progress.taken.fetch_add((more_taken - taken) as u64, Ordering::Relaxed);
+            progress.ended.fetch_add((more_ended - ended) as u64, Ordering::Relaxed);
+            (taken, ended) = (more_taken, more_ended);
+            if progress.stop.load(Ordering::Relaxed) && ends.is_none() {
+                self.generator.interrupt();
+                self.outcomes.interrupted = true;
+                ends = Some(self.now() + GRACE);
+            }
+            let now = self.now();
+            if self.generator.done() || ends.is_some_and(|at| at <= now) {
+                break;
+            }
+            let wait = self.generator.next().map_or(LOOK, |at| (at - now).clamp(0, LOOK));
+            if self.reactor.wait(Some(wait), &mut ready).is_err() {
+                // Guards against a loop that fails at once for ever.
+                std::thread::sleep(std::time::Duration::from_millis(1));
+            }
+            ready.iter().for_each(|event| self.ready(event));
+            self.dequeue();
+        }
+        let now = self.now();
+        self.outcomes.span = now;
+        self.outcomes.tries = self.generator.finish(now);
+        self.outcomes
+    }
+
+    fn send(&mut self, token: usize, sending: Sending) {
+        let target = usize::from(sending.target);
+        if let Some(at) = self.targets[target].idle.pop() {
+            self.start_on(at, token, &sending);
+        } else if self.lines.len() < self.most || self.spare() {
+            self.connect(token, sending);
+        } else {
+            self.outcomes.no_connections += 1;
+            self.waiting.push_back((token, sending));
+        }
+    }
+
+    /// Closes an idle connection to another target, if there is one, to make room.
+    fn spare(&mut self) -> bool {
+        let Some(at) = self.targets.iter_mut().find_map(|t| t.idle.pop()) else { return false };
+        self.lines.remove(at);
+        true
+    }
+
+    fn connect(&mut self, token: usize, sending: Sending) {
+        let target = usize::from(sending.target);
+        match self.open(target) {
+            Ok(at) => {
+                self.outcomes.opened += 1;
+                self.start_on(at, token, &sending);
+            }
+            Err(error) if refused(&error) => self.generator.ended(token, self.now(), End::NotSent),
+            Err(_) => {
+                // No descriptor or no port: the try waits like one for which all connections are taken.
+                self.outcomes.no_sockets += 1;
+                self.waiting.push_back((token, sending));
+            }
+        }
+    }
+
+    fn open(&mut self, target: usize) -> io::Result<usize> {
+        let to = self.targets[target].at;
+        let socket = reactor::connect(to)?;
+        let at = self.lines.vacant_key();
+        self.reactor.add(&socket, at as u64)?;
+        let (out, read) = (Vec::new(), Vec::new());
+        self.lines.insert(Line { socket, target, up: false, token: None, out, done: 0, read, used: false });
+        Ok(at)
+    }
+
+    fn start_on(&mut self, at: usize, token: usize, sending: &Sending) {
+        let now = self.now();
+        let Some(line) = self.lines.get_mut(at) else { return };
+        line.token = Some(token);
+        line.out.clear();
+        line.done = 0;
+        write_request(&mut line.out, &self.setup, sending, sending.deadline - now);
+        self.by_token.insert(token, at);
+        if self.lines[at].up {
+            self.write(at);
+        }
+    }
+
+    fn give_up(&mut self, token: usize) {
+        match self.by_token.remove(&token) {
+            Some(at) => drop(self.lines.try_remove(at)),
+            None => self.waiting.retain(|(t, _)| *t != token),
+        }
+    }
+
+    fn dequeue(&mut self) {
+        for _ in 0..self.waiting.len() {
+            let before = self.waiting.len();
+            let Some((token, sending)) = self.waiting.pop_front() else { return };
+            let room =
+                !self.targets[usize::from(sending.target)].idle.is_empty() || self.lines.len() < self.most;
+            if !room {
+                self.waiting.push_front((token, sending));
+                return;
+            }
+            let failures = self.outcomes.no_sockets;
+            self.send(token, sending);
+            // Still no descriptor: another look after the next wait.
+            if self.outcomes.no_sockets > failures && self.waiting.len() == before {
+                return;
+            }
+        }
+    }
+
+    fn ready(&mut self, event: &Ready) {
+        let at = event.token as usize;
+        let Some(line) = self.lines.get_mut(at) else { return };
+        if !line.up {
+            if !event.writable && !event.readable {
+                return;
+            }
+            match line.socket.take_error() {
+                Ok(None) if line.socket.peer_addr().is_ok() => line.up = true,
+                Ok(None) => return,
+                _ => return self.broken(at),
+            }
+        }
+        if event.writable {
+            self.write(at);
+        }
+        if event.readable {
+            self.read(at);
+        }
+    }
+
+    fn write(&mut self, at: usize) {
+        loop {
+            let Some(line) = self.lines.get_mut(at) else { return };
+            if line.token.is_none() || line.done == line.out.len() {
+                return;
+            }
+            match line.socket.write(&line.out[line.done..]) {
+                Ok(0) => return self.broken(at),
+                Ok(length) => {
+                    line.done += length;
+                    if line.done == line.out.len()
+                        && let Some(token) = line.token
+                    {
+                        let now = self.now();
+                        self.generator.written(token, now);
+                        return;
+                    }
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(_) => return self.broken(at),
+            }
+        }
+    }
+
+    fn read(&mut self, at: usize) {
+        loop {
+            let Some(line) = self.lines.get_mut(at) else { return };
+            match line.socket.read(&mut self.buffer) {
+                Ok(0) => {
+                    if !self.answer(at, true) {
+                        self.broken(at);
+                    }
+                    return;
+                }
+                Ok(length) => {
+                    line.read.extend_from_slice(&self.buffer[..length]);
+                    if line.token.is_none() || line.read.len() > ANSWER {
+                        return self.broken(at);
+                    }
+                    if self.answer(at, false) || length < READ {
+                        return;
+                    }
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(_) => return self.broken(at),
+            }
+        }
+    }
+
+    /// Takes an answer if it is whole; whether it was.
+    fn answer(&mut self, at: usize, ended: bool) -> bool {
+        let Some(line) = self.lines.get_mut(at) else { return true };
+        let Some(token) = line.token else { return false };
+        let whole = match http::answer(&line.read, ended) {
+            Ok(Some(answer)) => answer,
+            Ok(None) => return false,
+            Err(http::Malformed) => {
+                if !line.read.is_empty() || !ended {
+                    // Guards against the second sending in `broken`: something was answered.
+                    line.used = false;
+                }
+                self.broken(at);
+                return true;
+            }
+        };
+        // An answer ahead of the request's end answers something else, and what follows one belongs to nobody.
+        let sound = line.done == line.out.len();
+        let keep = sound && !whole.close && !ended && whole.length == line.read.len();
+        line.read.clear();
+        (line.token, line.used) = (None, true);
+        let target = line.target;
+        self.by_token.remove(&token);
+        let now = self.now();
+        if keep {
+            self.targets[target].idle.push(at);
+        } else {
+            self.lines.remove(at);
+        }
+        let end = End::Answered { status: whole.status, retry_after: whole.retry_after };
+        self.generator.ended(token, now, if sound { end } else { End::Broken });
+        true
+    }
+
+    fn broken(&mut self, at: usize) {
+        let Some(line) = self.lines.try_remove(at) else { return };
+        self.targets[line.target].idle.retain(|idle| *idle != at);
+        let Some(token) = line.token else { return };
+        self.by_token.remove(&token);
+        let whole = line.done == line.out.len() && line.up;
+        // The close of a connection kept from an earlier request crossed this one: the protocol has the client send
+        // it once more on a new connection.
+        if line.used
+            && line.read.is_empty()
+            && let Ok(fresh) = self.open(line.target)
+        {
+            self.outcomes.opened += 1;
+            let renewed = &mut self.lines[fresh];
+            (renewed.token, renewed.out) = (Some(token), line.out);
+            self.by_token.insert(token, fresh);
+            return;
+        }
+        let now = self.now();
+        self.generator.ended(token, now, if whole { End::Broken } else { End::NotSent });
+    }
+}
+
+fn refused(error: &io::Error) -> bool {
+    matches!(
+        error.kind(),
+        io::ErrorKind::ConnectionRefused | io::ErrorKind::HostUnreachable | io::ErrorKind::NetworkUnreachable
+    )
+}
--- /dev/null
+++ b/standins/src/checked.rs
@@ -0,0 +1,131 @@
+//! Reading JSON with faults named by key: the path to it, and the key that was meant where one is near.
+
+use std::fmt;
+
+use serde::de::DeserializeOwned;
+
+/// What is wrong with a file, and at which key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fault {
+    /// The key, with those it lies under; empty for the whole.
+    pub key: String,
+    /// What is wrong with it.
+    pub text: String,
+}
+
+impl Fault {
+    /// A fault at a key.
+    pub fn at(key: impl Into<String>, text: impl Into<String>) -> Fault {
+        Fault { key: key.into(), text: text.into() }
+    }
+
+    /// The same fault with its key below another one.
+    pub fn under(self, parent: &str) -> Fault {
+        let dot = if self.key.is_empty() || self.key.starts_with('[') { "" } else { "." };
+        Fault { key: format!("{parent}{dot}{}", self.key), text: self.text }
+    }
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.key.as_str() {
+            "" => write!(f, "{}", self.text),
+            key => write!(f, "key '{key}': {}", self.text),
+        }
+    }
+}
+
+impl std::error::Error for Fault {}
+
+/// Reads a value from JSON text.
+///
+/// # Errors
+/// Text that is not JSON, with line and column; a key that is unknown, of a wrong type or missing, by its path.
+pub fn read<T: DeserializeOwned>(text: &str) -> Result<T, Fault> {
+    let mut reader = serde_json::Deserializer::from_str(text);
+    let value = serde_path_to_error::deserialize(&mut reader).map_err(|error| {
+        let path = error.path().to_string();
+        explain(if path == "." { String::new() } else { path }, &error.into_inner().to_string())
+    })?;
+    // Guards against a second document behind the first, which would be passed over in silence.
+    reader.end().map_err(|error| Fault::at("", format!("not JSON: {error}")))?;
+    Ok(value)
+}
+
+/// Turns serde's words on an unknown name into ours, with the name that was meant.
+fn explain(path: String, text: &str) -> Fault {
+    let quoted: Vec<&str> = text.split('`').skip(1).step_by(2).collect();
+    let unknown = text.starts_with("unknown field") || text.starts_with("unknown variant");
+    let [name, known @ ..] = quoted.as_slice() else { return Fault::at(path, text) };
+    if !unknown {
+        return Fault::at(path, text);
+    }
+    let near = known
+        .iter()
+        .map(|k| (strsim::damerau_levenshtein(&k.to_lowercase(), &name.to_lowercase()), k))
+        .filter(|(distance, k)| *distance <= 1 + k.len() / 4)
+        .min();
+    let meant = match near {
+        Some((_, k)) => format!("did you mean '{k}'?"),
+        None => format!("known are {}", known.join(", ")),
+    };
+    if text.starts_with("unknown variant") {
+        return Fault::at(path, format!("'{name}' is not known; {meant}"));
+    }
+    // The path of an unknown field may end with its name or with what holds it.
+    let key = if path.split('.').next_back() == Some(name) {
+        path
+    } else if path.is_empty() {
+        name.to_string()
+    } else {
+        format!("{path}.{name}")
+    };
+    Fault::at(key, format!("unknown key; {meant}"))
+}
+
+/// Checks that a number lies within bounds, both of them allowed.
+///
+/// # Errors
+/// A number outside, or no number, by the key.
+pub fn within(key: &str, value: f64, low: f64, high: f64) -> Result<(), Fault> {
+    match value >= low && value <= high {
+        true => Ok(()),
+        false => Err(Fault::at(key, format!("is {value}, not between {low} and {high}"))),
+    }
+}
+
+/// Checks that a pair is a range within bounds.
+///
+/// # Errors
+/// As [`within`]; the ends in the wrong order.
+pub fn range(key: &str, [from, to]: [f64; 2], low: f64, high: f64) -> Result<(), Fault> {
+    within(&format!("{key}[0]"), from, low, high)?;
+    within(&format!("{key}[1]"), to, low, high)?;
+    match from <= to {
+        true => Ok(()),
+        false => Err(Fault::at(key, format!("{from} to {to} is no range"))),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::plan::WorldPlan;
+
+    fn fault(text: &str) -> String {
+        read::<WorldPlan>(text).map(|_| ()).unwrap_err().to_string()
+    }
+
+    #[test]
+    fn names_the_key_that_was_meant() {
+        assert_eq!(
+            fault(r#"{"nodes":{"coers":2}}"#),
+            "key 'nodes.coers': unknown key; did you mean 'cores'?"
+        );
+        assert!(fault(r#"{"nodes":{"zebra":2}}"#).contains("known are count, cores"));
+        assert!(fault(r#"{"nodes":{"cores":"two"}}"#).starts_with("key 'nodes.cores': invalid type"));
+        assert!(fault(r#"{"faults":[{"kind":"freze","on":"counter"}]}"#).contains("did you mean 'freeze'?"));
+        assert!(fault("{} {}").contains("not JSON"));
+        assert!(fault("{\"nodes\":").contains("line 1"));
+    }
+}
--- /dev/null
+++ b/standins/src/counter.rs
@@ -0,0 +1,106 @@
+//! The counter: named totals with a life, served in turn, so many a second over so many parts.
+
+use std::collections::HashMap;
+
+use crate::Micros;
+
+/// Longest life of a name.
+const LONGEST: Micros = 60_000_000;
+/// Longest name, in bytes.
+const NAME: usize = 64;
+/// Names that have ended are swept out after so many calls.
+const SWEEP: u32 = 4_096;
+
+/// The counter.
+#[derive(Clone, Debug)]
+pub struct Counter {
+    totals: HashMap<String, (f64, Micros)>,
+    /// When each part is free again.
+    free: Vec<Micros>,
+    turn: f64,
+    beside: Micros,
+    slower: f64,
+    calls: u32,
+}
+
+/// A call as it stands on the wire.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Call<'a> {
+    /// The count's name.
+    pub name: &'a str,
+    /// What is added.
+    pub delta: f64,
+    /// Life of a new name.
+    pub life: Micros,
+}
+
+/// Reads a call's target.
+pub fn call(target: &str) -> Option<Call<'_>> {
+    let (path, query) = target.split_once('?')?;
+    let name = path.strip_prefix("/v2/numbers/").filter(|n| !n.is_empty() && n.len() <= NAME)?;
+    let get = |key: &str| query.split('&').find_map(|p| p.strip_prefix(key)?.strip_prefix('='));
+    let delta = get("delta")?.parse::<f64>().ok().filter(|d| d.abs() <= 1e9)?;
+    let life = get("life_ms")?.parse::<u64>().ok().filter(|l| *l >= 1)?;
+    Some(Call { name, delta, life: (life.min(60_000) * 1_000) as Micros })
+}
+
+impl Counter {
+    /// An empty counter.
+    pub fn new(parts: usize, per_s: f64, beside: Micros) -> Counter {
+        let parts = parts.max(1);
+        let turn = parts as f64 * 1e6 / per_s;
+        Counter { totals: HashMap::new(), free: vec![0; parts], turn, beside, slower: 1.0, calls: 0 }
+    }
+
+    /// Adds, and gives the total and when it is told: a call waits for its part's turn.
+    pub fn add(&mut self, now: Micros, call: Call<'_>) -> (f64, Micros) {
+        self.calls += 1;
+        if self.calls.is_multiple_of(SWEEP) {
+            self.totals.retain(|_, (_, end)| *end > now);
+        }
+        let hash = call.name.bytes().fold(5_381_usize, |h, b| h.wrapping_mul(33) ^ usize::from(b));
+        let parts = self.free.len();
+        let free = &mut self.free[hash % parts];
+        let begin = (*free).max(now);
+        *free = begin + (self.turn * self.slower).round() as Micros;
+        let told = *free + (self.beside as f64 * self.slower) as Micros;
+        let end = now + call.life.min(LONGEST);
+        let entry = self.totals.entry(call.name.to_string()).or_insert((0.0, end));
+        if entry.1 <= now {
+            *entry = (0.0, end);
+        }
+        entry.0 += call.delta;
+        (entry.0, told)
+    }
+
+    /// Calls take so many times as long.
+    pub fn slow(&mut self, times: f64) {
+        self.slower = times;
+    }
+
+    /// Forgets everything.
+    pub fn empty(&mut self, now: Micros) {
+        self.totals.clear();
+        self.free.fill(now);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn totals_end_with_their_life_and_calls_wait_their_turn() {
+        let mut counter = Counter::new(1, 1_000.0, 500);
+        let one = call("/v2/numbers/a?delta=2.5&life_ms=10").unwrap();
+        assert_eq!(counter.add(0, one), (2.5, 1_500));
+        assert_eq!(counter.add(0, one), (5.0, 2_500));
+        assert_eq!(counter.add(9_999, one), (7.5, 11_499));
+        assert_eq!(counter.add(10_000, one).0, 2.5);
+        counter.empty(10_000);
+        assert_eq!(counter.add(10_000, one).0, 2.5);
+        assert!(call("/v2/numbers/a?delta=nan&life_ms=1").is_none());
+        assert!(call("/v2/numbers/?delta=1&life_ms=1").is_none());
+        assert!(call("/v2/numbers/a?delta=1&life_ms=0").is_none());
+    }
+}
--- /dev/null
+++ b/standins/src/faults.rs
@@ -0,0 +1,223 @@
+//! Faults by a timed plan: which party, when, for how long. The same plan and seed give the same faults.
+
+use std::fmt;
+use std::str::FromStr;
+
+use rand::Rng;
+use rand::seq::index;
+use serde::{Deserialize, Serialize};
+
+use crate::Micros;
+use crate::checked::{Fault, within};
+
+/// What goes wrong.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Kind {
+    /// Everything stands still: nothing is read, nothing is answered, nothing is lost.
+    Freeze,
+    /// New connections are refused, open ones stay.
+    Refuse,
+    /// All open connections are reset, once.
+    Reset,
+    /// Requests are taken and never answered.
+    Hang,
+    /// A share of the answers is noise.
+    Spoil,
+    /// Work takes `times` as long.
+    Slow,
+    /// The process dies: connections are reset, new ones refused; it returns with nothing that it knew.
+    Die,
+    /// Discovery lists a node as draining, and it turns new work away.
+    Drain,
+    /// A node is replaced by a cold one of another name, at an address of its own.
+    Replace,
+    /// Nothing passes between one limiter and the party, either way.
+    Partition,
+}
+
+/// Who is struck.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Party {
+    /// One records node, by its number.
+    Node(usize),
+    /// A share of the records nodes, drawn by the seed.
+    Nodes(f64),
+    /// The counter.
+    Counter,
+    /// Discovery.
+    Discovery,
+}
+
+impl FromStr for Party {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Party, String> {
+        let bad = || format!("'{text}' is none of 'node:N', 'nodes:SHARE', 'counter', 'discovery'");
+        match text.split_once(':') {
+            None if text == "counter" => Ok(Party::Counter),
+            None if text == "discovery" => Ok(Party::Discovery),
+            Some(("node", number)) => number.parse().map(Party::Node).map_err(|_| bad()),
+            Some(("nodes", share)) => share.parse().map(Party::Nodes).map_err(|_| bad()),
+            _ => Err(bad()),
+        }
+    }
+}
+
+impl fmt::Display for Party {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Party::Node(number) => write!(f, "node:{number}"),
+            Party::Nodes(share) => write!(f, "nodes:{share}"),
+            Party::Counter => f.write_str("counter"),
+            Party::Discovery => f.write_str("discovery"),
+        }
+    }
+}
+
+impl<'de> Deserialize<'de> for Party {
+    fn deserialize<D: serde::Deserializer<'de>>(reader: D) -> Result<Party, D::Error> {
+        String::deserialize(reader)?.parse().map_err(serde::de::Error::custom)
+    }
+}
+
+impl Serialize for Party {
+    fn serialize<S: serde::Serializer>(&self, writer: S) -> Result<S::Ok, S::Error> {
+        writer.collect_str(self)
+    }
+}
+
+/// One fault of the plan.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct FaultPlan {
+    /// What goes wrong.
+    pub kind: Kind,
+    /// Who is struck.
+    pub on: Party,
+    /// When, in seconds since the start of the load.
+    #[serde(default)]
+    pub at_s: f64,
+    /// For how long, in milliseconds; for `drain` and `replace` how long the old node stays.
+    #[serde(default = "second")]
+    pub for_ms: f64,
+    /// It comes again after so many seconds; 0: once.
+    #[serde(default)]
+    pub every_s: f64,
+    /// For `slow`: how many times as long work takes.
+    #[serde(default = "five")]
+    pub times: f64,
+    /// For `spoil`: the share of the answers, 0 to 1.
+    #[serde(default = "one")]
+    pub share: f64,
+    /// For `partition`: the limiter that is cut off, by its number.
+    #[serde(default)]
+    pub limiter: usize,
+}
+
+fn second() -> f64 {
+    1_000.0
+}
+
+fn five() -> f64 {
+    5.0
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+impl FaultPlan {
+    /// Checks what types can't say; `nodes` and `limiters` there are.
+    ///
+    /// # Errors
+    /// The first value that makes no fault, by its key.
+    pub fn check(&self, (nodes, limiters): (usize, usize)) -> Result<(), Fault> {
+        within("at_s", self.at_s, 0.0, 86_400.0)?;
+        within("for_ms", self.for_ms, 1.0, 8.64e7)?;
+        within("every_s", self.every_s, 0.0, 86_400.0)?;
+        within("times", self.times, 1.0, 1e6)?;
+        within("share", self.share, 0.0, 1.0)?;
+        if self.every_s > 0.0 && self.every_s * 1e3 <= self.for_ms {
+            return Err(Fault::at("every_s", "comes again before it is over"));
+        }
+        match self.on {
+            Party::Node(number) if number >= nodes => {
+                return Err(Fault::at(
+                    "on",
+                    format!("there is no node {number}: they are 0 to {}", nodes - 1),
+                ));
+            }
+            Party::Nodes(share) => within("on", share, 0.0, 1.0)?,
+            _ => {}
+        }
+        let node = matches!(self.on, Party::Node(_) | Party::Nodes(_));
+        if matches!(self.kind, Kind::Drain | Kind::Replace) && !node {
+            return Err(Fault::at("on", "only records nodes drain or are replaced"));
+        }
+        if self.kind == Kind::Partition && self.limiter >= limiters {
+            return Err(Fault::at("limiter", format!("there is no limiter {}", self.limiter)));
+        }
+        Ok(())
+    }
+}
+
+/// A fault's begin or end, for one party.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Turn {
+    /// When, since the start of the load.
+    pub at: Micros,
+    /// Whether it begins or ends.
+    pub begins: bool,
+    /// What.
+    pub kind: Kind,
+    /// Who; never [`Party::Nodes`].
+    pub party: Party,
+    /// For `slow`: how many times; for `spoil`: the share.
+    pub amount: f64,
+    /// For `partition`: the limiter.
+    pub limiter: usize,
+    /// How long the fault is, begin to end.
+    pub span: Micros,
+}
+
+/// The plan of all faults laid out in time, up to `until`.
+pub fn turns(plan: &[FaultPlan], nodes: usize, until: Micros, rng: &mut impl Rng) -> Vec<Turn> {
+    let mut turns = Vec::new();
+    for fault in plan {
+        let parties: Vec<Party> = match fault.on {
+            Party::Nodes(share) => {
+                let count = ((nodes as f64 * share).round() as usize).min(nodes);
+                index::sample(rng, nodes, count).iter().map(Party::Node).collect()
+            }
+            party => vec![party],
+        };
+        let amount = if fault.kind == Kind::Spoil { fault.share } else { fault.times };
+        let span = (fault.for_ms * 1e3) as Micros;
+        let mut at = (fault.at_s * 1e6) as Micros;
+        while at < until {
+            for party in &parties {
+                let turn = Turn {
+                    at,
+                    begins: true,
+                    kind: fault.kind,
+                    party: *party,
+                    amount,
+                    limiter: fault.limiter,
+                    span,
+                };
+                turns.push(turn);
+                if fault.kind != Kind::Reset {
+                    turns.push(Turn { at: at + span, begins: false, ..turn });
+                }
+            }
+            if fault.every_s <= 0.0 {
+                break;
+            }
+            at += (fault.every_s * 1e6) as Micros;
+        }
+    }
+    // What ends at an instant ends before what begins there.
+    turns.sort_by_key(|t| (t.at, t.begins));
+    turns
+}
--- /dev/null
+++ b/standins/src/http.rs
@@ -0,0 +1,231 @@
+//! As much of HTTP/1.1 as a stand-in and a load generator need, on httparse. Parsers of their own, apart from the
+//! limiter's, so that a fault in the limiter's is not shared by what tests it.
+
+use crate::Micros;
+
+/// Longest head.
+const HEAD: usize = 64 * 1024;
+/// Longest body of a request to a stand-in.
+const BODY: u64 = 1024 * 1024;
+/// Most header lines.
+const LINES: usize = 64;
+
+/// Bytes that are no HTTP message; the connection is of no further use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Malformed;
+
+/// A whole request at the start of some bytes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Request<'a> {
+    /// Method.
+    pub method: &'a str,
+    /// Path and query.
+    pub target: &'a str,
+    /// `X-Trace-Id`.
+    pub id: Option<&'a str>,
+    /// `Idempotency-Key`.
+    pub key: Option<&'a str>,
+    /// `X-Work-Ms`, the work that a load run asks for, in microseconds.
+    pub work: Option<Micros>,
+    /// The connection ends with the answer.
+    pub close: bool,
+    /// Bytes of the whole message.
+    pub length: usize,
+}
+
+fn text(value: &[u8]) -> Option<&str> {
+    std::str::from_utf8(value).ok().map(str::trim)
+}
+
+/// Reads a request; `None` until it is whole.
+///
+/// # Errors
+/// Bytes that are no request, a head or body too long, or a body whose end is not given by its length.
+pub fn request(bytes: &[u8]) -> Result<Option<Request<'_>>, Malformed> {
+    let mut lines = [httparse::EMPTY_HEADER; LINES];
+    let mut head = httparse::Request::new(&mut lines);
+    let size = match head.parse(bytes).map_err(|_| Malformed)? {
+        httparse::Status::Complete(size) => size,
+        httparse::Status::Partial if bytes.len() > HEAD => return Err(Malformed),
+        httparse::Status::Partial => return Ok(None),
+    };
+    let (mut id, mut key, mut work, mut close, mut body) = (None, None, None, false, 0_u64);
+    for line in head.headers.iter() {
+        match line.name.len() {
+            10 if line.name.eq_ignore_ascii_case("X-Trace-Id") => id = text(line.value),
+            15 if line.name.eq_ignore_ascii_case("Idempotency-Key") => key = text(line.value),
+            9 if line.name.eq_ignore_ascii_case("X-Work-Ms") => {
+                let ms =
+                    text(line.value).and_then(|t| t.parse::<f64>().ok()).filter(|ms| (0.0..1e6).contains(ms));
+                work = Some((ms.ok_or(Malformed)? * 1e3) as Micros);
+            }
+            10 if line.name.eq_ignore_ascii_case("Connection") => {
+                close = text(line.value).is_some_and(|t| t.eq_ignore_ascii_case("close"));
+            }
+            14 if line.name.eq_ignore_ascii_case("Content-Length") => {
+                body =
+                    text(line.value).and_then(|t| t.parse().ok()).filter(|n| *n <= BODY).ok_or(Malformed)?;
+            }
+            17 if line.name.eq_ignore_ascii_case("Transfer-Encoding") => return Err(Malformed),
+            _ => {}
+        }
+    }
+    let length = size + body as usize;
+    if bytes.len() < length {
+        return Ok(None);
+    }
+    let (method, target) = (head.method.ok_or(Malformed)?, head.path.ok_or(Malformed)?);
+    Ok(Some(Request { method, target, id, key, work, close, length }))
+}
+
+/// A whole answer at the start of some bytes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Answer {
+    /// Status.
+    pub status: u16,
+    /// `Retry-After` in microseconds.
+    pub retry_after: Option<Micros>,
+    /// The connection ends with it.
+    pub close: bool,
+    /// Bytes of the whole message.
+    pub length: usize,
+}
+
+/// Reads a final answer, passing over interim ones; `None` until it is whole. `ended`: the connection brings no more.
+///
+/// # Errors
+/// Bytes that are no answer; an answer that ended short.
+pub fn answer(bytes: &[u8], ended: bool) -> Result<Option<Answer>, Malformed> {
+    let mut skipped = 0;
+    loop {
+        let part = &bytes[skipped..];
+        let mut lines = [httparse::EMPTY_HEADER; LINES];
+        let mut head = httparse::Response::new(&mut lines);
+        let size = match head.parse(part).map_err(|_| Malformed)? {
+            httparse::Status::Complete(size) => size,
+            httparse::Status::Partial if ended || part.len() > HEAD => return Err(Malformed),
+            httparse::Status::Partial => return Ok(None),
+        };
+        let status = head.code.ok_or(Malformed)?;
+        if (100..200).contains(&status) && status != 101 {
+            skipped += size;
+            continue;
+        }
+        let (mut retry_after, mut length, mut chunked) = (None, None, false);
+        let mut close = head.version == Some(0);
+        for line in head.headers.iter() {
+            if line.name.eq_ignore_ascii_case("Content-Length") {
+                length = Some(text(line.value).and_then(|t| t.parse::<usize>().ok()).ok_or(Malformed)?);
+            } else if line.name.eq_ignore_ascii_case("Transfer-Encoding") {
+                chunked = text(line.value).is_some_and(|t| t.to_ascii_lowercase().ends_with("chunked"));
+            } else if line.name.eq_ignore_ascii_case("Connection") {
+                let told = text(line.value).unwrap_or_default();
+                close =
+                    told.eq_ignore_ascii_case("close") || (close && !told.eq_ignore_ascii_case("keep-alive"));
+            } else if line.name.eq_ignore_ascii_case("Retry-After") {
+                let seconds = text(line.value).and_then(|t| t.parse::<f64>().ok());
+                retry_after = seconds.filter(|s| (0.0..=86_400.0).contains(s)).map(|s| (s * 1e6) as Micros);
+            }
+        }
+        let rest = &part[size..];
+        let body = match (chunked, length) {
+            _ if status == 204 || status == 304 => Some(0),
+            (true, _) => chunks(rest)?,
+            (false, Some(length)) => Some(length).filter(|l| rest.len() >= *l),
+            (false, None) => {
+                close = true;
+                Some(rest.len()).filter(|_| ended)
+            }
+        };
+        return match body {
+            Some(body) => Ok(Some(Answer { status, retry_after, close, length: skipped + size + body })),
+            None if ended => Err(Malformed),
+            None => Ok(None),
+        };
+    }
+}
+
+/// Bytes of a chunked body, its end included; `None` until it is whole.
+fn chunks(bytes: &[u8]) -> Result<Option<usize>, Malformed> {
+    let mut at = 0;
+    loop {
+        match httparse::parse_chunk_size(&bytes[at..]).map_err(|_| Malformed)? {
+            httparse::Status::Partial => return Ok(None),
+            httparse::Status::Complete((line, 0)) => {
+                // Trailers, if any, end with an empty line.
+                let mut end = at + line;
+                loop {
+                    let Some(length) = bytes[end..].windows(2).position(|w| w == b"\r\n") else {
+                        return Ok(None);
+                    };
+                    end += length + 2;
+                    if length == 0 {
+                        return Ok(Some(end));
+                    }
+                }
+            }
+            httparse::Status::Complete((line, size)) => {
+                let size = usize::try_from(size).map_err(|_| Malformed)?;
+                at = at
+                    .checked_add(line)
+                    .and_then(|a| a.checked_add(size)?.checked_add(2))
+                    .ok_or(Malformed)?;
+                if bytes.len() < at {
+                    return Ok(None);
+                }
+            }
+        }
+    }
+}
+
+/// Writes an answer with a body whose length is told.
+pub fn write_answer(out: &mut Vec<u8>, status: u16, headers: &str, body: &[u8]) {
+    out.extend_from_slice(
+        format!("HTTP/1.1 {status} -\r\n{headers}Content-Length: {}\r\n\r\n", body.len()).as_bytes(),
+    );
+    out.extend_from_slice(body);
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn requests_are_whole_or_awaited() {
+        let bytes = b"POST /sign-off?a=1 HTTP/1.1\r\nX-Trace-Id: t\r\nIdempotency-Key: k\r\nContent-Length: 2\r\n\r\nhiGET";
+        for cut in 0..bytes.len() - 3 {
+            assert_eq!(request(&bytes[..cut]), Ok(None), "cut at {cut}");
+        }
+        let read = request(bytes).unwrap().unwrap();
+        assert_eq!((read.id, read.key, read.length), (Some("t"), Some("k"), bytes.len() - 3));
+        assert_eq!(request(b"GET / HTTP/1.1\r\nContent-Length: x\r\n\r\n"), Err(Malformed));
+    }
+
+    #[test]
+    fn answers_of_every_framing_end_where_they_end() {
+        let cases: [(&[u8], usize); 4] = [
+            (b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi", 0),
+            (b"HTTP/1.1 100 -\r\n\r\nHTTP/1.1 503 -\r\nRetry-After: 0.25\r\nContent-Length: 0\r\n\r\n", 0),
+            (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\nT: x\r\n\r\n", 0),
+            (b"HTTP/1.1 204 -\r\n\r\n", 0),
+        ];
+        for (bytes, _) in cases {
+            for cut in 0..bytes.len() {
+                assert_eq!(
+                    answer(&bytes[..cut], false),
+                    Ok(None),
+                    "{} cut at {cut}",
+                    String::from_utf8_lossy(bytes)
+                );
+                assert_eq!(answer(&bytes[..cut], true), Err(Malformed), "cut at {cut}");
+            }
+            let mut more = bytes.to_vec();
+            more.extend_from_slice(b"HTTP");
+            assert_eq!(answer(&more, false).unwrap().unwrap().length, bytes.len());
+        }
+        assert_eq!(answer(cases[1].0, false).unwrap().unwrap().retry_after, Some(250_000));
+        let open = b"HTTP/1.0 200 OK\r\n\r\nhi";
+        assert_eq!(answer(open, false), Ok(None));
+        assert_eq!(answer(open, true).unwrap().map(|a| (a.length, a.close)), Some((open.len(), true)));
+    }
+}
--- /dev/null
+++ b/standins/src/node.rs
@@ -0,0 +1,255 @@
+//! A records node: cores that do work in turn, a queue, a cold start, keys that are dropped when they repeat.
+
+use std::collections::VecDeque;
+
+use crate::Micros;
+
+/// What a node is.
+#[derive(Clone, Copy, Debug)]
+pub struct Make {
+    /// Requests that run at a time.
+    pub cores: usize,
+    /// Speed of a core, 1 for work in its own time.
+    pub speed: f64,
+    /// Requests that may wait.
+    pub queue: usize,
+    /// Share of the speed at the start.
+    pub cold_from: f64,
+    /// Time until it is warm.
+    pub cold_for: Micros,
+    /// How often the load that it shows is taken anew.
+    pub util_every: Micros,
+    /// Giving up ends running work too.
+    pub cancel_running: bool,
+}
+
+/// A request that has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Job {
+    /// Whoever brought it knows it by this.
+    pub token: u64,
+    /// Its work on a core of speed 1.
+    pub work: Micros,
+}
+
+/// A records node. It is told the time, which never goes back.
+#[derive(Clone, Debug)]
+pub struct Node {
+    make: Make,
+    started: Micros,
+    waiting: VecDeque<Job>,
+    /// End and job, by core; a core without work has none.
+    running: Vec<Option<(Micros, Job)>>,
+    frozen_until: Option<Micros>,
+    slower: f64,
+    draining: bool,
+    /// Busy time of all cores, up to `marked`.
+    busy: Micros,
+    marked: Micros,
+    util: f64,
+    util_from: (Micros, Micros),
+}
+
+/// What becomes of a request that comes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Taken {
+    /// It will run.
+    Yes,
+    /// The queue is full or the node drains: it never ran.
+    TurnedAway,
+}
+
+impl Node {
+    /// A node that started at an instant; `warm` if long before it.
+    pub fn new(make: Make, now: Micros, warm: bool) -> Node {
+        Node {
+            make,
+            started: if warm { now - make.cold_for } else { now },
+            waiting: VecDeque::new(),
+            running: vec![None; make.cores],
+            frozen_until: None,
+            slower: 1.0,
+            draining: false,
+            busy: 0,
+            marked: now,
+            util: 0.0,
+            util_from: (now, 0),
+        }
+    }
+
+    /// The share of its speed that it has now.
+    pub fn warmth(&self, now: Micros) -> f64 {
+        let age = now - self.started;
+        if self.make.cold_for <= 0 || age >= self.make.cold_for {
+            return 1.0;
+        }
+        let grown = age.max(0) as f64 / self.make.cold_for as f64;
+        self.make.cold_from + (1.0 - self.make.cold_from) * grown
+    }
+
+    fn mark(&mut self, now: Micros) {
+        let cores = self.running.iter().flatten().count() as Micros;
+        if self.frozen_until.is_none() {
+            self.busy += cores * (now - self.marked).max(0);
+        }
+        self.marked = self.marked.max(now);
+        let (since, busy) = self.util_from;
+        if now - since >= self.make.util_every {
+            let room = (now - since) * self.make.cores as Micros;
+            self.util = ((self.busy - busy) as f64 / room as f64).clamp(0.0, 1.0);
+            self.util_from = (now, self.busy);
+        }
+    }
+
+    fn fill(&mut self, now: Micros) {
+        if self.frozen_until.is_some() {
+            return;
+        }
+        let speed = self.make.speed * self.warmth(now) / self.slower;
+        for core in self.running.iter_mut().filter(|core| core.is_none()) {
+            let Some(job) = self.waiting.pop_front() else { break };
+            *core = Some((now + (job.work as f64 / speed).round() as Micros, job));
+        }
+    }
+
+    /// A request comes. While the node stands still nothing is decided: the caller keeps what comes until then.
+    pub fn arrive(&mut self, now: Micros, job: Job) -> Taken {
+        self.mark(now);
+        let free = self.running.iter().filter(|core| core.is_none()).count();
+        if self.draining || self.waiting.len() >= self.make.queue + free {
+            return Taken::TurnedAway;
+        }
+        self.waiting.push_back(job);
+        self.fill(now);
+        Taken::Yes
+    }
+
+    /// When something ends next.
+    pub fn next(&self) -> Option<Micros> {
+        match self.frozen_until {
+            Some(until) => Some(until),
+            None => self.running.iter().flatten().map(|(end, _)| *end).min(),
+        }
+    }
+
+    /// Takes one request that has ended by now; to be called until there is none.
+    pub fn ended(&mut self, now: Micros) -> Option<Job> {
+        if self.frozen_until.is_some_and(|until| until <= now) {
+            self.frozen_until = None;
+            self.marked = self.marked.max(now);
+        }
+        if self.frozen_until.is_some() {
+            return None;
+        }
+        let due = |core: &&mut Option<(Micros, Job)>| core.is_some_and(|(end, _)| end <= now);
+        let first = self.running.iter_mut().filter(due).min_by_key(|core| core.map(|(end, _)| end))?;
+        let (_, job) = first.take()?;
+        self.mark(now);
+        self.fill(now);
+        Some(job)
+    }
+
+    /// Whoever brought a request no longer waits for it.
+    pub fn give_up(&mut self, now: Micros, token: u64) {
+        self.mark(now);
+        self.waiting.retain(|job| job.token != token);
+        if self.make.cancel_running {
+            let of = |core: &&mut Option<(Micros, Job)>| core.is_some_and(|(_, job)| job.token == token);
+            self.running.iter_mut().filter(of).for_each(|core| *core = None);
+            self.fill(now);
+        }
+    }
+
+    /// Stands still until an instant; what runs ends so much later.
+    pub fn freeze(&mut self, now: Micros, until: Micros) {
+        self.mark(now);
+        let before = self.frozen_until.unwrap_or(now);
+        let longer = (until - before).max(0);
+        self.running.iter_mut().flatten().for_each(|(end, _)| *end += longer);
+        self.frozen_until = Some(until.max(before));
+    }
+
+    /// Whether it stands still.
+    pub fn frozen(&self) -> bool {
+        self.frozen_until.is_some()
+    }
+
+    /// Work that starts from now on takes so many times as long.
+    pub fn slow(&mut self, times: f64) {
+        self.slower = times.max(1e-3);
+    }
+
+    /// Turns new work away, or no more.
+    pub fn drain(&mut self, drains: bool) {
+        self.draining = drains;
+    }
+
+    /// Dies and starts anew, cold: all work is lost.
+    pub fn restart(&mut self, now: Micros) {
+        *self = Node::new(self.make, now, false);
+    }
+
+    /// When it started last.
+    pub fn started(&self) -> Micros {
+        self.started
+    }
+
+    /// How busy its cores were in the last span, 0 to 1.
+    pub fn util(&mut self, now: Micros) -> f64 {
+        self.mark(now);
+        self.util
+    }
+
+    /// Requests that run or wait.
+    pub fn held(&self) -> usize {
+        self.waiting.len() + self.running.iter().flatten().count()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const MAKE: Make = Make {
+        cores: 2,
+        speed: 1.0,
+        queue: 1,
+        cold_from: 0.5,
+        cold_for: 1_000,
+        util_every: 100,
+        cancel_running: false,
+    };
+
+    fn job(token: u64, work: Micros) -> Job {
+        Job { token, work }
+    }
+
+    #[test]
+    fn a_freeze_shifts_what_runs_by_its_length() {
+        let mut node = Node::new(MAKE, 0, true);
+        assert_eq!(node.arrive(0, job(1, 100)), Taken::Yes);
+        node.freeze(40, 540);
+        assert_eq!((node.next(), node.ended(300)), (Some(540), None));
+        assert_eq!((node.ended(540), node.next()), (None, Some(600)));
+        assert_eq!(node.ended(600), Some(job(1, 100)));
+    }
+
+    #[test]
+    fn a_full_queue_turns_away_and_a_cold_node_takes_longer() {
+        let mut node = Node::new(MAKE, 0, false);
+        let took: Vec<_> = (0..4).map(|n| node.arrive(0, job(n, 100))).collect();
+        assert_eq!(took, [Taken::Yes, Taken::Yes, Taken::Yes, Taken::TurnedAway]);
+        assert_eq!(node.next(), Some(200));
+        node.give_up(10, 2);
+        assert_eq!(node.held(), 2);
+        assert!(node.warmth(500) > 0.74 && node.warmth(1_000) == 1.0);
+    }
+
+    #[test]
+    fn util_is_the_busy_share_of_the_cores() {
+        let mut node = Node::new(MAKE, 0, true);
+        node.arrive(0, job(1, 50));
+        node.ended(50);
+        assert!((node.util(100) - 0.25).abs() < 1e-9);
+    }
+}
--- /dev/null
+++ b/standins/src/serving.rs
@@ -0,0 +1,478 @@
+//! A world on loopback sockets: one thread, one loop. Each limiter reaches each party at an address of its own, so that
+//! a partition between two of them can be played, and what comes is known by whom it came from.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::io::{self, Read, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex, mpsc};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use slab::Slab;
+use socket2::{Domain, SockRef, Socket, Type};
+
+use crate::Micros;
+use crate::counter;
+use crate::http;
+use crate::plan::WorldPlan;
+use crate::reactor::{Reactor, Ready, WOKEN, Waker};
+use crate::world::{Ask, Counts, Reply, Service, Word, World};
+
+/// Bytes taken from a socket at once.
+const READ: usize = 16 * 1024;
+/// Connections that may wait with the system.
+const BACKLOG: i32 = 4_096;
+/// An answer that is none.
+const NOISE: &[u8] = b"\x00\x01noise that is no answer\r\n\r\n";
+
+enum Order {
+    Begin(Micros),
+    Stop,
+}
+
+/// Addresses by service and limiter.
+pub type Addresses = BTreeMap<(Service, usize), SocketAddr>;
+
+/// A world that is being served on a thread of its own.
+pub struct Serving {
+    addresses: Arc<Mutex<Addresses>>,
+    lists: Vec<String>,
+    orders: mpsc::Sender<Order>,
+    waker: Waker,
+    thread: Option<JoinHandle<Counts>>,
+}
+
+impl Serving {
+    /// Opens all sockets and serves. The plan must have been checked.
+    ///
+    /// # Errors
+    /// The system's, most often for want of descriptors.
+    pub fn start(plan: &WorldPlan, seed: u64, limiters: usize) -> io::Result<Serving> {
+        let unix_ms = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as i64;
+        let world = World::new(plan, seed, limiters, unix_ms);
+        let reactor = Reactor::new()?;
+        let waker = reactor.waker();
+        let addresses = Arc::new(Mutex::new(Addresses::new()));
+        let mut host = Host {
+            beat: (plan.discovery.beat_ms * 1e3) as Micros,
+            body: vec![b'a'; plan.nodes.body_bytes],
+            world,
+            reactor,
+            start: Instant::now(),
+            doors: Slab::new(),
+            addresses: addresses.clone(),
+            watchers: Vec::new(),
+            buffer: vec![0; READ],
+            serial: 0,
+        };
+        for service in host.world.services() {
+            host.open(service)?;
+        }
+        let lists = (0..limiters.max(1)).map(|limiter| host.list(None, limiter)).collect();
+        let (orders, received) = mpsc::channel();
+        let thread =
+            std::thread::Builder::new().name("stand-ins".into()).spawn(move || host.run(&received))?;
+        Ok(Serving { addresses, lists, orders, waker, thread: Some(thread) })
+    }
+
+    /// Where a limiter reaches a service.
+    pub fn address(&self, service: Service, limiter: usize) -> Option<SocketAddr> {
+        let addresses = self.addresses.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+        addresses.get(&(service, limiter)).copied()
+    }
+
+    /// The list of nodes at the start, as discovery tells it to a limiter.
+    pub fn list(&self, limiter: usize) -> Option<&str> {
+        self.lists.get(limiter).map(String::as_str)
+    }
+
+    /// The load begins: faults come by the plan from now on, over so long.
+    pub fn begin(&self, span: Micros) {
+        // A world that has ended has no faults any more.
+        let _ = self.orders.send(Order::Begin(span));
+        self.waker.wake();
+    }
+
+    /// Ends the world, and says what had arrived.
+    pub fn stop(mut self) -> Counts {
+        self.end()
+    }
+
+    fn end(&mut self) -> Counts {
+        let _ = self.orders.send(Order::Stop);
+        self.waker.wake();
+        self.thread.take().and_then(|thread| thread.join().ok()).unwrap_or_default()
+    }
+}
+
+impl Drop for Serving {
+    fn drop(&mut self) {
+        if self.thread.is_some() {
+            self.end();
+        }
+    }
+}
+
+enum Door {
+    Listener { service: Service, limiter: usize, socket: TcpListener },
+    Line(Line),
+}
+
+/// A connection. What it is owed goes out in order.
+struct Line {
+    service: Service,
+    limiter: usize,
+    socket: TcpStream,
+    read: Vec<u8>,
+    write: Vec<u8>,
+    owed: VecDeque<(u64, Option<Vec<u8>>)>,
+    /// A watch, and the version it has been told.
+    watch: Option<u64>,
+    close: bool,
+}
+
+struct Host {
+    world: World,
+    reactor: Reactor,
+    start: Instant,
+    doors: Slab<Door>,
+    addresses: Arc<Mutex<Addresses>>,
+    watchers: Vec<usize>,
+    buffer: Vec<u8>,
+    body: Vec<u8>,
+    beat: Micros,
+    serial: u64,
+}
+
+/// A token holds the line's slot and a serial number, so that a late answer finds no other line.
+fn slot(token: u64) -> usize {
+    (token >> 32) as usize
+}
+
+fn listen(at: SocketAddr) -> io::Result<TcpListener> {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&at.into())?;
+    socket.listen(BACKLOG)?;
+    Ok(socket.into())
+}
+
+impl Host {
+    fn now(&self) -> Micros {
+        self.start.elapsed().as_micros() as Micros
+    }
+
+    fn list(&self, from: Option<u64>, limiter: usize) -> String {
+        let addresses = self.addresses.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+        let address =
+            |node| addresses.get(&(Service::Node(node), limiter)).map_or(String::new(), |a| a.to_string());
+        self.world.list(from, address)
+    }
+
+    /// Listens for a service, at the addresses that it had if it had any.
+    fn open(&mut self, service: Service) -> io::Result<()> {
+        for limiter in 0..self.world.limiters().max(1) {
+            let mut addresses = self.addresses.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+            let before = addresses.get(&(service, limiter)).copied();
+            let socket = listen(before.unwrap_or(SocketAddr::from((Ipv4Addr::LOCALHOST, 0))))?;
+            addresses.insert((service, limiter), socket.local_addr()?);
+            drop(addresses);
+            let slot = self.doors.vacant_key();
+            self.reactor.add(&socket, slot as u64)?;
+            self.doors.insert(Door::Listener { service, limiter, socket });
+        }
+        Ok(())
+    }
+
+    fn run(mut self, orders: &mpsc::Receiver<Order>) -> Counts {
+        let mut ready: Vec<Ready> = Vec::new();
+        let mut beat_at = self.beat;
+        self.reactor.exact();
+        loop {
+            let next = self.world.next().map_or(beat_at, |at| at.min(beat_at));
+            let wait = next - self.now();
+            if self.reactor.wait(Some(wait), &mut ready).is_err() {
+                // Guards against a loop that fails at once for ever.
+                std::thread::sleep(Duration::from_millis(1));
+            }
+            for event in &ready {
+                if event.token == WOKEN {
+                    while let Ok(order) = orders.try_recv() {
+                        match order {
+                            Order::Begin(span) => self.world.begin(self.now(), span),
+                            Order::Stop => return self.world.counts().clone(),
+                        }
+                    }
+                } else {
+                    self.ready(event);
+                }
+            }
+            let now = self.now();
+            while let Some(word) = self.world.poll(now) {
+                self.happen(now, word);
+            }
+            if now >= beat_at {
+                beat_at = now + self.beat;
+                self.tell_watchers(now, true);
+            }
+        }
+    }
+
+    fn ready(&mut self, event: &Ready) {
+        let at = event.token as usize;
+        match self.doors.get_mut(at) {
+            Some(Door::Listener { .. }) => self.accept(at),
+            Some(Door::Line(line)) => {
+                let kept = !event.writable || line.flush();
+                if !kept || (event.readable && !self.read(at)) {
+                    self.close(at);
+                }
+            }
+            None => {}
+        }
+    }
+
+    fn accept(&mut self, at: usize) {
+        loop {
+            let Some(Door::Listener { service, limiter, socket }) = self.doors.get(at) else { return };
+            let (service, limiter) = (*service, *limiter);
+            // Any error ends this turn: no more are waiting, or the system has no room now and the next one that
+            // comes tries again.
+            let Ok((socket, _)) = socket.accept() else { return };
+            if socket.set_nonblocking(true).and_then(|()| socket.set_nodelay(true)).is_err() {
+                continue;
+            }
+            let slot = self.doors.vacant_key();
+            if self.reactor.add(&socket, slot as u64).is_err() {
+                continue;
+            }
+            let (read, write, owed) = (Vec::new(), Vec::new(), VecDeque::new());
+            let line = Line { service, limiter, socket, read, write, owed, watch: None, close: false };
+            self.doors.insert(Door::Line(line));
+        }
+    }
+
+    /// Takes in what has come; whether the line stays.
+    fn read(&mut self, at: usize) -> bool {
+        loop {
+            let Some(Door::Line(line)) = self.doors.get_mut(at) else { return true };
+            match line.socket.read(&mut self.buffer) {
+                Ok(0) => return false,
+                Ok(length) => {
+                    line.read.extend_from_slice(&self.buffer[..length]);
+                    if !self.requests(at) {
+                        return false;
+                    }
+                    if length < READ {
+                        return true;
+                    }
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return true,
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(_) => return false,
+            }
+        }
+    }
+
+    /// Takes up whole requests; whether the line stays.
+    fn requests(&mut self, at: usize) -> bool {
+        let now = self.now();
+        let Some(Door::Line(line)) = self.doors.get_mut(at) else { return true };
+        // Taken out, so that what it holds can be lent to the world beside the line.
+        let mut bytes = std::mem::take(&mut line.read);
+        let mut used = 0;
+        let kept = loop {
+            let request = match http::request(&bytes[used..]) {
+                Ok(Some(request)) => request,
+                Ok(None) => break true,
+                Err(http::Malformed) => break false,
+            };
+            used += request.length;
+            let Some(Door::Line(line)) = self.doors.get_mut(at) else { break true };
+            if line.close {
+                break true;
+            }
+            line.close = request.close;
+            self.serial += 1;
+            let token = ((at as u64) << 32) | (self.serial & 0xffff_ffff);
+            let (service, limiter) = (line.service, line.limiter);
+            line.owed.push_back((token, None));
+            let refused = match service {
+                Service::Node(node) => match (request.id, request.target) {
+                    (Some(id), _) => {
+                        let (key, work) = (request.key, request.work);
+                        self.world.ask(now, Ask { node, limiter, token, id, key, work });
+                        None
+                    }
+                    (None, "/alive" | "/metrics/load") => {
+                        self.world.probe(now, node, limiter, token);
+                        None
+                    }
+                    (None, _) => Some(404),
+                },
+                Service::Counter if request.method != "POST" => Some(404),
+                Service::Counter => match counter::call(request.target) {
+                    Some(call) => {
+                        self.world.count(now, limiter, token, call);
+                        None
+                    }
+                    None => Some(400),
+                },
+                Service::Discovery => {
+                    let target = request.target.to_string();
+                    self.discover(at, token, &target);
+                    None
+                }
+            };
+            if let Some(status) = refused {
+                let mut out = Vec::new();
+                http::write_answer(&mut out, status, "", b"");
+                self.answer(token, out);
+            }
+        };
+        bytes.drain(..used);
+        if let Some(Door::Line(line)) = self.doors.get_mut(at) {
+            line.read = bytes;
+        }
+        kept
+    }
+
+    fn discover(&mut self, at: usize, token: u64, target: &str) {
+        let Some(Door::Line(line)) = self.doors.get_mut(at) else { return };
+        let limiter = line.limiter;
+        let (path, query) = target.split_once('?').unwrap_or((target, ""));
+        let get = |key: &str| query.split('&').find_map(|p| p.strip_prefix(key)?.strip_prefix('='));
+        let mut out = Vec::new();
+        if path != "/discovery/hosts" {
+            http::write_answer(&mut out, 404, "", b"");
+        } else if get("watch") == Some("1") {
+            line.watch = Some(0);
+            self.watchers.push(at);
+            let list = self.list(get("from").and_then(|f| f.parse().ok()), limiter);
+            out.extend_from_slice(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            chunk(&mut out, &list);
+            if let Some(Door::Line(line)) = self.doors.get_mut(at) {
+                line.watch = Some(self.world.index());
+            }
+        } else {
+            http::write_answer(&mut out, 200, "", self.list(None, limiter).as_bytes());
+        }
+        self.answer(token, out);
+    }
+
+    fn tell_watchers(&mut self, now: Micros, beat: bool) {
+        let index = self.world.index();
+        for at in std::mem::take(&mut self.watchers) {
+            let Some(Door::Line(line)) = self.doors.get(at) else { continue };
+            let (limiter, Some(told)) = (line.limiter, line.watch) else { continue };
+            self.watchers.push(at);
+            // Silence while it is cut off or stands still; the next beat tells what was missed.
+            if self.world.blocked(Service::Discovery, limiter, now).is_some() {
+                continue;
+            }
+            let text = if told < index { self.list(Some(told), limiter) } else { String::new() };
+            if text.is_empty() && !beat {
+                continue;
+            }
+            let Some(Door::Line(line)) = self.doors.get_mut(at) else { continue };
+            line.watch = Some(index);
+            chunk(&mut line.write, &text);
+            if !line.flush() {
+                self.close(at);
+            }
+        }
+    }
+
+    fn happen(&mut self, now: Micros, word: Word) {
+        match word {
+            Word::Answer(token, reply) => {
+                let mut out = Vec::with_capacity(128 + self.body.len());
+                match reply {
+                    Reply::Served => http::write_answer(&mut out, 200, "", &self.body),
+                    Reply::Error => http::write_answer(&mut out, 500, "", b""),
+                    Reply::TurnedAway => http::write_answer(&mut out, 503, "X-Never-Ran: 1\r\n", b""),
+                    Reply::Total(total) => {
+                        http::write_answer(&mut out, 200, "", total.to_string().as_bytes())
+                    }
+                    Reply::Util(util) => {
+                        http::write_answer(&mut out, 200, "", format!("TEXT util={util:.3}").as_bytes());
+                    }
+                    Reply::Noise => out.extend_from_slice(NOISE),
+                }
+                self.answer(token, out);
+            }
+            Word::Reset(service) => {
+                let of = |(at, door): (usize, &Door)| match door {
+                    Door::Line(line) if line.service == service => Some(at),
+                    _ => None,
+                };
+                let lines: Vec<usize> = self.doors.iter().filter_map(of).collect();
+                for at in lines {
+                    if let Some(Door::Line(line)) = self.doors.get(at) {
+                        // With no time to linger a close is a reset.
+                        let _ = SockRef::from(&line.socket).set_linger(Some(Duration::ZERO));
+                    }
+                    self.close(at);
+                }
+            }
+            Word::Shut(service) => {
+                self.doors
+                    .retain(|_, door| !matches!(door, Door::Listener { service: s, .. } if *s == service));
+            }
+            Word::Open(service) => {
+                let listens =
+                    |door: &Door| matches!(door, Door::Listener { service: s, .. } if *s == service);
+                if !self.doors.iter().any(|(_, door)| listens(door)) && self.open(service).is_err() {
+                    eprintln!("stand-ins: cannot listen again for {service:?}");
+                }
+            }
+            Word::Told => self.tell_watchers(now, false),
+        }
+    }
+
+    fn answer(&mut self, token: u64, bytes: Vec<u8>) {
+        let at = slot(token);
+        let Some(Door::Line(line)) = self.doors.get_mut(at) else { return };
+        let Some(owed) = line.owed.iter_mut().find(|(t, _)| *t == token) else { return };
+        owed.1 = Some(bytes);
+        while let Some((_, Some(bytes))) = line.owed.front_mut() {
+            line.write.append(bytes);
+            line.owed.pop_front();
+        }
+        let ends = line.close && line.owed.is_empty() && line.watch.is_none();
+        if !line.flush() || (ends && line.write.is_empty()) {
+            self.close(at);
+        }
+    }
+
+    fn close(&mut self, at: usize) {
+        let now = self.now();
+        if !self.doors.contains(at) {
+            return;
+        }
+        if let Door::Line(line) = self.doors.remove(at) {
+            line.owed.iter().for_each(|(token, _)| self.world.left(now, *token));
+        }
+    }
+}
+
+fn chunk(out: &mut Vec<u8>, text: &str) {
+    out.extend_from_slice(format!("{:x}\r\n{text}\n\r\n", text.len() + 1).as_bytes());
+}
+
+impl Line {
+    /// Writes what can be written; whether the line stays.
+    fn flush(&mut self) -> bool {
+        while !self.write.is_empty() {
+            match self.socket.write(&self.write) {
+                Ok(0) => return false,
+                Ok(length) => drop(self.write.drain(..length)),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return true,
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(_) => return false,
+            }
+        }
+        true
+    }
+}
--- /dev/null
+++ b/standins/src/world.rs
@@ -0,0 +1,585 @@
+//! The world's parties together, without I/O: what comes is told with the time, what happens is asked for.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rand_distr::{Distribution, LogNormal};
+use serde::{Deserialize, Serialize};
+
+use crate::Micros;
+use crate::counter::{Call, Counter};
+use crate::faults::{Kind, Party, Turn, turns};
+use crate::node::{Job, Make, Node, Taken};
+use crate::plan::WorldPlan;
+use crate::roster::{Entry, Roster, Status};
+
+/// After a drain has been told, a limiter has this long; then what still comes is counted.
+const DRAIN_GRACE: Micros = 2_050_000;
+
+/// Someone who listens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Service {
+    /// A records node, by its number.
+    Node(usize),
+    /// The counter.
+    Counter,
+    /// Discovery.
+    Discovery,
+}
+
+/// A request to a records node.
+#[derive(Clone, Copy, Debug)]
+pub struct Ask<'a> {
+    /// The node.
+    pub node: usize,
+    /// The limiter that it came from, by its number.
+    pub limiter: usize,
+    /// Whoever brings it knows it by this.
+    pub token: u64,
+    /// The request's id.
+    pub id: &'a str,
+    /// Its key, where it has one.
+    pub key: Option<&'a str>,
+    /// Its work, if it names one.
+    pub work: Option<Micros>,
+}
+
+/// What is answered.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Reply {
+    /// A node has done the work.
+    Served,
+    /// A node has failed at it.
+    Error,
+    /// A node has not begun it.
+    TurnedAway,
+    /// The counter's total.
+    Total(f64),
+    /// A probe's: how busy.
+    Util(f64),
+    /// Bytes that are no answer.
+    Noise,
+}
+
+/// What happens.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Word {
+    /// An answer goes out.
+    Answer(u64, Reply),
+    /// All open connections of a service are reset.
+    Reset(Service),
+    /// A service takes no new connections.
+    Shut(Service),
+    /// A service takes connections (again).
+    Open(Service),
+    /// Discovery has news for its watches.
+    Told,
+}
+
+/// What arrived at the nodes and what came of it, as numbers.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Counts {
+    /// Requests that arrived whole at a node.
+    pub arrived: u64,
+    /// Ids that arrived, each counted once.
+    pub ids: u64,
+    /// Arrivals of an id that had arrived before.
+    pub again: u64,
+    /// Arrivals while an earlier attempt of the same id was out.
+    pub copies: u64,
+    /// Arrivals with a key.
+    pub keyed: u64,
+    /// Of these, repeats that a rack knew and dropped.
+    pub dropped: u64,
+    /// Keys whose work was begun more than once.
+    pub keys_twice: u64,
+    /// Requests served.
+    pub served: u64,
+    /// Requests that ended in an error.
+    pub errors: u64,
+    /// Requests turned away.
+    pub turned_away: u64,
+    /// Requests that nobody waited for any more when their work ended.
+    pub for_nobody: u64,
+    /// Arrivals at a node later than 2 s after its drain or end was told.
+    pub after_drain: u64,
+    /// Answers spoilt.
+    pub spoilt: u64,
+    /// Calls of the counter.
+    pub calls: u64,
+    /// Probes.
+    pub probes: u64,
+}
+
+struct Served {
+    node: Node,
+    entry: Entry,
+    told_off: Option<Micros>,
+    keys: HashMap<u64, Micros>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Gate {
+    frozen: Micros,
+    refuse: Micros,
+    hang: Micros,
+    spoil: (Micros, f64),
+    slow: Micros,
+    down: Micros,
+    gone: bool,
+}
+
+const OPEN: Gate = Gate {
+    frozen: Micros::MIN,
+    refuse: Micros::MIN,
+    hang: Micros::MIN,
+    spoil: (Micros::MIN, 0.0),
+    slow: Micros::MIN,
+    down: Micros::MIN,
+    gone: false,
+};
+
+enum Held {
+    Work(Job),
+    Count(u64, String, f64, Micros),
+    Probe(u64),
+}
+
+/// The emulated world.
+pub struct World {
+    plan: WorldPlan,
+    limiters: usize,
+    rng: ChaCha8Rng,
+    nodes: Vec<Served>,
+    counter: Counter,
+    roster: Roster,
+    gates: BTreeMap<Service, Gate>,
+    cut: BTreeMap<(Service, usize), Micros>,
+    turns: VecDeque<Turn>,
+    held: VecDeque<(Service, usize, Held)>,
+    due: BTreeMap<(Micros, u64), (Service, usize, u64, Reply)>,
+    out: BTreeMap<u64, (usize, usize, u64)>,
+    words: VecDeque<Word>,
+    ids: HashMap<u64, (u32, u32)>,
+    runs: HashMap<u64, u32>,
+    counts: Counts,
+    serial: u64,
+    unix_ms: i64,
+}
+
+fn hashed(value: impl Hash) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    value.hash(&mut hasher);
+    hasher.finish()
+}
+
+impl World {
+    /// A world at rest at an instant. Its faults begin with [`World::begin`]. `unix_ms`: what a wall clock would say
+    /// at instant 0, for the starts that discovery tells.
+    pub fn new(plan: &WorldPlan, seed: u64, limiters: usize, unix_ms: i64) -> World {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut world = World {
+            limiters,
+            nodes: Vec::new(),
+            counter: Counter::new(plan.counter.parts, plan.counter.per_s, (plan.counter.ms * 1e3) as Micros),
+            roster: Roster::default(),
+            gates: BTreeMap::new(),
+            cut: BTreeMap::new(),
+            turns: VecDeque::new(),
+            held: VecDeque::new(),
+            due: BTreeMap::new(),
+            out: BTreeMap::new(),
+            words: VecDeque::new(),
+            ids: HashMap::new(),
+            runs: HashMap::new(),
+            counts: Counts::default(),
+            serial: 0,
+            unix_ms,
+            plan: plan.clone(),
+            rng: ChaCha8Rng::seed_from_u64(rng.random()),
+        };
+        (0..plan.nodes.count).for_each(|n| world.found(0, n / plan.nodes.rack, true));
+        world.roster = Roster::new(world.nodes.iter().map(|n| n.entry.clone()).collect());
+        world
+    }
+
+    fn found(&mut self, now: Micros, rack: usize, warm: bool) {
+        let p = &self.plan.nodes;
+        let make = Make {
+            cores: p.cores,
+            speed: self.rng.random_range(p.speed[0]..=p.speed[1]),
+            queue: p.queue,
+            cold_from: p.cold_from,
+            cold_for: (p.cold_s * 1e6) as Micros,
+            util_every: (p.util_ms * 1e3) as Micros,
+            cancel_running: p.cancel_running,
+        };
+        let number = self.nodes.len();
+        let since_ms = if warm { 0 } else { self.unix_ms + now / 1_000 };
+        let name = format!("s-{number:04}");
+        let entry = Entry { node: number, name, rack, status: Status::Ready, since_ms };
+        self.nodes.push(Served {
+            node: Node::new(make, now, warm),
+            entry,
+            told_off: None,
+            keys: HashMap::new(),
+        });
+    }
+
+    /// The load begins: the faults of the plan come from now on, over so long.
+    pub fn begin(&mut self, now: Micros, span: Micros) {
+        let laid = turns(&self.plan.faults, self.plan.nodes.count, span, &mut self.rng);
+        self.turns = laid.into_iter().map(|t| Turn { at: t.at + now, ..t }).collect();
+    }
+
+    /// Everyone who listens.
+    pub fn services(&self) -> Vec<Service> {
+        (0..self.nodes.len()).map(Service::Node).chain([Service::Counter, Service::Discovery]).collect()
+    }
+
+    /// Limiters that the world serves.
+    pub fn limiters(&self) -> usize {
+        self.limiters
+    }
+
+    /// What a watch or a look at the list is told.
+    pub fn list(&self, from: Option<u64>, address: impl Fn(usize) -> String) -> String {
+        self.roster.since(from, address)
+    }
+
+    /// Version of the list.
+    pub fn index(&self) -> u64 {
+        self.roster.index()
+    }
+
+    /// Until when nothing passes between a service and a limiter, if so.
+    pub fn blocked(&self, service: Service, limiter: usize, now: Micros) -> Option<Micros> {
+        let cut = self.cut.get(&(service, limiter)).copied().unwrap_or(Micros::MIN);
+        let until = cut.max(self.gate(service).frozen);
+        (until > now).then_some(until)
+    }
+
+    fn gate(&self, service: Service) -> Gate {
+        self.gates.get(&service).copied().unwrap_or(OPEN)
+    }
+
+    fn gate_mut(&mut self, service: Service) -> &mut Gate {
+        self.gates.entry(service).or_insert(OPEN)
+    }
+
+    /// A request has arrived whole at a node.
+    pub fn ask(&mut self, now: Micros, ask: Ask<'_>) {
+        let id = hashed(ask.id);
+        let keys_for = (self.plan.nodes.keys_ms * 1e3) as Micros;
+        let Some(served) = self.nodes.get_mut(ask.node) else { return };
+        self.counts.arrived += 1;
+        if served.told_off.is_some_and(|told| now > told + DRAIN_GRACE) {
+            self.counts.after_drain += 1;
+        }
+        let (times, open) = self.ids.entry(id).or_insert((0, 0));
+        if *times == 0 {
+            self.counts.ids += 1;
+        } else {
+            self.counts.again += 1;
+            self.counts.copies += u64::from(*open > 0);
+        }
+        *times += 1;
+        *open += 1;
+        self.out.insert(ask.token, (ask.node, ask.limiter, id));
+        let mut work = ask.work.unwrap_or_else(|| self.plan.nodes.drawn(&mut self.rng));
+        if let Some(key) = ask.key {
+            self.counts.keyed += 1;
+            let (key, rack) = (hashed(key), served.entry.rack);
+            let known =
+                |s: &Served| s.entry.rack == rack && s.keys.get(&key).is_some_and(|at| now - at < keys_for);
+            if self.nodes.iter().any(known) {
+                self.counts.dropped += 1;
+                work = 0;
+            } else {
+                let runs = self.runs.entry(key).or_insert(0);
+                *runs += 1;
+                self.counts.keys_twice += u64::from(*runs == 2);
+                self.nodes[ask.node].keys.insert(key, now);
+            }
+        }
+        let job = Job { token: ask.token, work };
+        self.come(now, Service::Node(ask.node), ask.limiter, Held::Work(job));
+    }
+
+    /// A call of the counter has arrived whole.
+    pub fn count(&mut self, now: Micros, limiter: usize, token: u64, call: Call<'_>) {
+        self.counts.calls += 1;
+        let held = Held::Count(token, call.name.to_string(), call.delta, call.life);
+        self.come(now, Service::Counter, limiter, held);
+    }
+
+    /// A probe has arrived whole.
+    pub fn probe(&mut self, now: Micros, node: usize, limiter: usize, token: u64) {
+        self.counts.probes += 1;
+        self.come(now, Service::Node(node), limiter, Held::Probe(token));
+    }
+
+    fn come(&mut self, now: Micros, service: Service, limiter: usize, held: Held) {
+        if self.blocked(service, limiter, now).is_some() {
+            self.held.push_back((service, limiter, held));
+            return;
+        }
+        let gate = self.gate(service);
+        let (token, reply, at) = match held {
+            _ if gate.hang > now => return,
+            Held::Work(job) => {
+                let Service::Node(number) = service else { return };
+                match self.nodes[number].node.arrive(now, job) {
+                    Taken::Yes => return,
+                    Taken::TurnedAway => (job.token, Reply::TurnedAway, now),
+                }
+            }
+            Held::Count(token, name, delta, life) => {
+                let (total, at) = self.counter.add(now, Call { name: &name, delta, life });
+                (token, Reply::Total(total), at)
+            }
+            Held::Probe(token) => {
+                let Service::Node(number) = service else { return };
+                (token, Reply::Util(self.nodes[number].node.util(now)), now)
+            }
+        };
+        self.owe(at, service, limiter, token, reply);
+    }
+
+    fn owe(&mut self, at: Micros, service: Service, limiter: usize, token: u64, reply: Reply) {
+        self.serial += 1;
+        self.due.insert((at, self.serial), (service, limiter, token, reply));
+    }
+
+    /// Nobody waits for this any more: its connection has ended.
+    pub fn left(&mut self, now: Micros, token: u64) {
+        if let Some((node, _, id)) = self.out.remove(&token) {
+            self.nodes[node].node.give_up(now, token);
+            self.closed(id);
+        }
+    }
+
+    fn closed(&mut self, id: u64) {
+        if let Some((_, open)) = self.ids.get_mut(&id) {
+            *open = open.saturating_sub(1);
+        }
+    }
+
+    /// When something happens next by itself.
+    pub fn next(&self) -> Option<Micros> {
+        let nodes = self.nodes.iter().filter_map(|n| n.node.next());
+        let firsts =
+            [self.turns.front().map(|t| t.at), self.due.keys().next().map(|k| k.0), self.roster.next()];
+        nodes.chain(firsts.into_iter().flatten()).min()
+    }
+
+    /// What has happened by now, one at a time; `None` when there is nothing more.
+    pub fn poll(&mut self, now: Micros) -> Option<Word> {
+        loop {
+            if let Some(word) = self.words.pop_front() {
+                return Some(word);
+            }
+            if self.turns.front().is_some_and(|t| t.at <= now) {
+                let turn = self.turns.pop_front()?;
+                self.turn(now, turn);
+                continue;
+            }
+            if self.roster.next().is_some_and(|at| at <= now) && self.roster.tell(now) {
+                return Some(Word::Told);
+            }
+            let ended = self.nodes.iter_mut().find_map(|n| n.node.ended(now));
+            if let Some(job) = ended {
+                let Some((number, limiter, _)) = self.out.get(&job.token).copied() else {
+                    self.counts.for_nobody += 1;
+                    continue;
+                };
+                let failed =
+                    self.plan.nodes.errors > 0.0 && self.rng.random::<f64>() < self.plan.nodes.errors;
+                let reply = if failed { Reply::Error } else { Reply::Served };
+                self.owe(now, Service::Node(number), limiter, job.token, reply);
+                continue;
+            }
+            let (at, serial) = *self.due.keys().next()?;
+            if at > now {
+                return None;
+            }
+            let (service, limiter, token, reply) = self.due.remove(&(at, serial))?;
+            if let Some(until) = self.blocked(service, limiter, now) {
+                self.due.insert((until, serial), (service, limiter, token, reply));
+                continue;
+            }
+            return Some(Word::Answer(token, self.sent(now, service, token, reply)));
+        }
+    }
+
+    fn sent(&mut self, now: Micros, service: Service, token: u64, reply: Reply) -> Reply {
+        if let Some((_, _, id)) = self.out.remove(&token) {
+            self.closed(id);
+        }
+        let (until, share) = self.gate(service).spoil;
+        if until > now && self.rng.random::<f64>() < share {
+            self.counts.spoilt += 1;
+            return Reply::Noise;
+        }
+        match reply {
+            Reply::Served => self.counts.served += 1,
+            Reply::Error => self.counts.errors += 1,
+            Reply::TurnedAway => self.counts.turned_away += 1,
+            _ => {}
+        }
+        reply
+    }
+
+    fn turn(&mut self, now: Micros, turn: Turn) {
+        let service = match turn.party {
+            Party::Node(number) => Service::Node(number),
+            Party::Counter => Service::Counter,
+            Party::Discovery => Service::Discovery,
+            Party::Nodes(_) => return,
+        };
+        if self.gate(service).gone {
+            return;
+        }
+        let until = turn.at + turn.span;
+        if !turn.begins {
+            return self.over(now, service, turn);
+        }
+        match turn.kind {
+            Kind::Freeze => {
+                let gate = self.gate_mut(service);
+                gate.frozen = gate.frozen.max(until);
+                if let Service::Node(number) = service {
+                    self.nodes[number].node.freeze(now, until);
+                }
+            }
+            Kind::Refuse => {
+                let gate = self.gate_mut(service);
+                gate.refuse = gate.refuse.max(until);
+                self.words.push_back(Word::Shut(service));
+            }
+            Kind::Reset => self.reset(service),
+            Kind::Hang => {
+                let gate = self.gate_mut(service);
+                gate.hang = gate.hang.max(until);
+            }
+            Kind::Spoil => self.gate_mut(service).spoil = (until, turn.amount),
+            Kind::Slow => {
+                let gate = self.gate_mut(service);
+                gate.slow = gate.slow.max(until);
+                self.pace(service, turn.amount);
+            }
+            Kind::Die => {
+                let gate = self.gate_mut(service);
+                gate.down = gate.down.max(until);
+                self.words.push_back(Word::Shut(service));
+                self.reset(service);
+            }
+            Kind::Drain | Kind::Replace => {
+                let Service::Node(number) = service else { return };
+                if turn.kind == Kind::Replace {
+                    let rack = self.nodes[number].entry.rack;
+                    self.found(now, rack, false);
+                    let newest = self.nodes.len() - 1;
+                    self.words.push_back(Word::Open(Service::Node(newest)));
+                    self.tell(now, newest, Status::Ready);
+                }
+                self.nodes[number].node.drain(true);
+                self.tell(now, number, Status::Terminating);
+            }
+            Kind::Partition => {
+                let cut = self.cut.entry((service, turn.limiter)).or_insert(until);
+                *cut = (*cut).max(until);
+            }
+        }
+    }
+
+    /// A fault's end, unless another one of its kind goes on.
+    fn over(&mut self, now: Micros, service: Service, turn: Turn) {
+        let gate = self.gate(service);
+        match turn.kind {
+            Kind::Refuse | Kind::Die if gate.refuse.max(gate.down) > now => {}
+            Kind::Refuse => self.words.push_back(Word::Open(service)),
+            Kind::Die => {
+                self.forget(now, service);
+                if let Service::Node(number) = service {
+                    self.tell(now, number, Status::Ready);
+                }
+                self.words.push_back(Word::Open(service));
+            }
+            Kind::Slow if gate.slow <= now => self.pace(service, 1.0),
+            Kind::Drain | Kind::Replace => {
+                let Service::Node(number) = service else { return };
+                self.reset(service);
+                if turn.kind == Kind::Replace {
+                    self.gate_mut(service).gone = true;
+                    self.words.push_back(Word::Shut(service));
+                    self.tell(now, number, Status::Gone);
+                } else {
+                    self.forget(now, service);
+                    self.tell(now, number, Status::Ready);
+                }
+            }
+            Kind::Freeze | Kind::Partition => {
+                let held: Vec<_> = self.held.drain(..).collect();
+                held.into_iter().for_each(|(service, limiter, held)| self.come(now, service, limiter, held));
+            }
+            _ => {}
+        }
+    }
+
+    fn pace(&mut self, service: Service, times: f64) {
+        match service {
+            Service::Node(number) => self.nodes[number].node.slow(times),
+            Service::Counter => self.counter.slow(times),
+            Service::Discovery => {}
+        }
+    }
+
+    fn forget(&mut self, now: Micros, service: Service) {
+        match service {
+            Service::Node(number) => {
+                let served = &mut self.nodes[number];
+                served.node.restart(now);
+                served.keys.clear();
+                served.entry.since_ms = self.unix_ms + now / 1_000;
+            }
+            Service::Counter => self.counter.empty(now),
+            Service::Discovery => {}
+        }
+    }
+
+    /// What was out at a service is lost with its connections.
+    fn reset(&mut self, service: Service) {
+        self.due.retain(|_, (s, ..)| *s != service);
+        self.held.retain(|(s, ..)| *s != service);
+        self.words.push_back(Word::Reset(service));
+    }
+
+    fn tell(&mut self, now: Micros, number: usize, status: Status) {
+        let told = now + (self.plan.discovery.notice_ms * 1e3) as Micros;
+        let served = &mut self.nodes[number];
+        served.entry.status = status;
+        served.told_off = (status != Status::Ready).then(|| served.told_off.unwrap_or(told).min(told));
+        self.roster.change(told, served.entry.clone());
+    }
+
+    /// What has arrived and what came of it, so far.
+    pub fn counts(&self) -> &Counts {
+        &self.counts
+    }
+}
+
+impl crate::plan::NodesPlan {
+    /// The work of a request that names none.
+    fn drawn(&self, rng: &mut impl Rng) -> Micros {
+        let mean = self.work_ms * 1e3;
+        if self.work_cv <= 0.0 || mean <= 0.0 {
+            return mean as Micros;
+        }
+        let sigma2 = (1.0 + self.work_cv * self.work_cv).ln();
+        let work = LogNormal::new(mean.ln() - sigma2 / 2.0, sigma2.sqrt()).map_or(mean, |d| d.sample(rng));
+        work.min(mean * 50.0) as Micros
+    }
+}
