Read the operators' files with serde: misspelt keys are named; log through tracing

Logs were bare lines, which no collector could read apart.

Change: crate streamarch-checked reads JSON with faults named by path and the key that was meant; the limiter's config is shapes for serde, apart by file (platform's, second front's, members'), unknown keys refused in our own alone.

--- a/limiter/src/cli.rs
+++ b/limiter/src/cli.rs
@@ -6,6 +6,7 @@
 use lexopt::prelude::*;
 
 use crate::config::Environment;
+use crate::logging::{Format, Logging};
 use crate::net;
 
 const HELP: &str = "\
@@ -20,6 +21,8 @@
   --config FILE         the configuration, in place of ROUTER_CONFIG
   --introspection FILE  the second front's file; it is on if the file names a listen address
   --raft FILE           the instances that agree on a configuration; likewise
+  --log-format FORMAT   text (the default) or json
+  --log-level LEVEL     error, warn, info (the default) or debug
 ";
 
 enum Command {
@@ -29,14 +32,28 @@
     Help,
 }
 
-fn parse(args: impl IntoIterator<Item = OsString>) -> Result<(Command, Environment), lexopt::Error> {
+fn parse(args: impl IntoIterator<Item = OsString>) -> Result<(Command, Environment, Logging), lexopt::Error> {
     let mut parser = lexopt::Parser::from_iter(args);
-    let (mut command, mut environment) = (None, Environment::read());
+    let (mut command, mut environment, mut logging) = (None, Environment::read(), Logging::default());
     while let Some(arg) = parser.next()? {
         match arg {
             Long("config") => environment.config = Some(parser.value()?.string()?),
             Long("introspection") => environment.introspection = Some(parser.value()?.string()?),
             Long("raft") => environment.raft = Some(parser.value()?.string()?),
+            Long("log-format") => {
+                logging.format = match parser.value()?.string()?.as_str() {
+                    "text" => Format::Text,
+                    "json" => Format::Json,
+                    other => {
+                        return Err(format!("--log-format: '{other}' is neither 'text' nor 'json'").into());
+                    }
+                }
+            }
+            Long("log-level") => {
+                let level = parser.value()?.string()?;
+                let unknown = |_| format!("--log-level: '{level}' is none of error, warn, info and debug");
+                logging.level = level.parse().map_err(unknown)?;
+            }
             Short('h') | Long("help") => command = Some(Command::Help),
             Short('V') | Long("version") => command = Some(Command::Version),
             Value(name) if command.is_none() => {
@@ -51,12 +68,12 @@
             other => return Err(other.unexpected()),
         }
     }
-    Ok((command.unwrap_or(Command::Serve), environment))
+    Ok((command.unwrap_or(Command::Serve), environment, logging))
 }
 
 /// Runs the program with these arguments, the first of which is its name.
 pub fn main(args: impl IntoIterator<Item = OsString>) -> ExitCode {
-    let (command, environment) = match parse(args) {
+    let (command, environment, logging) = match parse(args) {
         Ok(parsed) => parsed,
         Err(error) => {
             eprintln!("streamarch: {error}\n\n{HELP}");
@@ -76,6 +93,7 @@
             environment.load().map(|_| println!("configuration in order")).map_err(|e| e.to_string())
         }
         Command::Serve => {
+            logging.start();
             let loaded = environment.load();
             let serve = |config| net::serve(config, move || environment.load()).map_err(|e| e.to_string());
             loaded.map_err(|e| e.to_string()).and_then(serve)
--- /dev/null
+++ b/limiter/src/config/fronts.rs
@@ -0,0 +1,155 @@
+//! The second front's file: OAuth 2 token introspection, as client and as server.
+
+use std::net::SocketAddr;
+
+use checked::Fault;
+use serde::Deserialize;
+use streamarch::{Class, Micros, Plan, Repeat, Settings};
+
+use crate::config::{Config, ConfigError, Names, need, own};
+use crate::front::introspection::{Asking, Caller};
+use crate::front::platform;
+
+/// The second front.
+#[derive(Debug)]
+pub struct Introspection {
+    /// Where it listens.
+    pub listen: SocketAddr,
+    /// Who may ask us.
+    pub callers: Vec<Caller>,
+    /// The introspection servers that we ask.
+    pub upstreams: Vec<SocketAddr>,
+    /// How we ask them.
+    pub asking: Asking,
+    /// Most tokens that are remembered.
+    pub cache_entries: usize,
+    /// How long one is remembered at the most.
+    pub cache_for: Micros,
+    /// Settings of the module where it decides on asking: a class safe to repeat, the callers' plans, and last a
+    /// plan without quota for what we ask on our own account.
+    pub settings: Settings,
+}
+
+#[derive(Deserialize)]
+#[serde(default, deny_unknown_fields)]
+struct File {
+    listen: Option<SocketAddr>,
+    callers: Vec<CallerFile>,
+    upstreams: Vec<SocketAddr>,
+    path: String,
+    id: Option<String>,
+    secret: Option<String>,
+    cache_entries: u32,
+    cache_s: f64,
+}
+
+impl Default for File {
+    fn default() -> File {
+        File {
+            listen: None,
+            callers: Vec::new(),
+            upstreams: Vec::new(),
+            path: "/introspect".to_string(),
+            id: None,
+            secret: None,
+            cache_entries: 1_024,
+            cache_s: 30.0,
+        }
+    }
+}
+
+#[derive(Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+struct CallerFile {
+    id: Option<String>,
+    secret: Option<String>,
+    account: Option<String>,
+    plan: Option<String>,
+}
+
+/// Longest time that a token is remembered.
+const CACHE_S: f64 = 86_400.0;
+
+fn callers(files: Vec<CallerFile>, names: &Names) -> Result<Vec<Caller>, Fault> {
+    let one =
+        |(k, file): (usize, CallerFile)| file.caller(names).map_err(|e| e.under(&format!("callers[{k}]")));
+    files.into_iter().enumerate().map(one).collect()
+}
+
+impl CallerFile {
+    fn caller(self, names: &Names) -> Result<Caller, Fault> {
+        let account = need("account", self.account)?;
+        let customer = platform::customer(&account).ok_or(Fault::at("account", "is not 16 hex digits"))?;
+        let plan = self.plan.and_then(|plan| names.plans.iter().position(|name| *name == plan));
+        Ok(Caller {
+            id: need("id", self.id)?,
+            secret: need("secret", self.secret)?,
+            customer,
+            plan: plan.ok_or_else(|| Fault::at("plan", "is not the name of a plan"))?,
+        })
+    }
+}
+
+impl Config {
+    /// Takes in the second front's file. Without a listen address it stays off.
+    ///
+    /// # Errors
+    /// The first key that is unknown, missing or cannot be used, under `introspection`.
+    pub fn introspect(&mut self, text: &str) -> Result<(), ConfigError> {
+        let file: File = own("introspection", text)?;
+        let Some(listen) = file.listen else { return Ok(()) };
+        self.introspection = Some(self.second_front(listen, file).map_err(|e| e.under("introspection"))?);
+        Ok(())
+    }
+
+    fn second_front(&self, listen: SocketAddr, file: File) -> Result<Introspection, Fault> {
+        if file.upstreams.is_empty() {
+            return Err(Fault::at("upstreams", "is missing or empty"));
+        }
+        if !file.path.starts_with('/') || !file.path.bytes().all(|b| b.is_ascii_graphic()) {
+            return Err(Fault::at("path", "is no path"));
+        }
+        checked::within("cache_s", file.cache_s, 0.0, CACHE_S)?;
+        let mut settings = self.settings.clone();
+        let wait = self.limits.introspection_wait;
+        settings.classes = vec![Class {
+            aim: wait / 4,
+            deadline: wait,
+            late_worth: 0.0,
+            worth: 1.0,
+            repeat: Repeat::Safe,
+            stream: false,
+        }];
+        settings.plans.push(Plan { price: 1.0, ..Plan::default() });
+        (settings.may_probe, settings.may_tell) = (false, false);
+        Ok(Introspection {
+            listen,
+            upstreams: file.upstreams,
+            asking: Asking {
+                path: file.path,
+                id: need("id", file.id)?,
+                secret: need("secret", file.secret)?,
+            },
+            callers: callers(file.callers, &self.names)?,
+            cache_entries: file.cache_entries as usize,
+            cache_for: (file.cache_s * 1e6) as Micros,
+            settings,
+        })
+    }
+}
+
+#[derive(Default, Deserialize)]
+#[serde(default)]
+struct Document {
+    callers: Option<Vec<CallerFile>>,
+}
+
+/// The callers in a document that instances agreed on; `None` if it names none.
+///
+/// # Errors
+/// Text that is not JSON; the first key of a caller that cannot be used.
+pub fn callers_text(text: &[u8], names: &Names) -> Result<Option<Vec<Caller>>, ConfigError> {
+    let text = std::str::from_utf8(text).map_err(|_| Fault::at("", "not JSON: not UTF-8"))?;
+    let document: Document = checked::read(text)?;
+    Ok(document.callers.map(|files| callers(files, names)).transpose()?)
+}
--- /dev/null
+++ b/limiter/src/config/mod.rs
@@ -0,0 +1,186 @@
+//! The only place where configuration is read, checked and given defaults. Errors name the faulty key.
+//!
+//! `file` is the platform's file, which may hold keys that we don't know. `fronts` and `members` are operators' files of
+//! our own: there a key that is unknown is a fault, and the one that was meant is named.
+
+mod file;
+mod fronts;
+mod members;
+
+use std::fmt;
+use std::net::SocketAddr;
+
+use checked::Fault;
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+use streamarch::Settings;
+
+use crate::limits::Limits;
+pub use file::{Names, settings_text};
+pub use fronts::{Introspection, callers_text};
+pub use members::Cluster;
+
+/// What is wrong with the configuration, and where.
+#[derive(Debug)]
+pub enum ConfigError {
+    /// A file cannot be read.
+    Unreadable(String, std::io::Error),
+    /// Text is not JSON, or a key of it is unknown, missing, or cannot be used.
+    Faulty(Fault),
+}
+
+impl fmt::Display for ConfigError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            ConfigError::Unreadable(path, error) => write!(f, "cannot read '{path}': {error}"),
+            ConfigError::Faulty(fault) => write!(f, "{fault}"),
+        }
+    }
+}
+
+impl std::error::Error for ConfigError {}
+
+impl From<Fault> for ConfigError {
+    fn from(fault: Fault) -> ConfigError {
+        ConfigError::Faulty(fault)
+    }
+}
+
+/// Reads a file of our own; its faults are named under what it is.
+fn own<T: DeserializeOwned>(what: &str, text: &str) -> Result<T, Fault> {
+    checked::read(text).map_err(|fault| if fault.key.is_empty() { fault } else { fault.under(what) })
+}
+
+fn need<T>(key: &str, value: Option<T>) -> Result<T, Fault> {
+    value.ok_or_else(|| Fault::at(key, "is missing"))
+}
+
+/// Everything that a limiter is told at its start.
+#[derive(Debug)]
+pub struct Config {
+    /// Its name, for the log.
+    pub name: String,
+    /// Where the platform's clients connect.
+    pub listen: SocketAddr,
+    /// Discovery.
+    pub discovery: SocketAddr,
+    /// Discovery as the file names it, whatever the environment says.
+    pub discovery_in_file: Option<SocketAddr>,
+    /// The counter, if there is one.
+    pub counter: Option<SocketAddr>,
+    /// Where datagrams of other limiters arrive.
+    pub peer_listen: Option<SocketAddr>,
+    /// The limiters of the tier by number.
+    pub peers: Vec<SocketAddr>,
+    /// The list of servers as last held.
+    pub known: Value,
+    /// For random numbers.
+    pub seed: u64,
+    /// The module's settings.
+    pub settings: Settings,
+    /// Names of classes, plans, zones and kinds of machine, by position.
+    pub names: Names,
+    /// Probes bring load reports.
+    pub reports: bool,
+    /// Sizes, counts and times.
+    pub limits: Limits,
+    /// The second front, where it is on.
+    pub introspection: Option<Introspection>,
+    /// The instances that agree on a configuration, where they do.
+    pub cluster: Option<Cluster>,
+}
+
+/// Variables of the environment that stand above the file's keys.
+#[derive(Clone, Debug, Default)]
+pub struct Environment {
+    /// Path of the configuration.
+    pub config: Option<String>,
+    /// The limiter's name.
+    pub name: Option<String>,
+    /// Where clients connect.
+    pub listen: Option<String>,
+    /// Discovery.
+    pub discovery: Option<String>,
+    /// Path of the second front's file; no variable names it, so that it is never on by accident.
+    pub introspection: Option<String>,
+    /// Path of the file of the instances that agree on a configuration; likewise.
+    pub raft: Option<String>,
+}
+
+fn read(path: String) -> Result<String, ConfigError> {
+    std::fs::read_to_string(&path).map_err(|e| ConfigError::Unreadable(path, e))
+}
+
+/// An address that a variable of the environment names above a key of the file.
+fn address(
+    variable: &Option<String>,
+    name: &str,
+    key: &str,
+    value: Option<SocketAddr>,
+) -> Result<SocketAddr, Fault> {
+    match variable {
+        Some(text) => {
+            text.parse().map_err(|_| Fault::at(name, format!("'{text}' is no address with a port")))
+        }
+        None => need(key, value),
+    }
+}
+
+impl Environment {
+    /// The variables as they are set.
+    pub fn read() -> Environment {
+        let get = |name: &str| std::env::var(name).ok();
+        Environment {
+            config: get("ROUTER_CONFIG"),
+            name: get("ROUTER_NAME"),
+            listen: get("ROUTER_LISTEN"),
+            discovery: get("ROUTER_DISCOVERY"),
+            introspection: None,
+            raft: None,
+        }
+    }
+
+    /// Reads and checks the configuration file that is named here.
+    ///
+    /// # Errors
+    /// A file that cannot be read or is faulty, by its key.
+    pub fn load(&self) -> Result<Config, ConfigError> {
+        let path = self.config.clone().ok_or_else(|| Fault::at("ROUTER_CONFIG", "is not set"))?;
+        let mut config = self.parse(&read(path)?)?;
+        if let Some(path) = self.introspection.clone() {
+            config.introspect(&read(path)?)?;
+        }
+        if let Some(path) = self.raft.clone() {
+            config.agree(&read(path)?)?;
+        }
+        Ok(config)
+    }
+
+    /// Checks the text of a configuration and fills in what it leaves out.
+    ///
+    /// # Errors
+    /// Text that is not JSON; the first key that is missing or cannot be used.
+    pub fn parse(&self, text: &str) -> Result<Config, ConfigError> {
+        let file: file::File = checked::read(text)?;
+        let settings = need("settings", file.settings)?;
+        settings.check().map_err(|fault| fault.under("settings"))?;
+        let seed = u64::from_str_radix(file.seed.as_deref().unwrap_or("1"), 16);
+        Ok(Config {
+            name: self.name.clone().or(file.name).unwrap_or_default(),
+            listen: address(&self.listen, "ROUTER_LISTEN", "listen", file.listen)?,
+            discovery: address(&self.discovery, "ROUTER_DISCOVERY", "discovery", file.discovery)?,
+            discovery_in_file: file.discovery,
+            counter: file.counter,
+            peer_listen: file.peer_listen,
+            peers: file.peers.unwrap_or_default(),
+            known: file.known,
+            seed: seed.map_err(|_| Fault::at("seed", "is not a number in hex"))?,
+            names: settings.names(),
+            reports: settings.reports(),
+            limits: settings.limits(&file.limits.unwrap_or_default()),
+            settings: settings.module(),
+            introspection: None,
+            cluster: None,
+        })
+    }
+}
--- a/limiter/src/lib.rs
+++ b/limiter/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod front;
 pub mod legs;
 pub mod limits;
+pub mod logging;
 pub mod net;
 pub mod peers;
 pub mod probes;
--- a/limiter/src/net/host/acquirers.rs
+++ b/limiter/src/net/host/acquirers.rs
@@ -29,14 +29,14 @@
                         self.acquirers += 1;
                         self.arm(key);
                     }
-                    Err(error) => self.log(&format!("cannot take a connection: {error}")),
+                    Err(error) => self.warn(&format!("cannot take a connection: {error}")),
                 }
                 !full(self) || self.make_room()
             }
             Err(error) => {
                 let passing = [io::ErrorKind::WouldBlock, io::ErrorKind::ConnectionAborted];
                 if !passing.contains(&error.kind()) {
-                    self.log(&format!("cannot accept: {error}"));
+                    self.warn(&format!("cannot accept: {error}"));
                     self.pause_accepting();
                     self.deadlines.enter(self.now() + self.limits.accept_retry, Due::Accept);
                 }
@@ -63,7 +63,7 @@
         }
         if now - self.told_full >= self.limits.full_log {
             self.told_full = now;
-            self.log("at the most connections: accepting paused");
+            self.warn("at the most connections: accepting paused");
         }
         self.pause_accepting();
         self.deadlines.enter(now + self.limits.accept_retry, Due::Accept);
--- a/limiter/src/net/host/agreement.rs
+++ b/limiter/src/net/host/agreement.rs
@@ -51,7 +51,7 @@
             }
             Err(error) => {
                 if matches!(error, RaftError::Io(_) | RaftError::Protocol(_)) {
-                    self.log(&format!("raft: {error}; no further part is taken"));
+                    self.warn(&format!("raft: {error}; no further part is taken"));
                     self.agreement = None;
                 }
                 Err(error)
@@ -159,7 +159,7 @@
             }
             Ok(None) => self.log("configuration agreed on: callers as before"),
             // Other members may know plans that this one does not.
-            Err(error) => self.log(&format!("configuration not taken: {error}")),
+            Err(error) => self.warn(&format!("configuration not taken: {error}")),
         }
     }
 }
--- a/limiter/src/net/host/mod.rs
+++ b/limiter/src/net/host/mod.rs
@@ -258,7 +258,7 @@
             Platform { names: config.names, classes: settings.classes.clone(), limiters: settings.gateways };
         let tell = settings.may_tell;
         let known = table.known(&config.known).unwrap_or_else(|error| {
-            eprintln!("known list not taken: {error}");
+            tracing::warn!(limiter = %config.name, "known list not taken: {error}");
             News { kind: ListKind::Cached, entries: Vec::new(), addresses: Vec::new(), gone: Vec::new() }
         });
         let plans = settings.plans.len();
@@ -366,7 +366,12 @@
     }
 
     fn log(&self, text: &str) {
-        eprintln!("{} {text}", self.name);
+        tracing::info!(limiter = %self.name, "{text}");
+    }
+
+    /// Logs what those on call may have to act on.
+    fn warn(&self, text: &str) {
+        tracing::warn!(limiter = %self.name, "{text}");
     }
 
     /// What is due, what the module decides, what is to be written.
@@ -445,7 +450,7 @@
             Due::WatchSilent(key, heard) => {
                 if self.watch.connection != Some(key) {
                 } else if self.watch.heard <= heard {
-                    self.log("discovery silent: watch opened anew");
+                    self.warn("discovery silent: watch opened anew");
                     self.broken(key);
                 } else {
                     let heard = self.watch.heard;
--- a/limiter/src/net/host/reloading.rs
+++ b/limiter/src/net/host/reloading.rs
@@ -47,6 +47,6 @@
 
     /// A configuration that cannot be used changes nothing.
     pub fn refuse_reload(&self, error: &ConfigError) {
-        self.log(&format!("configuration not taken, all stays as it was: {error}"));
+        self.warn(&format!("configuration not taken, all stays as it was: {error}"));
     }
 }
--- a/limiter/src/net/host/tokens.rs
+++ b/limiter/src/net/host/tokens.rs
@@ -190,7 +190,7 @@
             Ok(_) => Outcome::Ok,
             Err(_) if matches!(answer.status, 429 | 503) => Outcome::Full,
             Err(lie) => {
-                self.log(&format!("{lie} (status {})", answer.status));
+                self.warn(&format!("{lie} (status {})", answer.status));
                 Outcome::Error
             }
         }
--- a/limiter/src/net/host/watching.rs
+++ b/limiter/src/net/host/watching.rs
@@ -56,7 +56,7 @@
                     self.take_news(news);
                 }
                 Err(error) => {
-                    self.log(&format!("discovery: {error}"));
+                    self.warn(&format!("discovery: {error}"));
                     bad = true;
                     break;
                 }
--- a/limiter/tests/config.rs
+++ b/limiter/tests/config.rs
@@ -82,3 +82,32 @@
         assert!(error.starts_with(key), "{error}");
     }
 }
+
+#[test]
+fn a_misspelt_key_of_our_own_files_is_named_and_one_of_the_platform_is_passed_over() {
+    let platform = config(&[nobody()], nobody()).replacen('{', "{\"new_of_the_platform\":{\"a\":[1]},", 1);
+    let mut read = Environment::default().parse(&platform).unwrap();
+    let error = |r: Result<(), limiter::config::ConfigError>| r.unwrap_err().to_string();
+    assert_eq!(
+        error(read.introspect("{\"listen\":null,\"up_streams\":[]}")),
+        "key 'introspection.up_streams': unknown key; did you mean 'upstreams'?"
+    );
+    assert_eq!(
+        error(read.agree("{\"members\":[{\"id\":1,\"adress\":\"127.0.0.1:1\"}]}")),
+        "key 'raft.members[0].adress': unknown key; did you mean 'address'?"
+    );
+    assert!(error(read.agree("{\"listen\"")).starts_with("not JSON"));
+    assert!(read.introspection.is_none() && read.cluster.is_none(), "a faulty file changes nothing");
+}
+
+#[test]
+fn absent_and_null_are_alike_and_numbers_may_be_decimal() {
+    let text = config(&[], nobody()).replacen("\"Instances\":1", "\"Instances\":1.0", 1);
+    let text = text.replacen("\"Probes\":false", "\"Probes\":null", 1).replacen(
+        "\"Counter\":true",
+        "\"Counter\":1",
+        1,
+    );
+    let settings = Environment::default().parse(&text).unwrap().settings;
+    assert_eq!((settings.gateways, settings.may_probe, settings.counter), (1, false, true));
+}
--- a/limiter/tests/process.rs
+++ b/limiter/tests/process.rs
@@ -53,3 +53,29 @@
     signal("TERM");
     line_with("told to end");
 }
+
+#[test]
+fn the_log_is_lines_or_json_and_its_options_are_checked() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("config.json");
+    std::fs::write(&path, config(&[nobody()], nobody())).unwrap();
+    let start = |options: &[&str]| {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_streamarch"));
+        command.args(["serve", "--config"]).arg(&path).args(options).stderr(Stdio::piped()).spawn().unwrap()
+    };
+    let first = |options: &[&str]| {
+        let mut child = start(options);
+        let mut line = String::new();
+        BufReader::new(child.stderr.take().unwrap()).read_line(&mut line).unwrap();
+        drop(Process(child));
+        line
+    };
+    assert!(first(&[]).starts_with("n0 serving on 127.0.0.1:"));
+    let json: serde_json::Value = serde_json::from_str(&first(&["--log-format", "json"])).unwrap();
+    assert_eq!((json["level"].as_str(), json["fields"]["limiter"].as_str()), (Some("INFO"), Some("n0")));
+    assert!(json["fields"]["message"].as_str().unwrap().starts_with("serving on "));
+    for options in [["--log-format", "xml"], ["--log-level", "loud"]] {
+        let mut child = start(&options);
+        assert_eq!(child.wait().unwrap().code(), Some(2), "{options:?}");
+    }
+}
--- a/load/src/scenario.rs
+++ b/load/src/scenario.rs
@@ -1,7 +1,7 @@
 //! What a run is: read from JSON, checked, faults named by key.
 
+use checked::{Fault, range, within};
 use serde::{Deserialize, Serialize};
-use standins::checked::{self, Fault, range, within};
 use standins::plan::WorldPlan;
 
 use crate::shapes::Arrival;
--- a/standins/src/faults.rs
+++ b/standins/src/faults.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::Micros;
-use crate::checked::{Fault, within};
+use checked::{Fault, within};
 
 /// What goes wrong.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq, Serialize)]
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -5,7 +5,6 @@
 //! joins them and applies the `faults`. `serving` puts a world on loopback sockets, one event loop for all of it.
 //! `http` and `reactor` are what a server and a load generator need of the wire and of the system.
 
-pub mod checked;
 pub mod counter;
 pub mod faults;
 pub mod http;
--- a/standins/src/plan.rs
+++ b/standins/src/plan.rs
@@ -2,8 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::checked::{Fault, range, within};
 use crate::faults::FaultPlan;
+use checked::{Fault, range, within};
 
 /// The emulated world. Everything has a default.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
--- a/standins/tests/world.rs
+++ b/standins/tests/world.rs
@@ -2,7 +2,6 @@
 
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use standins::Micros;
-use standins::checked;
 use standins::counter;
 use standins::plan::WorldPlan;
 use standins::world::{Ask, Reply, Service, Word, World};
