--- a/load/src/driver.rs
+++ b/load/src/driver.rs
@@ -24,6 +24,8 @@
 const GRACE: Micros = 200_000;
 /// Longest wait of a loop, so that an interrupt is seen.
 const LOOK: Micros = 50_000;
+/// Connections on their way up to a target at once.
+const RISING: usize = 64;
 /// Orders carried out before sockets are looked at again.
 const AT_ONCE: usize = 256;
 
@@ -72,10 +74,12 @@
         setup: setup.clone(),
         generator: Generator::new(setup.clone(), part, threads),
         reactor,
-        targets: targets.iter().map(|at| Target { at: *at, idle: Vec::new() }).collect(),
+        targets: targets
+            .iter()
+            .map(|at| Target { at: *at, idle: Vec::new(), waiting: VecDeque::new(), rising: 0 })
+            .collect(),
         lines: Slab::new(),
         by_token: BTreeMap::new(),
-        waiting: VecDeque::new(),
         most,
         start,
         outcomes: Outcomes::default(),
@@ -110,6 +114,11 @@
 struct Target {
     at: SocketAddr,
     idle: Vec<usize>,
+    /// Tries for which no connection is free, in their order. The next one that comes up or is answered takes the
+    /// first: a try is not bound to a connection that was opened because of it.
+    waiting: VecDeque<(usize, Sending)>,
+    /// Connections on their way up.
+    rising: usize,
 }
 
 struct Line {
@@ -132,7 +141,6 @@
     targets: Vec<Target>,
     lines: Slab<Line>,
     by_token: BTreeMap<usize, usize>,
-    waiting: VecDeque<(usize, Sending)>,
     most: usize,
     start: Instant,
     outcomes: Outcomes,
@@ -180,7 +188,7 @@
                 std::thread::sleep(std::time::Duration::from_millis(1));
             }
             ready.iter().for_each(|event| self.ready(event));
-            self.dequeue();
+            (0..self.targets.len()).for_each(|target| self.raise(target));
         }
         let now = self.now();
         self.outcomes.span = now;
@@ -191,12 +199,36 @@
     fn send(&mut self, token: usize, sending: Sending) {
         let target = usize::from(sending.target);
         if let Some(at) = self.targets[target].idle.pop() {
-            self.start_on(at, token, &sending);
-        } else if self.lines.len() < self.most || self.spare() {
-            self.connect(token, sending);
-        } else {
-            self.outcomes.no_connections += 1;
-            self.waiting.push_back((token, sending));
+            return self.start_on(at, token, &sending);
+        }
+        self.targets[target].waiting.push_back((token, sending));
+        self.raise(target);
+    }
+
+    /// Opens connections for what waits, a few at a time: a target that stood still for a moment would else be met by
+    /// a storm of them, and stand still again.
+    fn raise(&mut self, target: usize) {
+        self.pass_over(target);
+        while self.targets[target].rising < self.targets[target].waiting.len().min(RISING) {
+            if self.lines.len() >= self.most && !self.spare() {
+                self.outcomes.no_connections += 1;
+                return;
+            }
+            match self.open(target) {
+                Ok(_) => {
+                    self.outcomes.opened += 1;
+                    self.targets[target].rising += 1;
+                }
+                Err(error) if refused(&error) => {
+                    let Some((token, _)) = self.targets[target].waiting.pop_front() else { return };
+                    self.generator.ended(token, self.now(), End::NotSent);
+                }
+                Err(_) => {
+                    // No descriptor or no port: another look after the next wait.
+                    self.outcomes.no_sockets += 1;
+                    return;
+                }
+            }
         }
     }
 
@@ -207,19 +239,21 @@
         true
     }
 
-    fn connect(&mut self, token: usize, sending: Sending) {
-        let target = usize::from(sending.target);
-        match self.open(target) {
-            Ok(at) => {
-                self.outcomes.opened += 1;
-                self.start_on(at, token, &sending);
-            }
-            Err(error) if refused(&error) => self.generator.ended(token, self.now(), End::NotSent),
-            Err(_) => {
-                // No descriptor or no port: the try waits like one for which all connections are taken.
-                self.outcomes.no_sockets += 1;
-                self.waiting.push_back((token, sending));
-            }
+    /// Drops the tries at the head of a queue whose clients have given up meanwhile.
+    fn pass_over(&mut self, target: usize) {
+        let waiting = &mut self.targets[target].waiting;
+        while waiting.front().is_some_and(|(token, sending)| !self.generator.waits(*token, sending.id)) {
+            waiting.pop_front();
+        }
+    }
+
+    /// A connection is free: the first try that waits takes it.
+    fn free(&mut self, at: usize) {
+        let target = self.lines[at].target;
+        self.pass_over(target);
+        match self.targets[target].waiting.pop_front() {
+            Some((token, sending)) => self.start_on(at, token, &sending),
+            None => self.targets[target].idle.push(at),
         }
     }
 
@@ -241,34 +275,14 @@
         line.done = 0;
         write_request(&mut line.out, &self.setup, sending, sending.deadline - now);
         self.by_token.insert(token, at);
-        if self.lines[at].up {
-            self.write(at);
-        }
+        self.write(at);
     }
 
     fn give_up(&mut self, token: usize) {
         match self.by_token.remove(&token) {
             Some(at) => drop(self.lines.try_remove(at)),
-            None => self.waiting.retain(|(t, _)| *t != token),
-        }
-    }
-
-    fn dequeue(&mut self) {
-        for _ in 0..self.waiting.len() {
-            let before = self.waiting.len();
-            let Some((token, sending)) = self.waiting.pop_front() else { return };
-            let room =
-                !self.targets[usize::from(sending.target)].idle.is_empty() || self.lines.len() < self.most;
-            if !room {
-                self.waiting.push_front((token, sending));
-                return;
-            }
-            let failures = self.outcomes.no_sockets;
-            self.send(token, sending);
-            // Still no descriptor: another look after the next wait.
-            if self.outcomes.no_sockets > failures && self.waiting.len() == before {
-                return;
-            }
+            // One that waits for a connection is passed over when its turn comes.
+            None => {}
         }
     }
 
@@ -284,6 +298,11 @@
                 Ok(None) => return,
                 _ => return self.broken(at),
             }
+            let target = line.target;
+            self.targets[target].rising -= 1;
+            if self.lines[at].token.is_none() {
+                self.free(at);
+            }
         }
         if event.writable {
             self.write(at);
@@ -364,16 +383,16 @@
         let keep = sound && !whole.close && !ended && whole.length == line.read.len();
         line.read.clear();
         (line.token, line.used) = (None, true);
-        let target = line.target;
         self.by_token.remove(&token);
         let now = self.now();
-        if keep {
-            self.targets[target].idle.push(at);
-        } else {
+        if !keep {
             self.lines.remove(at);
         }
         let end = End::Answered { status: whole.status, retry_after: whole.retry_after };
         self.generator.ended(token, now, if sound { end } else { End::Broken });
+        if keep {
+            self.free(at);
+        }
         true
     }
 
@@ -388,6 +407,7 @@
         let target = line.target;
         let Ok(fresh) = self.open(target) else { return false };
         self.outcomes.opened += 1;
+        self.targets[target].rising += 1;
         let old = self.lines.remove(at);
         let renewed = &mut self.lines[fresh];
         (renewed.token, renewed.out) = (old.token, old.out);
@@ -397,7 +417,15 @@
 
     fn broken(&mut self, at: usize) {
         let Some(line) = self.lines.try_remove(at) else { return };
-        self.targets[line.target].idle.retain(|idle| *idle != at);
+        let target = &mut self.targets[line.target];
+        target.idle.retain(|idle| *idle != at);
+        target.rising -= usize::from(!line.up);
+        let refused = (!line.up).then(|| target.waiting.pop_front()).flatten();
+        if let Some((token, _)) = refused.filter(|_| line.token.is_none()) {
+            // A refusal is the answer to the try that has waited longest.
+            let now = self.now();
+            self.generator.ended(token, now, End::NotSent);
+        }
         let Some(token) = line.token else { return };
         self.by_token.remove(&token);
         let whole = line.done == line.out.len() && line.up;
--- a/load/src/generator.rs
+++ b/load/src/generator.rs
@@ -181,6 +181,11 @@
         Order::Send(token, sending)
     }
 
+    /// Whether a try's client still waits: tokens are given out anew, ids are not.
+    pub fn waits(&self, token: usize, id: u64) -> bool {
+        self.open.get(token).is_some_and(|open| open.sending.id == id)
+    }
+
     /// A try's last byte was written.
     pub fn written(&mut self, token: usize, now: Micros) {
         if let Some(open) = self.open.get_mut(token) {
--- a/standins/src/serving.rs
+++ b/standins/src/serving.rs
@@ -22,6 +22,8 @@
 const READ: usize = 16 * 1024;
 /// Connections that may wait with the system.
 const BACKLOG: i32 = 4_096;
+/// Connections taken at a listener before others have their turn.
+const ACCEPTS: usize = 32;
 /// An answer that is none.
 const NOISE: &[u8] = b"\x00\x01noise that is no answer\r\n\r\n";
 
@@ -64,6 +66,7 @@
             watchers: Vec::new(),
             buffer: vec![0; READ],
             serial: 0,
+            more: Vec::new(),
         };
         for service in host.world.services() {
             host.open(service)?;
@@ -142,6 +145,8 @@
     body: Vec<u8>,
     beat: Micros,
     serial: u64,
+    /// Listeners that have more to be taken.
+    more: Vec<usize>,
 }
 
 /// A token holds the line's slot and a serial number, so that a late answer finds no other line.
@@ -191,7 +196,7 @@
         self.reactor.exact();
         loop {
             let next = self.world.next().map_or(beat_at, |at| at.min(beat_at));
-            let wait = next - self.now();
+            let wait = if self.more.is_empty() { next - self.now() } else { 0 };
             if self.reactor.wait(Some(wait), &mut ready).is_err() {
                 // Guards against a loop that fails at once for ever.
                 std::thread::sleep(Duration::from_millis(1));
@@ -208,6 +213,11 @@
                     self.ready(event);
                 }
             }
+            for at in std::mem::take(&mut self.more) {
+                if let Some(Door::Listener { .. }) = self.doors.get(at) {
+                    self.accept(at);
+                }
+            }
             let now = self.now();
             while let Some(word) = self.world.poll(now) {
                 self.happen(now, word);
@@ -234,7 +244,7 @@
     }
 
     fn accept(&mut self, at: usize) {
-        loop {
+        for _ in 0..ACCEPTS {
             let Some(Door::Listener { service, limiter, socket }) = self.doors.get(at) else { return };
             let (service, limiter) = (*service, *limiter);
             // Any error ends this turn: no more are waiting, or the system has no room now and the next one that
@@ -251,6 +261,7 @@
             let line = Line { service, limiter, socket, read, write, owed, watch: None, close: false };
             self.doors.insert(Door::Line(line));
         }
+        self.more.push(at);
     }
 
     /// Takes in what has come; whether the line stays.
--- a/standins/src/world.rs
+++ b/standins/src/world.rs
@@ -162,13 +162,30 @@
     due: BTreeMap<(Micros, u64), (Service, usize, u64, Reply)>,
     out: BTreeMap<u64, (usize, usize, u64)>,
     words: VecDeque<Word>,
-    ids: HashMap<u64, (u32, u32)>,
-    runs: HashMap<u64, u32>,
+    ids: Spread<(u32, u32)>,
+    runs: Spread<u32>,
     counts: Counts,
     serial: u64,
     unix_ms: i64,
 }
 
+/// A map in many parts: one part that grows stands still for a thousandth of the time that the whole would, which at
+/// some hundred thousand ids is tens of milliseconds in which nobody is answered.
+struct Spread<T>(Vec<HashMap<u64, T>>);
+
+/// Parts of such a map.
+const PARTS: u64 = 1_024;
+
+impl<T: Default> Spread<T> {
+    fn new() -> Spread<T> {
+        Spread((0..PARTS).map(|_| HashMap::new()).collect())
+    }
+
+    fn of(&mut self, hash: u64) -> &mut T {
+        self.0[(hash % PARTS) as usize].entry(hash).or_default()
+    }
+}
+
 fn hashed(value: impl Hash) -> u64 {
     let mut hasher = DefaultHasher::new();
     value.hash(&mut hasher);
@@ -192,8 +209,8 @@
             due: BTreeMap::new(),
             out: BTreeMap::new(),
             words: VecDeque::new(),
-            ids: HashMap::new(),
-            runs: HashMap::new(),
+            ids: Spread::new(),
+            runs: Spread::new(),
             counts: Counts::default(),
             serial: 0,
             unix_ms,
@@ -278,7 +295,7 @@
         if served.told_off.is_some_and(|told| now > told + DRAIN_GRACE) {
             self.counts.after_drain += 1;
         }
-        let (times, open) = self.ids.entry(id).or_insert((0, 0));
+        let (times, open) = self.ids.of(id);
         if *times == 0 {
             self.counts.ids += 1;
         } else {
@@ -298,7 +315,7 @@
                 self.counts.dropped += 1;
                 work = 0;
             } else {
-                let runs = self.runs.entry(key).or_insert(0);
+                let runs = self.runs.of(key);
                 *runs += 1;
                 self.counts.keys_twice += u64::from(*runs == 2);
                 self.nodes[ask.node].keys.insert(key, now);
@@ -362,9 +379,8 @@
     }
 
     fn closed(&mut self, id: u64) {
-        if let Some((_, open)) = self.ids.get_mut(&id) {
-            *open = open.saturating_sub(1);
-        }
+        let (_, open) = self.ids.of(id);
+        *open = open.saturating_sub(1);
     }
 
     /// When something happens next by itself.
