--- a/load/src/driver.rs
+++ b/load/src/driver.rs
@@ -68,6 +68,7 @@
     progress: &Progress,
 ) -> io::Result<Outcomes> {
     let most = (setup.scenario.generator.connections / threads).max(1);
+    reactor::room_for(setup.scenario.generator.connections + 64 * threads);
     let start = Instant::now();
     let reactors: Vec<Reactor> = (0..threads).map(|_| Reactor::new()).collect::<io::Result<_>>()?;
     let clients = reactors.into_iter().enumerate().map(|(part, reactor)| Clients {
--- a/standins/src/node.rs
+++ b/standins/src/node.rs
@@ -137,6 +137,8 @@
         if self.frozen_until.is_some_and(|until| until <= now) {
             self.frozen_until = None;
             self.marked = self.marked.max(now);
+            // What came meanwhile begins now, also if nothing else ever comes.
+            self.fill(now);
         }
         if self.frozen_until.is_some() {
             return None;
@@ -238,6 +240,14 @@
         assert_eq!(node.ended(600), Some(job(1, 100)));
     }
 
+    #[test]
+    fn what_came_during_a_freeze_runs_without_anything_else_coming() {
+        let mut node = Node::new(MAKE, 0, true);
+        node.freeze(0, 500);
+        node.arrive(100, job(1, 100));
+        assert_eq!((node.ended(500), node.next()), (None, Some(600)));
+    }
+
     #[test]
     fn a_full_queue_turns_away_and_a_cold_node_takes_longer() {
         let mut node = Node::new(MAKE, 0, false);
--- a/standins/src/reactor.rs
+++ b/standins/src/reactor.rs
@@ -66,6 +66,16 @@
     }
 }
 
+/// Makes room for so many descriptors ahead, or for as many as the system allows. A process with several threads else
+/// stands still for some 20 ms each time its table of descriptors grows (at 256, 512 and so on), in the middle of the run.
+pub fn room_for(descriptors: usize) {
+    let Ok(any) = eventfd(0, EventfdFlags::CLOEXEC) else { return };
+    let mut highest = descriptors.min(i32::MAX as usize) as i32;
+    while highest > 64 && rustix::io::fcntl_dupfd_cloexec(&any, highest).is_err() {
+        highest /= 2;
+    }
+}
+
 /// Told when a [`Waker`] was used.
 pub const WOKEN: u64 = u64::MAX;
 /// Most events taken at once.
--- a/standins/src/serving.rs
+++ b/standins/src/serving.rs
@@ -15,13 +15,15 @@
 use crate::counter;
 use crate::http;
 use crate::plan::WorldPlan;
-use crate::reactor::{Reactor, Ready, WOKEN, Waker};
+use crate::reactor::{Reactor, Ready, WOKEN, Waker, room_for};
 use crate::world::{Ask, Counts, Reply, Service, Word, World};
 
 /// Bytes taken from a socket at once.
 const READ: usize = 16 * 1024;
 /// Connections that may wait with the system.
 const BACKLOG: i32 = 4_096;
+/// Descriptors that room is made for ahead.
+const DESCRIPTORS: usize = 16_384;
 /// Connections taken at a listener before others have their turn.
 const ACCEPTS: usize = 32;
 /// An answer that is none.
@@ -52,6 +54,7 @@
     pub fn start(plan: &WorldPlan, seed: u64, limiters: usize) -> io::Result<Serving> {
         let unix_ms = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as i64;
         let world = World::new(plan, seed, limiters, unix_ms);
+        room_for(DESCRIPTORS);
         let reactor = Reactor::new()?;
         let waker = reactor.waker();
         let addresses = Arc::new(Mutex::new(Addresses::new()));
