--- a/load/src/driver.rs
+++ b/load/src/driver.rs
@@ -280,10 +280,9 @@
     }
 
     fn give_up(&mut self, token: usize) {
-        match self.by_token.remove(&token) {
-            Some(at) => drop(self.lines.try_remove(at)),
-            // One that waits for a connection is passed over when its turn comes.
-            None => {}
+        // One that still waits for a connection is passed over when its turn comes.
+        if let Some(at) = self.by_token.remove(&token) {
+            self.lines.try_remove(at);
         }
     }
 
--- a/load/src/report/page.rs
+++ b/load/src/report/page.rs
@@ -58,9 +58,8 @@
 /// The plots of one run.
 fn plots(summary: &Summary) -> String {
     let percentiles = |of: fn(&Point) -> &Times| -> Vec<Line> {
-        let lines: [(&str, fn(&Times) -> u64); 4] =
-            [("p50", |t| t.p50), ("p90", |t| t.p90), ("p99", |t| t.p99), ("max", |t| t.max)];
-        lines.map(|(name, get)| over_time(summary, name, |p, _| get(of(p)) as f64 / 1e3)).into()
+        let line = |name, get: fn(&Times) -> u64| over_time(summary, name, |p, _| get(of(p)) as f64 / 1e3);
+        vec![line("p50", |t| t.p50), line("p90", |t| t.p90), line("p99", |t| t.p99), line("max", |t| t.max)]
     };
     let rate = |name: &str, get: &dyn Fn(&Point) -> u64| over_time(summary, name, |p, w| get(p) as f64 / w);
     let declined = summary.plans.iter().enumerate().map(|(k, plan)| rate(plan, &|p| p.declined_by_plan[k]));
