The engine judges by the plan book: terms are fixed when a request is taken

Cause: the module could take changed plans, and nothing told it which holds for a request.

A plan's window length stands with the plan's type now, so that both sides compute the same.

--- a/limiter/src/engine.rs
+++ b/limiter/src/engine.rs
@@ -11,6 +11,7 @@
     OverNotice, Request, RequestId, ServerEntry, ServerId, Settings,
 };
 
+use crate::judging::{Judged, Judging};
 use crate::slots::{AuthorisationKey, Key, SlotMap};
 
 /// What a front asks for on behalf of a client.
@@ -128,6 +129,8 @@
 #[derive(Debug)]
 struct Held {
     authorisation: Authorisation,
+    /// By the plan book, where there is one.
+    judged: Option<Judged>,
     legs: u32,
     out: Option<Out>,
     may_have_run: bool,
@@ -148,6 +151,7 @@
     /// Left by their clients since the module last decided: it may yet send for them.
     left: Vec<AuthorisationKey>,
     open: usize,
+    judging: Option<Judging>,
 }
 
 fn id(key: AuthorisationKey) -> RequestId {
@@ -174,6 +178,7 @@
             actions: Vec::new(),
             left: Vec::new(),
             open: 0,
+            judging: None,
         }
     }
 
@@ -187,13 +192,39 @@
         self.held.get(key).map(|held| held.authorisation.deadline)
     }
 
-    /// Takes an authorisation; from now on one final answer is owed.
-    pub fn take(&mut self, authorisation: Authorisation) -> Result<AuthorisationKey, Misuse> {
+    /// From now on requests are judged by a plan book, which starts from the plans that the engine was given.
+    pub fn judge_by(&mut self, judging: Judging) {
+        self.judging = Some(judging);
+    }
+
+    /// The plan book, where there is one.
+    pub fn judging(&mut self) -> Option<&mut Judging> {
+        self.judging.as_mut()
+    }
+
+    /// What an authorisation is judged by, while it is held, where there is a plan book.
+    pub fn judged(&self, key: AuthorisationKey) -> Option<&Judged> {
+        self.held.get(key)?.judged.as_ref()
+    }
+
+    /// Takes an authorisation; from now on one final answer is owed. Its plan is the one that holds now, and stays.
+    pub fn take(
+        &mut self,
+        now: Micros,
+        mut authorisation: Authorisation,
+    ) -> Result<AuthorisationKey, Misuse> {
         if self.held.len() >= self.most_held {
             return Err(Misuse::Full);
         }
+        let mut new = Vec::new();
+        let judge =
+            |judging: &mut Judging| judging.judge(now, authorisation.customer, authorisation.plan, &mut new);
+        let judged = self.judging.as_mut().map(judge);
+        self.events.extend(new.into_iter().map(Event::Plan));
+        authorisation.plan = judged.as_ref().map_or(authorisation.plan, |judged| judged.position);
         let held = Held {
             authorisation: authorisation.clone(),
+            judged,
             legs: 0,
             out: None,
             may_have_run: false,
--- a/limiter/src/lib.rs
+++ b/limiter/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod deadlines;
 pub mod engine;
 pub mod front;
+pub mod judging;
 pub mod legs;
 pub mod limits;
 pub mod logging;
--- a/limiter/src/net/host/acquirers.rs
+++ b/limiter/src/net/host/acquirers.rs
@@ -220,7 +220,7 @@
         }
         let now = self.now();
         let known = &mut self.services[service];
-        match known.engine.take(authorisation) {
+        match known.engine.take(now, authorisation) {
             Ok(authorisation) => {
                 if !forward.id.is_empty() {
                     self.open_ids.insert(forward.id.clone());
--- a/limiter/tests/models.rs
+++ b/limiter/tests/models.rs
@@ -378,7 +378,7 @@
                         valid_until: (by > 200).then_some(now + 100_000),
                         ..Authorisation::default()
                     };
-                    let key = engine.take(authorisation).unwrap();
+                    let key = engine.take(now, authorisation).unwrap();
                     known.push((key, Seen { class, ..Seen::default() }));
                 }
                 4 | 5 if !known.is_empty() => {
@@ -474,7 +474,7 @@
             spread: 1,
             ..Authorisation::default()
         };
-        let key = engine.take(authorisation).unwrap();
+        let key = engine.take(now, authorisation).unwrap();
         let mut orders = Vec::new();
         now += 10_000;
         engine.handle(now, &mut orders);
--- a/middleware/src/lib.rs
+++ b/middleware/src/lib.rs
@@ -257,9 +257,10 @@
         authorisation.deadline = authorisation.deadline.saturating_add(shared.now());
         Box::pin(async move {
             let (sender, verdict) = oneshot::channel();
+            let now = shared.now();
             let taken = {
                 let mut inner = shared.lock();
-                let taken = inner.engine.take(authorisation);
+                let taken = inner.engine.take(now, authorisation);
                 taken.inspect(|key| _ = inner.waiting.insert(*key, sender))
             };
             let full = Ending::Declined { stay_away: 0, over_quota: false };
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -92,6 +92,20 @@
     pub changed: Option<(Micros, usize)>,
 }
 
+/// Shortest and longest window; names are kept a minute at most, two windows must fit in.
+const WINDOWS: (Micros, Micros) = (1_000_000, 20_000_000);
+
+impl Plan {
+    /// Length of the windows in which its customers' use is counted: about burst over rate, so that what the store
+    /// holds is refilled in one; or the length that was kept when the plan changed in service.
+    pub fn window_length(&self) -> Micros {
+        match self.window {
+            0 => ((self.burst / self.rate * 1e6) as Micros).clamp(WINDOWS.0, WINDOWS.1),
+            kept => kept,
+        }
+    }
+}
+
 /// What a gateway is told at its start.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Settings {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -6,9 +6,6 @@
 use crate::state::*;
 
 const SECOND: Micros = 1_000_000;
-/// Shortest and longest window; names are kept a minute at most, two windows must fit in.
-const WINDOW_MIN: Micros = SECOND;
-const WINDOW_MAX: Micros = 20 * SECOND;
 /// Window of the count of attempts out: what a dead gateway left in it is forgotten at the turn.
 const OPEN_WINDOW: Micros = 4 * SECOND;
 /// So long after its last request what is known of a customer is forgotten.
@@ -112,11 +109,9 @@
 }
 
 impl Store {
-    /// Units against a rate. The window is about burst over rate: what the store holds is refilled in one.
+    /// Units against a rate.
     fn of_rate(plan: &Plan) -> Store {
-        let window = ((plan.burst / plan.rate * SECOND as f64) as Micros).clamp(WINDOW_MIN, WINDOW_MAX);
-        let window = if plan.window > 0 { plan.window } else { window };
-        Store { rate: plan.rate, burst: plan.burst, window }
+        Store { rate: plan.rate, burst: plan.burst, window: plan.window_length() }
     }
 
     fn fill(&self) -> f64 {
