Export of use: batches that a repeat reproduces, a cursor that moves once acknowledged

Change: an export decides its batch in the cursor before its file is written; interrupted anywhere, the next run writes the same file. streamarch usage verify|show|export|acknowledge. The laboratory's Parquet code is a crate of its own.

--- a/limiter/src/cli.rs
+++ b/limiter/src/cli.rs
@@ -15,6 +15,10 @@
   serve          run the limiter (the default); it is told what it needs by ROUTER_CONFIG, ROUTER_NAME,
                  ROUTER_LISTEN and ROUTER_DISCOVERY
   check-config   read and check the configuration, and say what is wrong with it
+  usage verify FOLDER            read a ledger whole and say what it holds, or where it is damaged
+  usage show FOLDER              its tries, a line each
+  usage export FOLDER OUT        write the batch under way, or the next one, to OUT
+  usage acknowledge FOLDER N     batch N has been taken over: the next one may come
   version        print the version
   help           print this
 
@@ -28,6 +32,7 @@
 enum Command {
     Serve,
     CheckConfig,
+    Usage(Vec<String>),
     Version,
     Help,
 }
@@ -56,10 +61,16 @@
             }
             Short('h') | Long("help") => command = Some(Command::Help),
             Short('V') | Long("version") => command = Some(Command::Version),
+            Value(word) if matches!(command, Some(Command::Usage(_))) => {
+                if let Some(Command::Usage(words)) = &mut command {
+                    words.push(word.string()?);
+                }
+            }
             Value(name) if command.is_none() => {
                 command = Some(match name.string()?.as_str() {
                     "serve" => Command::Serve,
                     "check-config" => Command::CheckConfig,
+                    "usage" => Command::Usage(Vec::new()),
                     "version" => Command::Version,
                     "help" => Command::Help,
                     other => return Err(format!("unknown command '{other}'").into()),
@@ -92,6 +103,7 @@
         Command::CheckConfig => {
             environment.load().map(|_| println!("configuration in order")).map_err(|e| e.to_string())
         }
+        Command::Usage(words) => crate::use_cli::run(&words),
         Command::Serve => {
             logging.start();
             let loaded = environment.load();
--- a/limiter/src/lib.rs
+++ b/limiter/src/lib.rs
@@ -19,4 +19,5 @@
 pub mod raft;
 pub mod routing_table;
 pub mod slots;
+pub mod use_cli;
 pub mod visits;
--- a/limiter/tests/process.rs
+++ b/limiter/tests/process.rs
@@ -79,3 +79,39 @@
         assert_eq!(child.wait().unwrap().code(), Some(2), "{options:?}");
     }
 }
+
+#[test]
+fn use_is_verified_exported_and_acknowledged_on_the_command_line() {
+    let folder = tempfile::tempdir().unwrap();
+    let (ledger, out) = (folder.path().join("ledger"), folder.path().join("out"));
+    {
+        let (mut ledger, _) = usage::ledger::Ledger::open(&ledger, "n0").unwrap();
+        (0..3).for_each(|n| {
+            _ = ledger.book(usage::booking::Booking { customer: n, ..Default::default() }).unwrap()
+        });
+        ledger.write().unwrap();
+        ledger.went_out();
+        ledger.sync().unwrap();
+    }
+    let call = |words: &[&str], paths: &[&std::path::Path], rest: &[&str]| {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_streamarch"));
+        let output = command.arg("usage").args(words).args(paths).args(rest).output().unwrap();
+        (output.status.success(), String::from_utf8(output.stdout).unwrap())
+    };
+    assert!(
+        call(&["verify"], &[&ledger], &[]).1.contains("3 tries, 0 of them unsure, a torn tail of 0 bytes")
+    );
+    assert_eq!(call(&["show"], &[&ledger], &[]).1.lines().count(), 3);
+    for _ in 0..2 {
+        assert!(call(&["export"], &[&ledger, &out], &[]).1.starts_with("batch 1: 3 tries"));
+    }
+    assert!(!call(&["acknowledge"], &[&ledger], &["2"]).0);
+    assert!(call(&["acknowledge"], &[&ledger], &["1"]).0);
+    assert_eq!(call(&["export"], &[&ledger, &out], &[]).1, "nothing new\n");
+    let path = ledger.join("life-00000001.use");
+    let mut bytes = std::fs::read(&path).unwrap();
+    bytes[20] ^= 1;
+    std::fs::write(&path, bytes).unwrap();
+    let (whole, said) = call(&["verify"], &[&ledger], &[]);
+    assert!(!whole && said.contains("damaged at byte "), "{said}");
+}
--- a/load/src/lib.rs
+++ b/load/src/lib.rs
@@ -15,7 +15,6 @@
 pub mod schedule;
 pub mod shapes;
 pub mod summary;
-pub mod table;
 pub mod trace;
 pub mod trial;
 
--- a/load/src/report/mod.rs
+++ b/load/src/report/mod.rs
@@ -12,7 +12,7 @@
 use crate::generator::Setup;
 use crate::records::Try;
 use crate::summary::Summary;
-use crate::table::{self, Table, TableError, Values};
+use table::{self, Table, TableError, Values};
 
 pub use side_by_side::{compare, knee};
 
--- a/load/src/trace/store.rs
+++ b/load/src/trace/store.rs
@@ -2,8 +2,8 @@
 
 use std::path::Path;
 
-use crate::table::{self, Table, TableError, Values};
 use crate::trace::Row;
+use table::{self, Table, TableError, Values};
 
 /// Writes a trace, whole or not at all.
 ///
--- a/load/tests/sockets.rs
+++ b/load/tests/sockets.rs
@@ -176,7 +176,7 @@
     assert!(kept["served"].as_u64() >= Some(9) && kept["not_sent"].as_u64() > Some(20_000), "{kept}");
     let page = std::fs::read_to_string(report.join("report.html")).unwrap();
     assert!(page.contains("<svg") && page.contains("ended before its time"));
-    let stored = load::table::open(&report.join("records.parquet")).unwrap();
+    let stored = table::open(&report.join("records.parquet")).unwrap();
     assert_eq!(stored.rows() as u64, kept["tries"].as_u64().unwrap());
 }
 
--- /dev/null
+++ b/usage/benches/ledger.rs
@@ -0,0 +1,71 @@
+//! What booking costs by group size, and how fast use is handed over.
+
+use std::hint::black_box;
+
+use criterion::{BatchSize, BenchmarkId, Criterion, Throughput, criterion_group, criterion_main};
+use usage::booking::Booking;
+use usage::export::Export;
+use usage::ledger::Ledger;
+
+fn booking(customer: u64) -> Booking {
+    Booking {
+        at: 1_800_000_000_000_000,
+        customer,
+        class: "sign-off".into(),
+        plan: "institucion".into(),
+        version: 7,
+        milli_units: 2_000,
+        key: Some(format!("{customer:032x}")),
+        ..Booking::default()
+    }
+}
+
+const TRIES: u64 = 10_000;
+
+fn booked(folder: &std::path::Path, group: u64, sync: bool) {
+    let (mut ledger, _) = Ledger::open(folder, "n0").expect("a ledger");
+    for customer in 0..TRIES {
+        ledger.book(booking(customer)).expect("a booking");
+        if customer % group == group - 1 {
+            ledger.write().expect("room");
+            ledger.went_out();
+            if sync {
+                ledger.sync().expect("a disk");
+            }
+        }
+    }
+    ledger.sync().expect("a disk");
+}
+
+fn benches(c: &mut Criterion) {
+    let folder = || tempfile::tempdir().expect("a folder");
+    let mut group = c.benchmark_group("10,000 tries");
+    group.throughput(Throughput::Elements(TRIES)).sample_size(10);
+    for size in [1, 10, 100, 1_000] {
+        group.bench_function(BenchmarkId::new("booked in groups of", size), |b| {
+            b.iter_batched(folder, |f| booked(f.path(), size, false), BatchSize::PerIteration);
+        });
+    }
+    for size in [100, 1_000] {
+        group.bench_function(BenchmarkId::new("brought to the disk in groups of", size), |b| {
+            b.iter_batched(folder, |f| booked(f.path(), size, true), BatchSize::PerIteration);
+        });
+    }
+    let full = || {
+        let folder = folder();
+        booked(folder.path(), 1_000, false);
+        folder
+    };
+    group.bench_function("exported", |b| {
+        let export = |folder: tempfile::TempDir| {
+            let mut export = Export::open(folder.path()).expect("an export");
+            let batch = export.write(&folder.path().join("out"), usize::MAX, &mut |_| true).expect("a batch");
+            black_box(batch);
+        };
+        b.iter_batched(full, export, BatchSize::PerIteration);
+    });
+    group.finish();
+}
+
+criterion_group!(ledger, benches);
+criterion_main!(ledger);
--- a/usage/src/lib.rs
+++ b/usage/src/lib.rs
@@ -5,6 +5,7 @@
 //! them in groups. `reading` goes through all lives of a folder.
 
 pub mod booking;
+pub mod export;
 pub mod ledger;
 pub mod log;
 pub mod reading;
