Tests: spoilt answers last to the run's end, so that a stalled machine still sees one

Cause: the fault's window of 200 ms could pass while a loaded machine gave the test no time. Change: it lasts as long as the run.

--- a/load/tests/sockets.rs
+++ b/load/tests/sockets.rs
@@ -51,7 +51,7 @@
     let text = QUICK.replace(
         "\"cold_s\":0}",
         "\"cold_s\":0},\"faults\":[{\"kind\":\"reset\",\"on\":\"node:0\",\"at_s\":0.1,\"every_s\":0.1,\"for_ms\":1},\
-         {\"kind\":\"spoil\",\"on\":\"node:0\",\"at_s\":0.2,\"for_ms\":200,\"share\":0.5}]",
+         {\"kind\":\"spoil\",\"on\":\"node:0\",\"at_s\":0.2,\"for_ms\":9000,\"share\":0.5}]",
     );
     let setup = setup(&text, 1);
     let world = Serving::start(&setup.scenario.world, 1, 1).unwrap();
