Use about twenty gateways a server, and count what passes by a verdict at once

Cause: a call at a crowded counter added weight x grant, which is nothing once another limiter had told of the customer (`count`), left the rest to this limiter's next call for the customer, which comes windows later, and, adding nothing, did not know itself as the first of a window, so that what the one before left over was never read. Now it adds its units or a small share, and the difference goes out with the verdict (`settle`).

46% of the calls were not answered within 30 ms: one part with 310 a second, its line up to 97 ms long. Their totals are now waited for up to 120 ms and learned, and slow ones bring the pace down as those unanswered did.

Re-telling what the counter lacks by chance could go without loss, but it is what repairs a counter that came back empty; it stays.

--- a/limiter/src/config/file.rs
+++ b/limiter/src/config/file.rs
@@ -2,6 +2,10 @@
 
 use std::net::SocketAddr;
 
+/// A call's outcome is waited for this many times as long as the platform calls one given up: the counter sets no time-out,
+/// and a total that comes late is true. Guards against a crowded counter whose calls are made and then not listened to.
+const COUNTER_PATIENCE: Micros = 4;
+
 use checked::Fault;
 use serde::{Deserialize, Deserializer};
 use serde_json::Value;
@@ -344,7 +348,7 @@
             most_units: if most_units > 0.0 { (most_units * 1_000.0) as u64 } else { defaults.most_units },
             connect: or(allow.connect_timeout_us.micros(), defaults.connect),
             leg_idle: defaults.leg_idle.min(or(allow.conn_idle_us.micros(), 15_000_000) * 6 / 10),
-            counter_wait: or(facts.counter_timeout_us.micros(), defaults.counter_wait),
+            counter_wait: or(facts.counter_timeout_us.micros() * COUNTER_PATIENCE, defaults.counter_wait),
             // The end by force comes no sooner than the longest deadline, 3 s at least, and 0.7 s more.
             drain: waits.fold(3_000_000, Micros::max) + 600_000,
             ..defaults
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -39,6 +39,9 @@
 const USE_GUESS: f64 = 0.5;
 /// Least share of the tries of a customer at its cap that still asks a crowded counter.
 const ASK_LEAST: f64 = 0.1;
+/// A call adds its units from this chance on that they pass; else a little, to know itself as the first.
+const LIKELY: f64 = 0.5;
+const ADD_LEAST: f64 = 0.02;
 /// Gain of the share granted to a customer for each verdict.
 const GRANT_GAIN: f64 = 0.6;
 /// Time in which a verdict told by another gateway fades, and least time between two for one customer.
@@ -97,6 +100,8 @@
 const RATIO_STEP: Micros = 60_000;
 /// Share of a bound, or the limit, that must be out for a good answer to raise it.
 const BOUND_USED: f64 = 0.7;
+/// Gateways that use one server, where there are more.
+const SHARERS: f64 = 20.0;
 /// Servers drawn by chance for a choice between them, at least.
 const DRAWN: usize = 2;
 
@@ -300,12 +305,7 @@
     /// A gateway that has just started and knows nothing but its settings.
     pub fn new(settings: Settings, seed: u64) -> Balancer {
         let means = vec![0.0; settings.classes.len()];
-        let counter = CounterHealth {
-            pace: first_pace(&settings),
-            climbs: true,
-            failed: Micros::MIN / 2,
-            ..CounterHealth::default()
-        };
+        let counter = CounterHealth { pace: first_pace(&settings), climbs: true, ..CounterHealth::default() };
         Balancer { settings, random: seed, means, counter, retries: RETRY_MOST / 2.0, ..Balancer::default() }
     }
 
@@ -355,6 +355,11 @@
         }
     }
 
+    /// Danger: where each of hundreds sends to all, each request needs a connection, and each hears little.
+    fn sharers(&self) -> f64 {
+        self.gateways().min(SHARERS)
+    }
+
     fn gateways(&self) -> f64 {
         f64::from(self.settings.gateways.max(1))
     }
@@ -368,24 +373,20 @@
     /// The ordinary path: local count, then the calls; the verdict falls when they are answered.
     fn ask(&mut self, id: RequestId) {
         let Some(request) = self.held.get(&id).map(|h| h.request.clone()) else { return };
-        let (now, booted) = (self.now, self.booted.unwrap_or(self.now));
+        let (now, booted, who) = (self.now, self.booted.unwrap_or(self.now), request.customer);
         let Some(plan) = self.settings.plans.get(request.plan).cloned() else { return self.place(id) };
         // Danger: who is unknown here may have used up much of the window under the plan before.
-        let same = |since| {
-            window_at(since, plan.window, request.customer).0
-                == window_at(now, plan.window, request.customer).0
-        };
-        let first =
-            plan.changed.filter(|(since, _)| plan.window > 0 && same(*since)).map_or(request.plan, |c| c.1);
+        let same = |since| window_at(since, plan.window, who).0 == window_at(now, plan.window, who).0;
+        let changed = plan.changed.filter(|(since, _)| plan.window > 0 && same(*since));
+        let first = changed.map_or(request.plan, |c| c.1);
         let unknown = || Customer::unknown(first, booted, USE_GUESS);
-        let customer = self.customers.entry(request.customer).or_insert_with(unknown);
+        let customer = self.customers.entry(who).or_insert_with(unknown);
         customer.seen = now;
         let before = std::mem::replace(&mut customer.plan, request.plan);
-        let changed = |old: &&Plan| before != request.plan && old.window.max(plan.window) > 0;
-        if let Some(old) =
-            self.settings.plans.get(before).filter(changed).filter(|p| p.rate.min(plan.rate) > 0.0)
+        let changed = |old: &&Plan| old.window.max(plan.window) > 0 && old.rate.min(plan.rate) > 0.0;
+        if let Some(old) = self.settings.plans.get(before).filter(|_| before != request.plan).filter(changed)
         {
-            customer.units.replan(Store::of_rate(old), Store::of_rate(&plan), request.customer, now);
+            customer.units.replan(Store::of_rate(old), Store::of_rate(&plan), who, now);
         }
         let granted = customer.granted(now).max(ASK_LEAST);
         let spread = f64::from(request.spread.clamp(1, self.settings.gateways.max(1)));
@@ -398,14 +399,12 @@
         let weight = if usable && self.random() < share { 1.0 / share } else { 0.0 };
         let store = |open: &bool| self.store_of(request.plan, request.units, *open);
         let meters: Vec<Counted> = [false, true].iter().filter_map(store).collect();
-        let mut fits = self.fits_here(&request, plan.most_open, &meters, spread, weight == 0.0);
+        let mut fits = self.fits_here(&request, (plan.most_open, spread), &meters, weight == 0.0);
         // Danger: a share of the tries that pass unasked grows with them, and the refused come back at once.
-        let informed =
-            plan.most_open == 0 && self.customers.get(&request.customer).is_some_and(|c| c.units.read);
-        fits = fits && (weight > 0.0 || informed || self.random() < self.alone(request.customer));
+        let informed = plan.most_open == 0 && self.customers.get(&who).is_some_and(|c| c.units.read);
+        fits = fits && (weight > 0.0 || informed || self.random() < self.alone(who));
         let ceiling = |c: &mut Customer| c.take_ceiling(&plan, spread, request.units, now);
-        fits = fits
-            && (plan.ceiling_rate <= 0.0 || self.customers.get_mut(&request.customer).is_some_and(ceiling));
+        fits = fits && (plan.ceiling_rate <= 0.0 || self.customers.get_mut(&who).is_some_and(ceiling));
         if fits {
             self.count(&request, &meters, weight);
         }
@@ -417,8 +416,7 @@
             return self.verdict(id);
         }
         let aim = self.settings.classes.get(request.class).map_or(SECOND, |c| c.aim);
-        let wait = self.settings.counter_timeout.min((aim as f64 * WAIT_SHARE) as Micros);
-        self.due(now + wait, Due::Wait(id));
+        self.due(now + (aim as f64 * WAIT_SHARE) as Micros, Due::Wait(id));
     }
 
     /// What a request counts. Danger: attempts out of a dead gateway must not fill the cap for good: windows.
@@ -442,14 +440,8 @@
     }
 
     /// The local count: past its slice, or with the counter lost or crowded, who is over makes no call.
-    fn fits_here(
-        &mut self,
-        request: &Request,
-        most: u32,
-        meters: &[Counted],
-        spread: f64,
-        alone: bool,
-    ) -> bool {
+    fn fits_here(&mut self, request: &Request, most: (u32, f64), meters: &[Counted], alone: bool) -> bool {
+        let (most, spread) = most;
         let (now, lost) = (self.now, alone || self.counter_lost() || self.counter.pace < PACE_LOW);
         let Some(customer) = self.customers.get_mut(&request.customer) else { return true };
         let mut fits = most == 0 || customer.out < i64::from(most);
@@ -468,6 +460,7 @@
     fn count(&mut self, request: &Request, meters: &[Counted], weight: f64) {
         let now = self.now;
         let (grant, mut counted) = (self.alone(request.customer), Vec::new());
+        let likely = self.customers.get(&request.customer).is_none_or(|c| c.granted(now) >= LIKELY);
         for (open, store, units) in meters {
             let Some(customer) = self.customers.get_mut(&request.customer) else { return };
             let meter = customer.meter(*open);
@@ -477,19 +470,19 @@
                 continue;
             }
             meter.called = now;
-            // A call for others adds what is likely let through of them; attempts out are given back in full.
-            let given_back = *open || weight <= 1.0;
-            let counted_for = units * if given_back { 1.0 + (weight - 1.0) * grant } else { weight * grant };
-            let stands_for = counted_for - units;
-            let add = counted_for + std::mem::take(&mut meter.carry);
+            // It adds its own if that is likely let through, and what is likely let through of others.
+            let own = units * if *open || likely { 1.0 } else { ADD_LEAST };
+            let others = units * (weight - 1.0) * grant;
+            let (stands_for, add) = (own + others - units, own + others + std::mem::take(&mut meter.carry));
             // Danger: the chance of few calls adds up over a window. Where those that one stood for do not
             // come, or are more, the next puts it right.
-            meter.carry = if *open { 0.0 } else { -stands_for };
+            meter.carry = if *open { 0.0 } else { -others };
             meter.flying += add;
             meter.current += add;
             let (id, window) = (Some(request.id), meter.window);
-            counted.push((*open, window, if *open { counted_for } else { *units }));
-            let call = Call { id, customer: request.customer, window, add, stands_for, open: *open };
+            counted.push((*open, window, if *open { own + others } else { own }));
+            let (customer, open) = (request.customer, *open);
+            let call = Call { id, customer, window, add, stands_for, open, ..Call::default() };
             self.call(call, store.window);
         }
         self.customers.entry(request.customer).and_modify(|c| c.out += 1);
@@ -509,6 +502,7 @@
 
     fn call(&mut self, call: Call, length: Micros) {
         let name = count_name(call.customer, call.window, call.open);
+        let call = Call { made: self.now, ..call };
         self.calls.entry(name).or_default().push_back(call);
         call.id.into_iter().for_each(|id| _ = self.held.get_mut(&id).map(|h| h.calls += 1));
         self.actions.push(Action::Count { name, add: call.add, expires: 2 * length + SECOND });
@@ -520,7 +514,7 @@
         if queue.is_empty() {
             self.calls.remove(&name);
         }
-        self.counter_heard(outcome);
+        self.counter_heard(outcome, self.now - call.made > self.settings.counter_timeout);
         let denied = self.answer(call, outcome, total);
         let Some(id) = call.id else { return };
         let Some(held) = self.held.get_mut(&id).filter(|h| h.calls > 0) else { return };
@@ -573,10 +567,10 @@
                 // Danger: a give-back makes a count look fresh again; what still counts is added once.
                 let first = call.id.is_some() && (total - call.add).abs() < SAME * call.add && !meter.read;
                 meter.read |= call.id.is_some();
-                meter.debt = if call.id.is_none() && call.add > 0.0 { 0.0 } else { meter.debt };
+                meter.debt = if call.carries { 0.0 } else { meter.debt };
                 let (told, flowed) = (total, room - store.burst);
-                let total =
-                    meter.learn(call.add, told, flowed, (store.rate, now)) + meter.spill - call.stands_for;
+                let total = meter.learn(call.add, told, flowed, (store.rate, now));
+                let total = total + meter.spill - call.stands_for;
                 // Not all at once, and not while the first of the window may still be reading the one before.
                 if flowed > store.rate * MISSING_AFTER && chance < MISSING_TOLD {
                     meter.tell_missing(told);
@@ -597,7 +591,7 @@
                 let (window, add) = (meter.window, store.overhang(total).max(meter.debt));
                 (meter.current, meter.flying) = (meter.current + add, meter.flying + add);
                 if add > 0.0 {
-                    self.call(Call { id: None, window, add, stands_for: 0.0, ..call }, store.window);
+                    self.call(Call { window, add, carries: true, ..call }, store.window);
                 }
                 false
             }
@@ -618,20 +612,20 @@
     }
 
     /// Danger: a crowded counter taken for lost. One that turns calls away is alive and only asked less.
-    fn counter_heard(&mut self, outcome: Outcome) {
+    fn counter_heard(&mut self, outcome: Outcome, slow: bool) {
         let lost = self.counter_lost();
         // Danger: one connection that breaks fails all calls on it at once, and the counter passes for lost.
         let unheard = !matches!(outcome, Outcome::Ok | Outcome::Full);
         let another = unheard && self.now - self.counter.failed >= FAILURES_APART;
         self.counter.failed = if another { self.now } else { self.counter.failed };
         let (factor, silent) = match outcome {
-            Outcome::Ok if self.counter.climbs => (PACE_CLIMB, 0),
-            Outcome::Ok => (PACE_RISE, 0),
-            Outcome::Full => (PACE_CUT, 0),
+            Outcome::Ok if self.counter.climbs && !slow => (PACE_CLIMB, 0),
+            Outcome::Ok if !slow => (PACE_RISE, 0),
+            Outcome::Ok | Outcome::Full => (PACE_CUT, 0),
             _ => (PACE_CUT, self.counter.failures.saturating_add(u32::from(another))),
         };
         self.counter.failures = silent;
-        self.counter.climbs &= outcome == Outcome::Ok;
+        self.counter.climbs &= outcome == Outcome::Ok && !slow;
         self.counter.pace = (self.counter.pace * factor).clamp(PACE_LEAST, 1.0);
         if lost != self.counter_lost() {
             self.log(if lost { "counter is back" } else { "counter lost: requests pass" }.to_string());
@@ -647,17 +641,28 @@
             self.give_back(id);
             self.refuse(id);
         } else {
+            self.settle(id, true);
             self.place(id);
         }
     }
 
+    /// What of its units was not added, or not used, is told at once. Danger: of many gateways each makes its
+    /// next call for the customer windows later, and what passes on such verdicts is never counted.
+    fn settle(&mut self, id: RequestId, used: bool) {
+        let Some(held) = self.held.get_mut(&id) else { return };
+        let units = if used { held.request.units } else { 0.0 };
+        let of_units = held.counted.iter_mut().filter(|(open, ..)| !open);
+        let spare: Vec<_> =
+            of_units.map(|(_, at, own)| (*at, std::mem::replace(own, units) - units)).collect();
+        for (window, units) in spare.into_iter().filter(|(_, units)| *units != 0.0) {
+            self.add_back(id, false, window, units);
+        }
+    }
+
     /// Refused units are added back negatively, and a place among the attempts out is given up.
     fn give_back(&mut self, id: RequestId) {
         self.close_open(id);
-        let counted = self.held.get_mut(&id).map(|h| std::mem::take(&mut h.counted)).unwrap_or_default();
-        for (open, window, units) in counted {
-            self.add_back(id, open, window, units);
-        }
+        self.settle(id, false);
     }
 
     fn add_back(&mut self, id: RequestId, open: bool, window: i64, units: f64) {
@@ -665,15 +670,15 @@
         let (customer, store) = (request.customer, self.store_of(request.plan, units, open));
         let Some((_, store, _)) = store else { return };
         let lost = self.counter_lost();
-        let Some(known) = self.customers.get_mut(&customer) else { return };
-        let meter = known.meter(open);
+        let Some(meter) = self.customers.get_mut(&customer).map(|known| known.meter(open)) else { return };
         meter.turn(store, customer, self.now);
         // Danger: given back to a later window than it was counted in, the new one would grant it again.
         if window == meter.window {
-            if !open && (lost || self.counter.pace < 1.0) {
+            if !open && (lost || units.abs() < LIKELY * request.units) {
                 meter.carry -= units;
                 return;
             }
+            meter.flying += (-units).max(0.0);
             let scarce = meter.current * 2.0 >= store.burst || meter.asked < store.burst;
             meter.current = (meter.current - units).max(0.0);
             // A place is given up at once where they are scarce or no call follows soon, else with the next.
@@ -684,7 +689,7 @@
         } else if open {
             return;
         }
-        let back = Call { id: None, customer, window, add: -units, stands_for: 0.0, open };
+        let back = Call { customer, window, add: -units, open, ..Call::default() };
         self.call(back, store.window);
     }
 
@@ -713,21 +718,23 @@
         }
         for entry in entries {
             // All gateways hear of a start at about the same time: their first requests are spread out.
-            let (now, first, stagger) = (self.now, BOUND_FIRST / self.gateways(), self.random() * WORK_GUESS);
-            let server = self.servers.entry(entry.server).or_insert_with(|| Server::unknown(first));
+            let first = BOUND_FIRST / self.sharers();
+            let (now, stagger, rank) = (self.now, self.random() * WORK_GUESS, self.random());
+            let server = self.servers.entry(entry.server).or_insert_with(|| Server::unknown(first, rank));
             if entry.started > server.started {
-                (server.suspect, server.unheard, server.confirmed) = (None, None, false);
-                (server.ratio, server.ratio_at, server.sent_work, server.sent_at) = (1.0, now, stagger, now);
-                server.rests.clear();
-                server.taken.clear();
+                let (out, bound, sent_work, sent_at) = (server.out, server.bound, stagger, now);
+                *server = Server { out, bound, sent_work, sent_at, ..Server::unknown(first, server.rank) };
             }
-            (server.zone, server.cell, server.started) = (entry.zone, entry.cell, entry.started);
-            server.kind = entry.kind;
-            server.ready = entry.state == ServerState::Ready;
+            (server.zone, server.cell, server.kind) = (entry.zone, entry.cell, entry.kind);
+            (server.started, server.ready) = (entry.started, entry.state == ServerState::Ready);
             server.gone = entry.state == ServerState::Gone;
             server.weight = if entry.weight > 0.0 { entry.weight } else { 1.0 };
         }
         self.servers.retain(|_, s| !s.gone || s.out > 0);
+        let mut ranks: Vec<f64> = self.servers.values().filter(|s| s.ready).map(|s| s.rank).collect();
+        ranks.sort_by(f64::total_cmp);
+        let used = (ranks.len() as f64 * self.sharers() / self.gateways()).ceil() as usize;
+        self.last_rank = ranks.get(used.saturating_sub(1)).copied().unwrap_or(1.0);
         if self.limit == 0.0 {
             self.limit = (BOUND_FIRST * self.servers.len() as f64 / self.gateways()).max(LIMIT_LEAST);
         }
@@ -745,7 +752,7 @@
     /// Work sent to a cold server not yet covered by its budget, and whether more fits: half a window's.
     /// Danger: overfed by all gateways together it falls over. Each has its share of a core at least.
     fn cold_debt(&self, server: &Server, work: f64) -> (f64, bool) {
-        let share = self.settings.fall_multiple * COLD_MARGIN / self.gateways();
+        let share = self.settings.fall_multiple * COLD_MARGIN / self.sharers();
         let rate = self.warmth(server) * share * server.weight.max(1.0);
         let debt = (server.sent_work - (self.now - server.sent_at) as f64 * rate).max(0.0);
         (debt, debt <= 0.0 || debt + work <= rate * self.settings.fall_window as f64 / 2.0)
@@ -832,11 +839,14 @@
 
     // --------------------------------------------------------------------------------------- placement
 
+    fn usable(&self, server: &Server) -> bool {
+        server.ready && server.suspect.is_none() && server.rank <= self.last_rank
+    }
+
     /// The server where this request is likely to be done first, if any may take it.
     fn choose(&mut self, id: RequestId) -> Option<ServerId> {
         let share = self.worth_share(id);
-        let bounds: f64 =
-            self.servers.values().filter(|s| s.ready && s.suspect.is_none()).map(|s| s.bound).sum();
+        let bounds: f64 = self.servers.values().filter(|s| self.usable(s)).map(|s| s.bound).sum();
         if self.out() >= (bounds.min(self.limit) * share).max(1.0) {
             return None;
         }
@@ -848,7 +858,7 @@
         let few = DRAWN.max((ready as f64 / self.gateways()).ceil() as usize);
         let mut drawn: Vec<(f64, f64, ServerId)> = Vec::with_capacity(few + 1);
         for ((server_id, server), chance) in self.servers.iter().zip(chances) {
-            let allowed = server.ready && server.suspect.is_none() && self.in_group(held, server);
+            let allowed = self.usable(server) && self.in_group(held, server);
             let rest = server.rests.get(&held.request.plan);
             let most = if rest.is_some() { 1.0 } else { (server.bound * share).max(1.0) };
             let warmth = self.warmth(server);
@@ -972,7 +982,7 @@
     }
 
     fn server_outcome(&mut self, end: &AttemptEnd) {
-        let (now, least) = (self.now, 1.0 / self.gateways());
+        let (now, least) = (self.now, 1.0 / self.sharers());
         let (class, plan) = self.held.get(&end.request).map(|h| (h.request.class, h.request.plan)).unzip();
         let aim = class.and_then(|c| self.settings.classes.get(c)).map_or(SECOND, |c| c.aim);
         let Some(server) = self.servers.get_mut(&end.server) else { return };
--- a/src/state.rs
+++ b/src/state.rs
@@ -13,7 +13,7 @@
 }
 
 /// A call to the counter that is not answered yet. `id` is the request that waits for it, if one does.
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, Default)]
 pub(crate) struct Call {
     pub(crate) id: Option<RequestId>,
     pub(crate) customer: CustomerId,
@@ -22,6 +22,9 @@
     /// What of it stands for requests without a call of their own.
     pub(crate) stands_for: f64,
     pub(crate) open: bool,
+    pub(crate) made: Micros,
+    /// It carries over what the window before left over.
+    pub(crate) carries: bool,
 }
 
 /// One shared count of a customer, as this gateway knows it.
@@ -108,6 +111,8 @@
     pub(crate) weight: f64,
     pub(crate) ready: bool,
     pub(crate) gone: bool,
+    /// Its place by chance in this gateway's order of servers: the first ones are used.
+    pub(crate) rank: f64,
     pub(crate) started: Micros,
     /// Attempts out from here, and since when no sign of life has come while some were.
     pub(crate) out: u32,
@@ -145,7 +150,7 @@
 #[derive(Default)]
 pub(crate) struct Held {
     pub(crate) request: Request,
-    /// Counter answers still awaited, whether one refused it, and what it has taken.
+    /// Counter answers still awaited, whether one refused it, and what of it was added to which window.
     pub(crate) calls: u32,
     pub(crate) denied: bool,
     pub(crate) counted: Vec<(bool, i64, f64)>,
@@ -187,6 +192,8 @@
     pub(crate) means: Vec<f64>,
     /// Further attempts that may be made.
     pub(crate) retries: f64,
+    /// The rank up to which ready servers are used.
+    pub(crate) last_rank: f64,
     /// Most attempts out in all; 0 before the first list.
     pub(crate) limit: f64,
     /// Usual worth of a request for its work.
@@ -236,7 +243,7 @@
 
 impl Server {
     /// A server of which nothing is known, not even a start.
-    pub(crate) fn unknown(bound: f64) -> Server {
-        Server { bound, ratio: 1.0, started: -1, ..Server::default() }
+    pub(crate) fn unknown(bound: f64, rank: f64) -> Server {
+        Server { bound, rank, ratio: 1.0, started: -1, ..Server::default() }
     }
 }
--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -72,6 +72,7 @@
     let mut gateway = Gateway::with_servers(settings(), 4);
     let (id, actions) = gateway.ask(0, 1, 9);
     assert!(sends(&actions).is_empty());
+    assert!(sends(&gateway.pass(60 * MS)).is_empty(), "it may only be crowded");
     assert_eq!(sends(&gateway.pass(40 * MS))[0].0, id);
 }
 
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -333,3 +333,44 @@
     let adds: usize = (0..60).map(|n| asks(&mut gateway, n)).sum();
     assert!((1..=12).contains(&adds), "{adds} adds for 60 tries, all denied");
 }
+
+#[test]
+fn what_passes_by_a_verdict_that_was_unlikely_is_counted() {
+    let mut gateway = Gateway::with_servers(one_of_many(), 40);
+    // Told by another gateway: its own verdict lets it through all the same.
+    gateway.feed(Event::Told(OverNotice { customer: CustomerId(9), plan: 1 }));
+    let mut counted = 0.0;
+    let passed = (0..400).find(|_| {
+        let (_, actions) = gateway.ask(0, 1, 9);
+        counts(&actions).first().is_some_and(|(name, add)| {
+            let then = gateway.feed(Event::Counted { name: *name, outcome: Outcome::Ok, total: *add });
+            counted = add + counts(&then).iter().map(|(_, add)| add).sum::<f64>();
+            !sends(&then).is_empty()
+        })
+    });
+    assert!(passed.is_some() && counted >= 1.0, "{counted} of one unit is told while it matters");
+}
+
+#[test]
+fn a_hundred_gateways_open_few_connections_and_reach_every_server() {
+    let mut users = [0; 60];
+    for number in 0..100 {
+        let many = Settings { gateways: 100, own_number: number, counter: false, ..settings() };
+        let balancer = Balancer::new(many, u64::from(number));
+        let mut gateway = Gateway { balancer, now: 100 * SECOND, next: 0 };
+        let entries = (0..60).map(|n| entry(n, ServerState::Ready, 0)).collect();
+        gateway.feed(Event::ServerList { kind: ListKind::Cached, entries });
+        let mut used = std::collections::BTreeSet::new();
+        for n in 0..300 {
+            let (id, actions) = gateway.ask(0, 0, n);
+            for (_, server) in sends(&actions) {
+                used.insert(server.0);
+                gateway.now += 50 * MS;
+                gateway.end(id, 0, server, Outcome::Ok);
+            }
+        }
+        used.into_iter().for_each(|server| users[server as usize] += 1);
+    }
+    assert!(users.iter().sum::<i32>() <= 1_300, "a server and a gateway meet in {users:?} pairs");
+    assert!(users.iter().all(|n| (5..=40).contains(n)), "gateways at each server: {users:?}");
+}
