Take notices only from limiters of the tier, and tell what was refused now and then

Need: a hundred limiters act on each other's notices, and since notices add up, some kept a customer out for long. Any datagram of the right form was believed, whoever sent it (`read_datagrams` dropped the sender's address). The peers became a type of their own (`peers::Peers`), tested without sockets; Host has no field more.

--- a/limiter/src/net/host/datagrams.rs
+++ b/limiter/src/net/host/datagrams.rs
@@ -6,10 +6,15 @@
     pub(super) fn read_datagrams(&mut self) {
         let Some(socket) = &self.datagrams else { return };
         let mut bytes = [0; 512];
-        while let Ok((length, _)) = socket.recv_from(&mut bytes) {
-            if let Some(notice) = peers::decode(&bytes[..length], self.plans) {
+        while let Ok((length, from)) = socket.recv_from(&mut bytes) {
+            if let Some(notice) = self.peers.read(from, &bytes[..length], self.plans) {
                 self.services[RECORDS].engine.told(notice);
             }
         }
+        if let Some(refused) = self.peers.to_tell(self.now(), self.limits.full_log) {
+            self.warn(&format!(
+                "{refused} datagrams not taken: not a notice, or from no limiter of the tier"
+            ));
+        }
     }
 }
--- a/limiter/src/net/host/mod.rs
+++ b/limiter/src/net/host/mod.rs
@@ -33,7 +33,7 @@
 use crate::front::{Forward, Rejection};
 use crate::legs::{self, Errand, LegState, Pool};
 use crate::limits::Limits;
-use crate::peers;
+use crate::peers::{self, Peers};
 use crate::probes;
 use crate::routing_table::{News, RoutingTable};
 use crate::slots::{AuthorisationKey, ConnectionKey, SlotMap};
@@ -197,7 +197,7 @@
     counter: Option<SocketAddr>,
     lines: Vec<Line>,
     datagrams: Option<UdpSocket>,
-    peers: Vec<SocketAddr>,
+    peers: Peers,
     plans: usize,
     reports: bool,
     /// As at the start: a reload changes neither.
@@ -318,7 +318,7 @@
             counter,
             lines: (0..limits.counter_connections).map(|_| Line::default()).collect(),
             datagrams,
-            peers: config.peers,
+            peers: Peers::new(config.peers),
             plans,
             reports: config.reports,
             listen: config.listen,
@@ -494,7 +494,7 @@
                 self.start_errand(now, service, server, Errand::Probe, now + self.limits.probe_wait)
             }
             Order::Tell(number, notice) => {
-                let to = self.peers.get(number as usize).copied();
+                let to = self.peers.address(number);
                 if let (Some(to), Some(socket), Some(bytes)) = (to, &self.datagrams, peers::encode(&notice)) {
                     // A datagram that cannot be sent is lost, as any may be.
                     let _ = socket.send_to(&bytes, to);
--- a/limiter/src/net/host/reloading.rs
+++ b/limiter/src/net/host/reloading.rs
@@ -25,7 +25,7 @@
                 self.move_line(line);
             }
         }
-        self.peers = config.peers;
+        self.peers.moved(config.peers);
         if let (Some(tokens), Some(front), None) = (&mut self.tokens, config.introspection, &self.agreement) {
             tokens.set_callers(front.callers);
         }
--- a/limiter/src/peers.rs
+++ b/limiter/src/peers.rs
@@ -1,6 +1,50 @@
-//! Notices between limiters as UDP datagrams.
+//! Notices between limiters as UDP datagrams, and who may send them.
 
-use streamarch::{CustomerId, OverNotice};
+use std::net::SocketAddr;
+
+use streamarch::{CustomerId, Micros, OverNotice};
+
+/// The limiters of the tier by their numbers, and how much has come that none of them can have meant.
+#[derive(Debug)]
+pub struct Peers {
+    addresses: Vec<SocketAddr>,
+    refused: u64,
+    told: Micros,
+}
+
+impl Peers {
+    /// Peers at these addresses, in the order of their numbers.
+    pub fn new(addresses: Vec<SocketAddr>) -> Peers {
+        Peers { addresses, refused: 0, told: Micros::MIN / 2 }
+    }
+
+    /// They are at these addresses from now on.
+    pub fn moved(&mut self, addresses: Vec<SocketAddr>) {
+        self.addresses = addresses;
+    }
+
+    /// Where the limiter of this number is.
+    pub fn address(&self, number: u32) -> Option<SocketAddr> {
+        self.addresses.get(number as usize).copied()
+    }
+
+    /// Reads a datagram. Guards the verdicts against whoever else can reach the port: a notice keeps a customer out at
+    /// this limiter for seconds. What is refused is counted.
+    pub fn read(&mut self, from: SocketAddr, bytes: &[u8], plans: usize) -> Option<OverNotice> {
+        let notice = decode(bytes, plans).filter(|_| self.addresses.contains(&from));
+        self.refused += u64::from(notice.is_none());
+        notice
+    }
+
+    /// How many datagrams were refused since this was last told, if some were and it is time to tell.
+    pub fn to_tell(&mut self, now: Micros, every: Micros) -> Option<u64> {
+        if self.refused == 0 || now - self.told < every {
+            return None;
+        }
+        self.told = now;
+        Some(std::mem::take(&mut self.refused))
+    }
+}
 
 /// A notice as bytes: two of plan, eight of customer.
 pub fn encode(notice: &OverNotice) -> Option<[u8; 10]> {
@@ -23,6 +67,23 @@
 mod tests {
     use super::*;
 
+    #[test]
+    fn only_limiters_of_the_tier_are_believed_and_the_rest_is_told_now_and_then() {
+        let at = |port: u16| SocketAddr::from(([127, 0, 0, 1], port));
+        let mut peers = Peers::new(vec![at(1), at(2)]);
+        let bytes = encode(&OverNotice { customer: CustomerId(7), plan: 0 }).unwrap();
+        assert!(peers.read(at(2), &bytes, 1).is_some());
+        assert_eq!(peers.to_tell(0, 10), None, "nothing was refused");
+        assert!(peers.read(at(3), &bytes, 1).is_none(), "no limiter is there");
+        assert!(peers.read(at(1), &[0; 256], 0).is_none(), "not a notice");
+        assert_eq!(peers.to_tell(0, 10), Some(2));
+        assert!(peers.read(at(3), &bytes, 1).is_none());
+        assert_eq!((peers.to_tell(9, 10), peers.to_tell(10, 10)), (None, Some(1)));
+        peers.moved(vec![at(3)]);
+        assert!(peers.read(at(3), &bytes, 1).is_some() && peers.read(at(2), &bytes, 1).is_none());
+        assert_eq!((peers.address(0), peers.address(1)), (Some(at(3)), None));
+    }
+
     #[test]
     fn a_notice_survives_the_wire_and_odd_datagrams_are_none() {
         let notice = OverNotice { customer: CustomerId(0x1_2345_6789), plan: 2 };
