--- a/limiter/src/routing_table.rs
+++ b/limiter/src/routing_table.rs
@@ -197,4 +197,26 @@
         assert_eq!((table.index, table.numbers.len()), (1, 1));
         assert_eq!(table.line(b"\r\n"), Ok(None));
     }
+
+    #[test]
+    fn lists_of_a_large_fleet_change_all_at_once_to_none_and_back() {
+        let mut table = table();
+        let names: Vec<String> = (0..60).map(|n| format!("s-{n}")).collect();
+        let all = |status: &'static str| names.iter().map(|n| (n.as_str(), status)).collect::<Vec<_>>();
+        let first = table.line(&line(1, true, &all("Ready"))).unwrap().unwrap();
+        assert_eq!((first.entries.len(), first.gone.len()), (60, 0));
+        // Sixty changes in one line, each of a server known before.
+        let drained = table.line(&line(2, false, &all("Terminating"))).unwrap().unwrap();
+        assert!(drained.entries.iter().zip(&first.entries).all(|(a, b)| a.server == b.server));
+        assert!(!table.serving());
+        let gone = table.line(&line(3, false, &all("Gone"))).unwrap().unwrap();
+        assert_eq!((gone.entries.len(), gone.gone.len()), (60, 60));
+        // The same once more, and a whole list that is empty, say nothing new.
+        for again in [line(3, false, &all("Gone")), line(4, true, &[])] {
+            let news = table.line(&again).unwrap().unwrap();
+            assert_eq!((news.entries.len(), news.gone.len()), (0, 0));
+        }
+        let back = table.line(&line(5, true, &all("Ready"))).unwrap().unwrap();
+        assert!(back.entries.iter().all(|e| e.server.0 > 60) && table.serving());
+    }
 }
