Raise bounds of servers by a gateway's share where more than four share a server

Cause (`learn_bound`): a late answer cuts the bound of one gateway only, a twentieth of what the fleet has out there, but a good one raised it by as much as where one gateway has it all, so that about 40% late answers were in balance. The rise is now also diluted where more than four share a server; with four or fewer nothing changes.

Ruled out before: an idle server's slowness in the choice, errors pooled over plans.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -68,10 +68,11 @@
 const REPORT_TAU: f64 = 0.6e6;
 /// Share of the cold budget that is used: the rest is for chance.
 const COLD_MARGIN: f64 = 0.5;
-/// Attempts out at a server: first bound and rise for all gateways together,
+/// Attempts out at a server: first bound and rise for all gateways together, to which more than a few add up,
 /// share of the aim after which an answer is late, cuts for a late answer and a refusal.
 const BOUND_FIRST: f64 = 12.0;
 const BOUND_RISE: f64 = 1.5;
+const BOUND_FEW: f64 = 4.0;
 const LATE_SHARE: f64 = 0.5;
 const LATE_CUT: f64 = 0.9;
 const FULL_CUT: f64 = 0.7;
@@ -270,7 +271,9 @@
         let used = f64::from(self.out) + 1.0 >= BOUND_USED * self.bound;
         self.bound = match outcome {
             Outcome::Ok if late => self.bound * LATE_CUT,
-            Outcome::Ok if used => self.bound + BOUND_RISE * least / self.bound,
+            Outcome::Ok if used => {
+                self.bound + BOUND_RISE * least * (BOUND_FEW * least).min(1.0) / self.bound
+            }
             Outcome::Full | Outcome::TimedOut => self.bound * FULL_CUT,
             _ => self.bound,
         };
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -404,3 +404,21 @@
     let (six, one) = (passed(6), passed(1));
     assert!(six * 3 < one * 2, "{six} pass after six notices, {one} after one");
 }
+
+#[test]
+fn a_hundred_gateways_bring_down_their_bounds_when_a_third_of_the_answers_is_late() {
+    let mut gateway = Gateway::with_servers(Settings { gateways: 100, counter: false, ..settings() }, 60);
+    for n in 0..1_500 {
+        let (request, actions) = gateway.ask(0, 0, n);
+        gateway.now += 50 * MS;
+        for (_, server) in sends(&actions) {
+            let (outcome, finished) = (Outcome::Ok, true);
+            let took = if n % 3 == 0 { 300 * MS } else { 50 * MS };
+            let (attempt, actual_units, report) = (0, None, None);
+            let end = AttemptEnd { request, attempt, server, outcome, took, finished, actual_units, report };
+            gateway.feed(Event::AttemptEnd(end));
+        }
+    }
+    let sent: usize = (2_000..2_100).map(|n| sends(&gateway.ask(0, 0, n).1).len()).sum();
+    assert!((1..=10).contains(&sent), "{sent} out from one gateway of a hundred");
+}
