Tell what a turned away call let through with the next call, not in one of its own

The last change sent a call of its own for what passed after its call was turned away: more calls for a counter that is full. Given back is still nothing that was not added, as its test holds.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -605,17 +605,20 @@
             Outcome::Ok => total - call.stands_for > room,
             // No verdict: the request passes, unless what is known shows the customer over.
             Outcome::TimedOut => meter.expected(now) > room || (!meter.read && chance >= grant),
-            // Nothing was added: what it stood for goes along with the next call. Danger: own units that were
-            // never added must not be given back, or a counter that turns calls away ends below nothing.
+            // Nothing was added: what passes goes along with the next call. Danger: what was never added and is
+            // given back leaves a counter that turns calls away below nothing.
             _ => {
-                let counted = call.id.and_then(|id| self.held.get_mut(&id)).map(|held| &mut held.counted);
-                let own = counted.into_iter().flatten().find(|(open, ..)| *open == call.open);
-                let own = own.map_or(0.0, |(_, _, own)| std::mem::take(own));
+                let held = call.id.and_then(|id| self.held.get_mut(&id));
+                let units = held.as_ref().filter(|_| !call.open).map_or(0.0, |h| h.request.units);
+                let counted = held.map(|h| &mut h.counted);
+                let own = counted.map_or(0.0, |c| c.extract_if(.., |c| c.0 == call.open).map(|c| c.2).sum());
                 if present {
                     meter.current -= call.add;
                     meter.carry += call.add - own;
                 }
-                meter.expected(now) + own > room || (!meter.read && chance >= grant)
+                let denied = meter.expected(now) + units > room || (!meter.read && chance >= grant);
+                meter.carry += if denied { 0.0 } else { units };
+                denied
             }
         }
     }
