--- a/src/logic.rs
+++ b/src/logic.rs
@@ -605,8 +605,8 @@
             Outcome::Ok => total - call.stands_for > room,
             // No verdict: the request passes, unless what is known shows the customer over.
             Outcome::TimedOut => meter.expected(now) > room || (!meter.read && chance >= grant),
-            // Nothing was added: what passes goes along with the next call. Danger: what was never added and is
-            // given back leaves a counter that turns calls away below nothing.
+            // Nothing was added: what passes goes along with the next call. Danger: what was never added and
+            // is given back leaves a counter that turns calls away below nothing.
             _ => {
                 let held = call.id.and_then(|id| self.held.get_mut(&id));
                 let units = held.as_ref().filter(|_| !call.open).map_or(0.0, |h| h.request.units);
