Let a keyed repeat go to all of its group, used here or not

Cause (`choose`): a sign-off whose first leg may have run goes on only in its cell of three to five servers, of which a gateway of a hundred uses one or none since it uses twelve of sixty; what was left was the server that had just failed. Now all of the group may take it (`may_go`). Which servers are used is a flag set with the list, no longer a rank compared anew.

What a full counter did not add of a window that is over no longer charges the new one.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -617,7 +617,7 @@
                     meter.carry += call.add - own;
                 }
                 let denied = meter.expected(now) + units > room || (!meter.read && chance >= grant);
-                meter.carry += if denied { 0.0 } else { units };
+                meter.carry += if denied || !present { 0.0 } else { units };
                 denied
             }
         }
@@ -747,7 +747,8 @@
         ranks.sort_by(f64::total_cmp);
         // Danger: where each of hundreds sends to all, each try needs a connection, each hears too little.
         let used = (ranks.len() as f64 * SHARERS / self.gateways()).ceil().max(USED_LEAST);
-        self.last_rank = ranks.get(used as usize - 1).copied().unwrap_or(1.0);
+        let last = ranks.get(used as usize - 1).copied().unwrap_or(1.0);
+        self.servers.values_mut().for_each(|s| s.used = s.rank <= last);
         self.sharers = self.gateways() * (used / ranks.len().max(1) as f64).min(1.0);
     }
 
@@ -850,14 +851,11 @@
 
     // --------------------------------------------------------------------------------------- placement
 
-    fn usable(&self, server: &Server) -> bool {
-        server.ready && server.suspect.is_none() && server.rank <= self.last_rank
-    }
-
     /// The server where this request is likely to be done first, if any may take it.
     fn choose(&mut self, id: RequestId) -> Option<ServerId> {
         let share = self.worth_share(id);
-        let bounds: f64 = self.servers.values().filter(|s| self.usable(s)).map(|s| s.bound).sum();
+        let used = self.servers.values().filter(|s| s.used && s.ready && s.suspect.is_none());
+        let bounds: f64 = used.map(|s| s.bound).sum();
         if self.out() >= (bounds * share).max(1.0) {
             return None;
         }
@@ -869,7 +867,7 @@
         let few = DRAWN.max((ready as f64 / self.gateways()).ceil() as usize);
         let mut drawn: Vec<(f64, f64, ServerId)> = Vec::with_capacity(few + 1);
         for ((server_id, server), chance) in self.servers.iter().zip(chances) {
-            let allowed = self.usable(server) && self.in_group(held, server);
+            let allowed = server.ready && server.suspect.is_none() && self.may_go(held, server);
             let rest = server.rests.get(&held.request.plan);
             let most = if rest.is_some() { 1.0 } else { (server.bound * share).max(1.0) };
             let warmth = self.warmth(server);
@@ -902,13 +900,14 @@
         [all, kind, own].into_iter().flatten().fold(1.0, |expected, t| t.chance(self.now, expected))
     }
 
-    /// Rule 2: a keyed request that may have run goes only to servers that would drop its repeat.
-    fn in_group(&self, held: &Held, server: &Server) -> bool {
+    /// Rule 2: a keyed request that may have run goes only to servers that would drop its repeat. Danger: a
+    /// small group may hold no other server that is used here.
+    fn may_go(&self, held: &Held, server: &Server) -> bool {
         let repeat = self.settings.classes.get(held.request.class).map(|c| c.repeat);
         match (repeat, held.ran) {
             (Some(Repeat::Keyed { group: Group::Zone, .. }), Some(ran)) => server.zone == ran.zone,
             (Some(Repeat::Keyed { group: Group::Cell, .. }), Some(ran)) => server.cell == ran.cell,
-            (Some(Repeat::Keyed { .. } | Repeat::Safe | Repeat::Unsafe) | None, _) => true,
+            (Some(Repeat::Keyed { .. } | Repeat::Safe | Repeat::Unsafe) | None, _) => server.used,
         }
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -112,8 +112,9 @@
     pub(crate) weight: f64,
     pub(crate) ready: bool,
     pub(crate) gone: bool,
-    /// Its place by chance in this gateway's order of servers: the first ones are used.
+    /// Its place by chance in this gateway's order of servers, and whether it is among the first, which are used.
     pub(crate) rank: f64,
+    pub(crate) used: bool,
     pub(crate) started: Micros,
     /// Attempts out from here, and since when no sign of life has come while some were.
     pub(crate) out: u32,
@@ -197,8 +198,6 @@
     pub(crate) retries: f64,
     /// Gateways that use one server.
     pub(crate) sharers: f64,
-    /// The rank up to which ready servers are used.
-    pub(crate) last_rank: f64,
     /// Usual worth of a request for its work.
     pub(crate) usual_worth: f64,
     pub(crate) held: BTreeMap<RequestId, Held>,
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -438,3 +438,22 @@
         assert!(told >= 0.0, "given back though never added: {then:?}");
     }
 }
+
+#[test]
+fn a_keyed_repeat_finds_its_group_among_servers_that_are_not_used() {
+    let mut keyed = Settings { gateways: 100, counter: false, ..settings() };
+    keyed.classes[1].repeat = Repeat::Keyed { group: Group::Cell, window: 2 * SECOND };
+    let mut gateway = Gateway::with_servers(keyed, 60);
+    let moved = (0..8).filter(|n| {
+        let (id, actions) = gateway.ask(1, 0, *n);
+        let first = sends(&actions)[0].1;
+        let again = sends(&gateway.end(id, 0, first, Outcome::Error))[0].1;
+        gateway.end(id, 1, again, Outcome::Ok);
+        gateway.pass(SECOND);
+        // Cells are pairs: one other server would drop the repeat.
+        assert_eq!(again.0 / 2, first.0 / 2);
+        again != first
+    });
+    let moved = moved.count();
+    assert!(moved >= 6, "{moved} of 8 repeats left the server that had failed");
+}
