--- a/load/src/cli.rs
+++ b/load/src/cli.rs
@@ -16,6 +16,7 @@
 use standins::serving::Serving;
 
 use crate::driver::{self, Outcomes, Progress};
+use crate::fleet::{self, Shape, Trouble};
 use crate::generator::Setup;
 use crate::report;
 use crate::scenario::Scenario;
@@ -36,6 +37,7 @@
   trace inspect FILE                 what a trace holds
   trace replay FILE                  sends a trace
   stand-ins SCENARIO                 only the emulated world; prints a limiter's configuration for it
+  fleet calm|restart|zone|replace    the decision module alone, as a fleet on driven time; prints what all do together
   version, help
 
   --target ADDRESS      send there and start nothing else; may be given more than once
@@ -46,6 +48,8 @@
   --limiter PATH        the limiter's program; by default streamarch beside this one
   --speed X             a trace so many times as fast
   --scenario FILE       plans, classes, world and limiters for a trace
+  --gateways N, --servers N
+                        the size of a fleet
   --duplicates keep|drop, --gaps keep|close, --gap SECONDS
                         what is done with a trace's duplicates and gaps
   --log-format text|json, --log-level error|warn|info|debug
@@ -70,6 +74,8 @@
     drop_duplicates: bool,
     close_gaps: bool,
     gap: Option<f64>,
+    gateways: Option<usize>,
+    servers: Option<u32>,
     log_json: bool,
     log_level: Option<tracing::Level>,
 }
@@ -114,6 +120,8 @@
                 options.drop_duplicates = choice(&mut parser, "--duplicates", ["keep", "drop"])?
             }
             Long("gaps") => options.close_gaps = choice(&mut parser, "--gaps", ["keep", "close"])?,
+            Long("gateways") => options.gateways = Some(parser.value()?.parse()?),
+            Long("servers") => options.servers = Some(parser.value()?.parse()?),
             Long("gap") => options.gap = Some(parser.value()?.parse()?),
             Long("log-format") => options.log_json = choice(&mut parser, "--log-format", ["text", "json"])?,
             Long("log-level") => options.log_level = Some(parser.value()?.parse()?),
@@ -180,6 +188,7 @@
         ["trace", "import", from, to] => import(options, Path::new(from), Path::new(to)),
         ["trace", "inspect", path] => inspect(options, Path::new(path)),
         ["trace", "replay", path] => replay(options, Path::new(path)),
+        ["fleet", trouble] => fleet(options, trouble),
         ["stand-ins", path] => stand_ins(options, &scenario(Path::new(path))?),
         [] => Err(usage("a command is missing")),
         ["compare", ..] => Err(usage("compare takes two folders or more")),
@@ -187,6 +196,28 @@
     }
 }
 
+fn fleet(options: &Options, trouble: &str) -> Result<(), Failure> {
+    let trouble = Trouble::named(trouble)
+        .ok_or_else(|| usage(format!("'{trouble}' is none of calm, restart, zone and replace")))?;
+    let usual = Shape::default();
+    let shape = Shape {
+        gateways: options.gateways.unwrap_or(usual.gateways),
+        servers: options.servers.unwrap_or(usual.servers),
+        seed: options.seed.unwrap_or(usual.seed),
+        ..usual
+    };
+    if !(1..=1_000).contains(&shape.gateways) || !(10..=1_000).contains(&shape.servers) {
+        return Err(usage("a fleet has 1 to 1,000 gateways and 10 to 1,000 servers"));
+    }
+    let totals = fleet::play(&shape, trouble);
+    if options.json {
+        println!("{}", serde_json::to_string(&totals).map_err(fault)?);
+    } else {
+        print!("{totals}");
+    }
+    Ok(())
+}
+
 fn scenario(path: &Path) -> Result<Scenario, Failure> {
     let text = std::fs::read_to_string(path).map_err(|e| fault(format!("{}: {e}", path.display())))?;
     Scenario::read(&text).map_err(|e| fault(format!("{}: {e}", path.display())))
