--- a/limiter/src/config/file.rs
+++ b/limiter/src/config/file.rs
@@ -67,6 +67,7 @@
     pub(super) listen: Option<SocketAddr>,
     pub(super) discovery: Option<SocketAddr>,
     pub(super) counter: Option<SocketAddr>,
+    pub(super) ops: Option<SocketAddr>,
     pub(super) peer_listen: Option<SocketAddr>,
     pub(super) peers: Option<Vec<SocketAddr>>,
     pub(super) known: Value,
@@ -321,15 +322,15 @@
     }
 
     /// The default limits, drawn in by what the settings and the machine allow.
-    pub(super) fn limits(&self, machine: &Machine) -> Limits {
+    pub(super) fn limits(&self, machine: &Machine, operators: bool) -> Limits {
         let defaults = Limits::default();
         let (allow, facts) = (self.permissions.unwrap_or_default(), self.specifics.unwrap_or_default());
         let or = |value: Micros, default: Micros| if value > 0 { value } else { default };
         let sockets = machine.sockets.0 as usize;
         // What is neither a client's nor a server's connection: standard streams, loop, timers, listeners, counter
-        // (twice while it moves), watch, datagrams, and some to spare. Of the rest clients have the larger share: a
+        // (twice while it moves), watch, datagrams, operators where they call, and some to spare. Of the rest clients have the larger share: a
         // third of all descriptors may be held for requests at once, and silent connections come on top.
-        let spare = 40;
+        let spare = 40 + if operators { defaults.operator_connections + 4 } else { 0 };
         let share = |tenths: usize| match sockets {
             0 => usize::MAX,
             _ => (sockets.saturating_sub(spare) * tenths / 10).max(8),
--- a/limiter/src/config/mod.rs
+++ b/limiter/src/config/mod.rs
@@ -16,6 +16,7 @@
 use streamarch::Settings;
 
 use crate::limits::Limits;
+use crate::net::inherited;
 pub use file::{Names, settings_text};
 pub use fronts::{Introspection, callers_text};
 pub use members::Cluster;
@@ -74,6 +75,10 @@
     pub peers: Vec<SocketAddr>,
     /// The list of servers as last held.
     pub known: Value,
+    /// Where operators call, if they do.
+    pub ops: Option<SocketAddr>,
+    /// Number of the descriptor under which the clients' listening socket was inherited, where it was.
+    pub passed: Option<u32>,
     /// For random numbers.
     pub seed: u64,
     /// The module's settings.
@@ -101,6 +106,10 @@
     pub listen: Option<String>,
     /// Discovery.
     pub discovery: Option<String>,
+    /// Where operators call.
+    pub ops: Option<String>,
+    /// Number of the descriptor of an inherited listening socket.
+    pub passed: Option<String>,
     /// Path of the second front's file; no variable names it, so that it is never on by accident.
     pub introspection: Option<String>,
     /// Path of the file of the instances that agree on a configuration; likewise.
@@ -115,15 +124,11 @@
 fn address(
     variable: &Option<String>,
     name: &str,
-    key: &str,
     value: Option<SocketAddr>,
-) -> Result<SocketAddr, Fault> {
-    match variable {
-        Some(text) => {
-            text.parse().map_err(|_| Fault::at(name, format!("'{text}' is no address with a port")))
-        }
-        None => need(key, value),
-    }
+) -> Result<Option<SocketAddr>, Fault> {
+    let Some(text) = variable else { return Ok(value) };
+    let parsed = text.parse().map_err(|_| Fault::at(name, format!("'{text}' is no address with a port")));
+    parsed.map(Some)
 }
 
 impl Environment {
@@ -135,6 +140,8 @@
             name: get("ROUTER_NAME"),
             listen: get("ROUTER_LISTEN"),
             discovery: get("ROUTER_DISCOVERY"),
+            ops: get("ROUTER_OPS"),
+            passed: get(inherited::VARIABLE),
             introspection: None,
             raft: None,
         }
@@ -164,20 +171,24 @@
         let file: file::File = checked::read(text)?;
         let settings = need("settings", file.settings)?;
         settings.check().map_err(|fault| fault.under("settings"))?;
+        let ops = address(&self.ops, "ROUTER_OPS", file.ops)?;
+        let passed = self.passed.as_deref().map(str::parse::<u32>).transpose();
         let seed = u64::from_str_radix(file.seed.as_deref().unwrap_or("1"), 16);
         Ok(Config {
             name: self.name.clone().or(file.name).unwrap_or_default(),
-            listen: address(&self.listen, "ROUTER_LISTEN", "listen", file.listen)?,
-            discovery: address(&self.discovery, "ROUTER_DISCOVERY", "discovery", file.discovery)?,
+            listen: need("listen", address(&self.listen, "ROUTER_LISTEN", file.listen)?)?,
+            discovery: need("discovery", address(&self.discovery, "ROUTER_DISCOVERY", file.discovery)?)?,
             discovery_in_file: file.discovery,
             counter: file.counter,
             peer_listen: file.peer_listen,
             peers: file.peers.unwrap_or_default(),
             known: file.known,
+            ops,
+            passed: passed.map_err(|_| Fault::at(inherited::VARIABLE, "is no descriptor's number"))?,
             seed: seed.map_err(|_| Fault::at("seed", "is not a number in hex"))?,
             names: settings.names(),
             reports: settings.reports(),
-            limits: settings.limits(&file.limits.unwrap_or_default()),
+            limits: settings.limits(&file.limits.unwrap_or_default(), ops.is_some()),
             settings: settings.module(),
             introspection: None,
             cluster: None,
--- a/limiter/src/legs.rs
+++ b/limiter/src/legs.rs
@@ -90,6 +90,8 @@
 struct Place {
     address: SocketAddr,
     listed: bool,
+    /// Operators have taken it out: no connection to it rests.
+    taken_out: bool,
     connections: usize,
     /// Idle connections and since when; the last one used is used first, so that the others can go.
     idle: Vec<(ConnectionKey, Micros)>,
@@ -106,13 +108,20 @@
     /// The routing table names this server, at this address. Gives the idle connections to another one: who answers
     /// there now is not this server.
     pub fn listed(&mut self, server: ServerId, address: SocketAddr) -> Vec<ConnectionKey> {
-        let new = || Place { address, listed: true, connections: 0, idle: Vec::new() };
+        let new = || Place { address, listed: true, taken_out: false, connections: 0, idle: Vec::new() };
         let place = self.places.entry(server).or_insert_with(new);
         let moved = std::mem::replace(&mut place.address, address) != address;
-        place.listed = true;
+        (place.listed, place.taken_out) = (true, false);
         if moved { place.idle.iter().map(|(key, _)| *key).collect() } else { Vec::new() }
     }
 
+    /// Operators have taken a server out: gives its idle connections, and keeps none until it is listed anew.
+    pub fn taken_out(&mut self, server: ServerId) -> Vec<ConnectionKey> {
+        let Some(place) = self.places.get_mut(&server) else { return Vec::new() };
+        place.taken_out = true;
+        place.idle.iter().map(|(key, _)| *key).collect()
+    }
+
     /// The server is gone from the routing table; gives its idle connections, which are of no more use.
     pub fn unlisted(&mut self, server: ServerId) -> Vec<ConnectionKey> {
         let Some(place) = self.places.get_mut(&server) else { return Vec::new() };
@@ -153,9 +162,10 @@
         }
     }
 
-    /// A connection has nothing to do. False if the server is gone: then it is to be closed.
+    /// A connection has nothing to do. False if the server is gone or taken out: then it is to be closed.
     pub fn rest(&mut self, server: ServerId, key: ConnectionKey, now: Micros) -> bool {
-        let Some(place) = self.places.get_mut(&server).filter(|place| place.listed) else { return false };
+        let used = |place: &&mut Place| place.listed && !place.taken_out;
+        let Some(place) = self.places.get_mut(&server).filter(used) else { return false };
         place.idle.push((key, now));
         true
     }
--- a/limiter/src/lib.rs
+++ b/limiter/src/lib.rs
@@ -3,6 +3,7 @@
 //! [`engine`] hosts the module and deals in authorisations, legs and outcomes. [`net`] is the event loop on which
 //! the fronts of [`front`] and the pieces that speak to servers, counter, discovery and peers run.
 
+pub mod bans;
 pub mod cli;
 pub mod config;
 pub mod counter;
@@ -11,9 +12,11 @@
 pub mod front;
 pub mod judging;
 pub mod legs;
+pub mod lifecycle;
 pub mod limits;
 pub mod logging;
 pub mod net;
+pub mod operators;
 pub mod peers;
 pub mod probes;
 pub mod raft;
--- /dev/null
+++ b/limiter/src/lifecycle.rs
@@ -0,0 +1,145 @@
+//! Where the process stands between its start and its end, without any input or output. `/up`, the operators' `ready`,
+//! `Connection: close`, accepting and the closing of idle connections follow from here and from nowhere else.
+
+use streamarch::Micros;
+
+use crate::limits::Limits;
+
+/// How the process ends once it was told to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Ending {
+    since: Micros,
+    /// All that was taken is finished, or the time for it is over.
+    finished: bool,
+}
+
+/// Serving, sending clients away, ending. A drain and the end go by the same rules, and may come together.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Lifecycle {
+    /// The listening socket is shared: what waits there is another process's as well.
+    shared: bool,
+    /// Since when operators have clients sent away.
+    drain: Option<Micros>,
+    ending: Option<Ending>,
+}
+
+impl Lifecycle {
+    /// A process that has just started. `shared`: it inherited its listening socket.
+    pub fn new(shared: bool) -> Lifecycle {
+        Lifecycle { shared, ..Lifecycle::default() }
+    }
+
+    /// Operators have clients sent away. False if that is so already; the first call's time goes on to count.
+    pub fn drain(&mut self, now: Micros) -> bool {
+        let first = self.drain.is_none();
+        self.drain.get_or_insert(now);
+        first
+    }
+
+    /// The drain is over. False if there was none.
+    pub fn resume(&mut self) -> bool {
+        self.drain.take().is_some()
+    }
+
+    /// Told to end. False if that was so already: the first call's time goes on to count.
+    pub fn end(&mut self, now: Micros) -> bool {
+        let first = self.ending.is_none();
+        self.ending.get_or_insert(Ending { since: now, finished: false });
+        first
+    }
+
+    /// Nothing is owed any more, or the time for it is over.
+    pub fn finish(&mut self) {
+        self.ending.iter_mut().for_each(|ending| ending.finished = true);
+    }
+
+    /// Clients are wanted: neither a drain nor the end is on.
+    pub fn serving(&self) -> bool {
+        self.drain.is_none() && self.ending.is_none()
+    }
+
+    /// Told to end.
+    pub fn ending(&self) -> bool {
+        self.ending.is_some()
+    }
+
+    /// The process may exit.
+    pub fn finished(&self) -> bool {
+        self.ending.is_some_and(|ending| ending.finished)
+    }
+
+    /// New connections are taken. At the end through the notice, but none from a shared socket: another process takes
+    /// those, and what is taken here would have to be ended soon after. In a drain they are taken: the process runs on,
+    /// and who comes is served once.
+    pub fn accepting(&self, now: Micros, limits: &Limits) -> bool {
+        self.ending.is_none_or(|ending| !self.shared && now < ending.since + limits.notice)
+    }
+
+    /// Each answer is the last of its connection. Where the socket is our own, a client told so during the notice of
+    /// the end would only come back with a new connection.
+    pub fn last_answers(&self, now: Micros, limits: &Limits) -> bool {
+        let ending = |ending: Ending| self.shared || now >= ending.since + limits.notice;
+        self.drain.is_some() || self.ending.is_some_and(ending)
+    }
+
+    /// Idle connections are closed, and who connects now has only a short time to say something: the front has heard
+    /// by now, and what is idle would be used by nobody but a client whose request crosses the close.
+    pub fn closing_idle(&self, now: Micros, limits: &Limits) -> bool {
+        let starts = self.drain.into_iter().chain(self.ending.map(|ending| ending.since));
+        starts.min().is_some_and(|since| now >= since + limits.notice)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const START: Micros = 1_000_000;
+
+    fn limits() -> Limits {
+        Limits { notice: 500, ..Limits::default() }
+    }
+
+    /// Accepting, last answers, closing of idle ones.
+    fn shown(life: &Lifecycle, now: Micros) -> (bool, bool, bool) {
+        let limits = limits();
+        (life.accepting(now, &limits), life.last_answers(now, &limits), life.closing_idle(now, &limits))
+    }
+
+    #[test]
+    fn a_drain_sends_away_but_takes_who_still_comes_and_is_over_at_once() {
+        let mut life = Lifecycle::new(true);
+        assert!(life.serving() && !life.resume());
+        assert!(life.drain(START) && !life.drain(START + 400), "the second call moves nothing");
+        assert!(!life.serving() && !life.ending());
+        assert_eq!(shown(&life, START + 499), (true, true, false));
+        assert_eq!(shown(&life, START + 500), (true, true, true));
+        assert!(life.resume() && life.serving());
+        assert_eq!(shown(&life, START + 501), (true, false, false));
+    }
+
+    #[test]
+    fn the_end_takes_connections_through_the_notice_but_none_from_a_shared_socket() {
+        for shared in [false, true] {
+            let mut life = Lifecycle::new(shared);
+            assert!(life.end(START) && !life.end(START + 400));
+            assert_eq!(shown(&life, START + 1), (!shared, shared, false));
+            assert_eq!(shown(&life, START + 500), (false, true, true));
+            assert!(!life.serving() && !life.finished());
+            life.finish();
+            assert!(life.finished());
+        }
+    }
+
+    #[test]
+    fn the_end_during_a_drain_goes_on_and_a_resume_does_not_stop_it() {
+        let mut life = Lifecycle::new(false);
+        life.finish();
+        assert!(!life.finished(), "only what was told to end can have ended");
+        life.drain(START);
+        life.end(START + 1_000);
+        assert_eq!(shown(&life, START + 1_001), (true, true, true), "idle ones were being closed before");
+        assert!(life.resume() && !life.serving());
+        assert_eq!(shown(&life, START + 1_500), (false, true, true));
+    }
+}
--- a/limiter/src/limits.rs
+++ b/limiter/src/limits.rs
@@ -84,8 +84,16 @@
     pub accept_retry: Micros,
     /// Between two ticks of the protocol by which instances agree.
     pub raft_tick: Micros,
-    /// After SIGTERM new connections are taken for this long.
+    /// After SIGTERM new connections are taken for this long; after it, or this long into a drain, idle ones go.
     pub notice: Micros,
+    /// A connection that comes while idle ones are being closed brings its request whole within this.
+    pub late_first: Micros,
+    /// Longest call of operators, in bytes.
+    pub operator_line: usize,
+    /// Most connections at the operators' address.
+    pub operator_connections: usize,
+    /// One that has finished no call is closed after this.
+    pub operator_wait: Micros,
     /// After SIGTERM the program ends at the latest after this.
     pub drain: Micros,
 }
@@ -132,6 +140,10 @@
             accept_retry: 30 * MS,
             raft_tick: 50 * MS,
             notice: 550 * MS,
+            late_first: 500 * MS,
+            operator_line: 512,
+            operator_connections: 8,
+            operator_wait: 10 * SECOND,
             drain: 4_600 * MS,
         }
     }
--- a/limiter/src/net/host/acquirers.rs
+++ b/limiter/src/net/host/acquirers.rs
@@ -85,9 +85,11 @@
 
     /// Sees to it that the connection is looked at when its time is up. One entry serves it for as long as its
     /// deadline only moves on.
-    fn arm(&mut self, key: ConnectionKey) {
+    pub(super) fn arm(&mut self, key: ConnectionKey) {
         let Some(connection) = self.connections.get_mut(key) else { return };
-        if let Some(at) = connection.visit.deadline(&self.limits).filter(|at| *at < connection.armed) {
+        let closing = self.lifecycle.closing_idle(self.clock.now(), &self.limits);
+        let at = connection.visit.deadline(closing, &self.limits);
+        if let Some(at) = at.filter(|at| *at < connection.armed) {
             connection.armed = at;
             self.deadlines.enter(at, Due::Visit(key));
         }
@@ -97,7 +99,9 @@
     pub(super) fn visit_due(&mut self, now: Micros, key: ConnectionKey) {
         let Some(connection) = self.connections.get_mut(key) else { return };
         connection.armed = Micros::MAX;
-        let over = |c: &Connection, limits: &Limits| c.visit.deadline(limits).is_some_and(|at| at <= now);
+        let closing = self.lifecycle.closing_idle(now, &self.limits);
+        let over =
+            |c: &Connection, limits: &Limits| c.visit.deadline(closing, limits).is_some_and(|at| at <= now);
         if over(connection, &self.limits) {
             // What is there already is taken, not lost to the close.
             self.read(key);
@@ -183,7 +187,7 @@
         connection.last = !request.keep_alive;
         self.consume(key, length);
         if request.method == "GET" && request.target == "/up" {
-            let serving = self.phase == Phase::Serving && self.table.serving();
+            let serving = self.lifecycle.serving() && self.table.serving();
             let (status, text): (u16, &[u8]) = if serving { (200, b"up\n") } else { (503, b"not serving\n") };
             return self.answer(key, status, &[], text);
         }
@@ -251,7 +255,7 @@
         // Guards requests of clients whose idle connections would be closed for room: where it is scarce they are told
         // that this answer is the last, and write no other into a connection that is being closed.
         let scarce = self.acquirers > self.limits.acquirer_kept;
-        let close = connection.last || self.phase == Phase::Draining || scarce;
+        let close = connection.last || self.lifecycle.last_answers(now, &self.limits) || scarce;
         let Role::Acquirer { waits, .. } = &mut connection.role else { return };
         *waits = None;
         framing::write_answer(&mut connection.output, status, headers, body, close);
--- a/limiter/src/net/host/ending.rs
+++ b/limiter/src/net/host/ending.rs
@@ -3,31 +3,49 @@
 use super::*;
 
 impl Host {
-    /// Told to end. New connections are taken for as long as the front may still send some.
+    /// Told to end. New connections are taken for as long as the front may still send some, unless another process
+    /// takes them.
     pub fn drain(&mut self) {
-        if self.phase != Phase::Serving {
+        let now = self.now();
+        if !self.lifecycle.end(now) {
             return;
         }
-        self.log("told to end: taking connections through the notice, then finishing");
-        self.phase = Phase::Notice;
-        let now = self.now();
+        if self.lifecycle.accepting(now, &self.limits) {
+            self.log("told to end: taking connections through the notice, then finishing");
+        } else {
+            self.log("told to end: new connections are left to others, finishing");
+            self.leave_listeners();
+        }
         self.deadlines.enter(now + self.limits.notice, Due::NoticeOver);
         self.deadlines.enter(now + self.limits.drain, Due::DrainOver);
     }
 
-    pub(super) fn notice_over(&mut self) {
-        self.accept();
-        self.phase = Phase::Draining;
+    /// Listening sockets are only closed: one that is shared goes on to listen for the others.
+    fn leave_listeners(&mut self) {
         for (_, _, token) in self.listeners.drain(..) {
             self.handle.remove(token);
         }
+    }
+
+    /// The notice of a drain or of the end is over: idle connections go.
+    pub(super) fn notice_over(&mut self) {
+        let now = self.now();
+        if !self.lifecycle.closing_idle(now, &self.limits) {
+            return;
+        }
+        if !self.lifecycle.accepting(now, &self.limits) {
+            // What has come until now is taken.
+            self.accept();
+            self.leave_listeners();
+        }
         let acquirers = self.connections.iter().filter(|(_, c)| matches!(c.role, Role::Acquirer { .. }));
         for key in acquirers.map(|(key, _)| key).collect::<Vec<_>>() {
             // What is there already is taken; a close that crosses a request is made good by the client.
             self.read(key);
             let Some(connection) = self.connections.get_mut(key) else { continue };
-            if connection.visit.stage == Stage::Idle {
-                self.close(key);
+            match connection.visit.stage {
+                Stage::Idle if connection.visit.answered => _ = self.close(key),
+                _ => self.arm(key),
             }
         }
     }
--- a/limiter/src/net/host/mod.rs
+++ b/limiter/src/net/host/mod.rs
@@ -6,6 +6,7 @@
 mod datagrams;
 mod ending;
 mod errands;
+mod operators;
 mod reloading;
 mod tokens;
 mod watching;
@@ -22,9 +23,11 @@
 use streamarch::{ListKind, LoadReport, Micros, Outcome, ServerEntry, ServerId, Settings};
 
 use self::agreement::Agreement;
+use self::operators::Operators;
 use self::tokens::Tokens;
 use super::Clock;
 use super::framing::{self, Answer};
+use super::inherited;
 use crate::config::{Config, Introspection};
 use crate::counter::{self, Counted, Line};
 use crate::deadlines::Deadlines;
@@ -32,10 +35,11 @@
 use crate::front::platform::{self, Platform};
 use crate::front::{Forward, Rejection};
 use crate::legs::{self, Errand, LegState, Pool};
+use crate::lifecycle::Lifecycle;
 use crate::limits::Limits;
 use crate::peers::{self, Peers};
 use crate::probes;
-use crate::routing_table::{News, RoutingTable};
+use crate::routing_table::{NeverListed, News, RoutingTable};
 use crate::slots::{AuthorisationKey, ConnectionKey, SlotMap};
 use crate::visits::{Stage, Visit};
 
@@ -81,6 +85,8 @@
     Watch,
     /// Another member's, among those that agree on the configuration.
     Member(usize),
+    /// An operator's.
+    Operator,
 }
 
 struct Connection {
@@ -122,6 +128,7 @@
     WatchSilent(ConnectionKey, Micros),
     NoticeOver,
     DrainOver,
+    Callers,
 }
 
 /// An authorisation whose final answer is owed.
@@ -153,23 +160,14 @@
     wait: Micros,
 }
 
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum Phase {
-    Serving,
-    /// Told to end, still taking new connections.
-    Notice,
-    /// Finishing what was taken.
-    Draining,
-    Finished,
-}
-
 /// All that runs on the loop.
 pub struct Host {
     handle: LoopHandle<'static, Host>,
     clock: Clock,
     limits: Limits,
     name: String,
-    phase: Phase,
+    lifecycle: Lifecycle,
+    operators: Option<Operators>,
     connections: SlotMap<ConnectionKey, Connection>,
     acquirers: usize,
     deadlines: Deadlines<Due>,
@@ -225,26 +223,39 @@
     matches!(stream.peek(&mut [0]), Err(error) if error.kind() == io::ErrorKind::WouldBlock)
 }
 
-fn listen(
-    handle: &LoopHandle<'static, Host>,
-    door: Door,
-    address: SocketAddr,
-    limits: &Limits,
-) -> io::Result<(Door, Rc<TcpListener>, RegistrationToken)> {
+fn bind(address: SocketAddr, limits: &Limits) -> io::Result<TcpListener> {
     let kind = Type::STREAM.nonblocking().cloexec();
     let socket = Socket::new(Domain::for_address(address), kind, Some(Protocol::TCP))?;
     socket.set_reuse_address(true)?;
     socket.bind(&address.into())?;
     // Guards against connections that come by hundreds: one too many for the queue tries again a second later.
     socket.listen(limits.backlog)?;
-    let listener = Rc::new(TcpListener::from(socket));
+    Ok(socket.into())
+}
+
+/// `shared`: another process of this limiter may hold the address as well. Both have to ask for that, and the one that
+/// bound last hears what comes.
+fn bind_datagrams(address: SocketAddr, shared: bool) -> io::Result<UdpSocket> {
+    let kind = Type::DGRAM.nonblocking().cloexec();
+    let socket = Socket::new(Domain::for_address(address), kind, Some(Protocol::UDP))?;
+    socket.set_reuse_address(shared)?;
+    socket.bind(&address.into())?;
+    Ok(socket.into())
+}
+
+fn watch_listener(
+    handle: &LoopHandle<'static, Host>,
+    listener: TcpListener,
+    accept: fn(&mut Host),
+) -> io::Result<(Rc<TcpListener>, RegistrationToken)> {
+    let listener = Rc::new(listener);
     let source = Generic::new(listener.clone(), Interest::READ, Mode::Level);
-    let accept = |_: Readiness, _: &mut _, host: &mut Host| {
-        host.accept();
+    let ready = move |_: Readiness, _: &mut _, host: &mut Host| {
+        accept(host);
         Ok(PostAction::Continue)
     };
-    let token = handle.insert_source(source, accept).map_err(|e| e.error)?;
-    Ok((door, listener, token))
+    let token = handle.insert_source(source, ready).map_err(|e| e.error)?;
+    Ok((listener, token))
 }
 
 impl Host {
@@ -259,27 +270,36 @@
         let tell = settings.may_tell;
         let known = table.known(&config.known).unwrap_or_else(|error| {
             tracing::warn!(limiter = %config.name, "known list not taken: {error}");
-            News { kind: ListKind::Cached, entries: Vec::new(), addresses: Vec::new(), gone: Vec::new() }
+            News::new(ListKind::Cached)
         });
         let plans = settings.plans.len();
         let counter = config.counter.filter(|_| settings.counter);
-        let mut listeners = vec![listen(&handle, Door::Platform, config.listen, &limits)?];
+        let mut listeners = Vec::new();
+        let mut open_door = |door: Door, listener: TcpListener| {
+            let (listener, token) = watch_listener(&handle, listener, Host::accept)?;
+            listeners.push((door, listener, token));
+            io::Result::Ok(())
+        };
+        let platform_listener = match config.passed {
+            Some(number) => inherited::listener(number, config.listen).map_err(io::Error::other)?,
+            None => bind(config.listen, &limits)?,
+        };
+        open_door(Door::Platform, platform_listener)?;
         let mut services = vec![Service::new(Engine::new(settings, config.seed, limits.held))];
         let mut tokens = None;
         if let Some(front) = config.introspection {
-            listeners.push(listen(&handle, Door::Introspection, front.listen, &limits)?);
+            open_door(Door::Introspection, bind(front.listen, &limits)?)?;
             services.push(Service::new(Engine::new(front.settings.clone(), !config.seed, limits.held)));
             tokens = Some(Tokens::new(front, plans));
         }
         let mut agreement = None;
         if let Some(cluster) = &config.cluster {
-            listeners.push(listen(&handle, Door::Agreement, cluster.listen, &limits)?);
+            open_door(Door::Agreement, bind(cluster.listen, &limits)?)?;
             agreement = Some(Agreement::open(cluster)?);
         }
         let datagrams = match config.peer_listen.filter(|_| tell) {
             Some(address) => {
-                let socket = UdpSocket::bind(address)?;
-                socket.set_nonblocking(true)?;
+                let socket = bind_datagrams(address, config.passed.is_some())?;
                 let source = Generic::new(socket.try_clone()?, Interest::READ, Mode::Level);
                 let read = |_: Readiness, _: &mut _, host: &mut Host| {
                     host.read_datagrams();
@@ -294,7 +314,8 @@
             handle,
             clock,
             name: config.name,
-            phase: Phase::Serving,
+            lifecycle: Lifecycle::new(config.passed.is_some()),
+            operators: None,
             connections: SlotMap::with_key(),
             acquirers: 0,
             deadlines: Deadlines::default(),
@@ -325,6 +346,9 @@
             settings: module,
             limits,
         };
+        if let Some(address) = config.ops {
+            host.listen_to_operators(address)?;
+        }
         host.take_news(known);
         host.list_upstreams();
         if host.agreement.is_some() {
@@ -362,7 +386,7 @@
 
     /// All is done that was to be done.
     pub fn finished(&self) -> bool {
-        self.phase == Phase::Finished
+        self.lifecycle.finished()
     }
 
     fn log(&self, text: &str) {
@@ -398,9 +422,10 @@
         for key in std::mem::take(&mut self.dirty) {
             self.flush(key);
         }
-        if self.phase == Phase::Draining && self.acquirers == 0 {
+        let left = self.lifecycle.ending() && !self.lifecycle.accepting(now, &self.limits);
+        if left && self.acquirers == 0 && !self.lifecycle.finished() {
             self.log("all answered, ending");
-            self.phase = Phase::Finished;
+            self.lifecycle.finish();
         }
     }
 
@@ -458,7 +483,8 @@
                 }
             }
             Due::NoticeOver => self.notice_over(),
-            Due::DrainOver => self.phase = Phase::Finished,
+            Due::DrainOver => self.lifecycle.finish(),
+            Due::Callers => self.callers_due(now),
         }
     }
 
@@ -560,6 +586,7 @@
                 self.resume_accepting();
             }
             Role::Server { service, server, .. } => self.services[service].pool.closed(server, key),
+            Role::Operator => self.operator_left(key),
             Role::Counter(_) | Role::Watch | Role::Member(_) => {}
         }
         Some(connection)
@@ -597,6 +624,7 @@
             }
             Role::Watch => self.watch_lost(),
             Role::Member(at) => self.member_lost(at),
+            Role::Operator => {}
         }
     }
 
@@ -633,7 +661,7 @@
                 self.watch.heard = now;
                 self.deadlines.enter(now + self.limits.watch_silent, Due::WatchSilent(key, now));
             }
-            Some(Role::Acquirer { .. } | Role::Member(_)) | None => {}
+            Some(Role::Acquirer { .. } | Role::Member(_) | Role::Operator) | None => {}
         }
     }
 
@@ -653,6 +681,7 @@
             (Role::Server { .. }, _) => {
                 return (limits.head_bytes + 2 * limits.body_bytes).saturating_sub(connection.input.len());
             }
+            (Role::Operator, _) => return (limits.operator_line + 2).saturating_sub(connection.input.len()),
             // Guards the memory against a peer that only ever sends.
             _ => {
                 let most = limits.head_bytes + limits.body_bytes + limits.line_bytes;
@@ -696,6 +725,7 @@
             Some((Role::Counter(line), false)) => self.read_totals(key, line),
             Some((Role::Watch, false)) => self.read_watch(key),
             Some((Role::Member(_), false)) => self.read_receipts(key),
+            Some((Role::Operator, false)) => self.read_call(key),
             _ => {}
         }
         if ended {
@@ -729,6 +759,7 @@
         }
         match connection.role {
             Role::Acquirer { .. } => self.answer_written(key),
+            Role::Operator => self.call_answered(key),
             _ if connection.closing => _ = self.close(key),
             _ => {}
         }
--- /dev/null
+++ b/limiter/src/net/host/operators.rs
@@ -0,0 +1,130 @@
+//! Calls of operators: taken, carried out and answered ahead of the turn in which clients' work is decided on.
+
+use std::net::Shutdown;
+
+use super::*;
+use crate::operators::{Call, Callers};
+
+/// The operators' address, where there is one, and who is connected to it.
+pub(super) struct Operators {
+    listener: Rc<TcpListener>,
+    callers: Callers,
+}
+
+impl Host {
+    pub(super) fn listen_to_operators(&mut self, address: SocketAddr) -> io::Result<()> {
+        let accept = |host: &mut Host| host.accept_operators();
+        let (listener, _) = watch_listener(&self.handle, bind(address, &self.limits)?, accept)?;
+        self.operators = Some(Operators { listener, callers: Callers::default() });
+        Ok(())
+    }
+
+    /// Where operators call, if they may.
+    pub fn operators_address(&self) -> Option<SocketAddr> {
+        self.operators.as_ref().and_then(|operators| operators.listener.local_addr().ok())
+    }
+
+    fn accept_operators(&mut self) {
+        let listener = self.operators.as_ref().map(|operators| operators.listener.clone());
+        while let Some(Ok((stream, _))) = listener.as_ref().map(|listener| listener.accept()) {
+            let ready = stream.set_nonblocking(true).and_then(|()| stream.set_nodelay(true));
+            let key = match ready.and_then(|()| self.register(stream, Role::Operator, true)) {
+                Ok(key) => key,
+                Err(error) => {
+                    self.warn(&format!("cannot take an operators' connection: {error}"));
+                    continue;
+                }
+            };
+            let now = self.now();
+            let spared = self.operators.as_mut().and_then(|o| o.callers.came(key, now, &self.limits));
+            spared.into_iter().for_each(|oldest| _ = self.close(oldest));
+            self.deadlines.enter(now + self.limits.operator_wait, Due::Callers);
+            // The line is there already, most often.
+            self.read(key);
+        }
+    }
+
+    /// Callers that finish no call in time are gone.
+    pub(super) fn callers_due(&mut self, now: Micros) {
+        while let Some(key) = self.operators.as_ref().and_then(|o| o.callers.overdue(now, &self.limits)) {
+            self.close(key);
+        }
+    }
+
+    pub(super) fn operator_left(&mut self, key: ConnectionKey) {
+        self.operators.iter_mut().for_each(|operators| operators.callers.left(key));
+    }
+
+    pub(super) fn read_call(&mut self, key: ConnectionKey) {
+        let Some(connection) = self.connections.get_mut(key) else { return };
+        if connection.closing {
+            // What comes behind the call is thrown away, so that the close does not reset the answer.
+            return connection.input.clear();
+        }
+        let call = match Call::read(&connection.input, &self.limits) {
+            Ok(None) => return,
+            Ok(Some(call)) => Ok(call),
+            Err(fault) => Err(fault),
+        };
+        connection.input.clear();
+        let (asked, outcome) = match call {
+            Ok(call) => (call.to_string(), self.carry_out_call(&call)),
+            Err(fault) => ("not a call".to_string(), Err(fault.to_string())),
+        };
+        let answer = match outcome {
+            Ok(()) => "done".to_string(),
+            Err(reason) => format!("error {reason}"),
+        };
+        // Asked for several times a second while a start is waited for: no line each.
+        match asked == Call::Ready.to_string() {
+            true => tracing::debug!(limiter = %self.name, "operators: {asked}: {answer}"),
+            false => self.log(&format!("operators: {asked}: {answer}")),
+        }
+        let Some(connection) = self.connections.get_mut(key) else { return };
+        connection.closing = true;
+        connection.output.extend_from_slice(format!("{answer}\n").as_bytes());
+        self.flush(key);
+    }
+
+    /// The answer is written. The end of it is told at once; the connection goes when the caller closes.
+    pub(super) fn call_answered(&mut self, key: ConnectionKey) {
+        let Some(connection) = self.connections.get(key).filter(|connection| connection.closing) else {
+            return;
+        };
+        if connection.stream.shutdown(Shutdown::Write).is_err() {
+            self.close(key);
+        }
+    }
+
+    fn carry_out_call(&mut self, call: &Call) -> Result<(), String> {
+        let now = self.now();
+        match call {
+            Call::Ready if self.lifecycle.ending() => Err("ending".to_string()),
+            Call::Ready if !self.lifecycle.serving() => Err("draining".to_string()),
+            Call::Ready if !self.table.listing() => Err("no server is known yet".to_string()),
+            Call::Ready => Ok(()),
+            Call::DisableServer(id) => self.ban(|table| table.disable(id, now)),
+            Call::EnableServer(id) => self.ban(|table| table.enable(id, now)),
+            Call::Drain => {
+                if self.lifecycle.drain(now) {
+                    self.deadlines.enter(now + self.limits.notice, Due::NoticeOver);
+                }
+                Ok(())
+            }
+            Call::Resume if self.lifecycle.ending() => Err("ending".to_string()),
+            Call::Resume => {
+                self.lifecycle.resume();
+                Ok(())
+            }
+        }
+    }
+
+    fn ban(
+        &mut self,
+        change: impl FnOnce(&mut RoutingTable) -> Result<(bool, News), NeverListed>,
+    ) -> Result<(), String> {
+        let (_, news) = change(&mut self.table).map_err(|error| error.to_string())?;
+        self.take_news(news);
+        Ok(())
+    }
+}
--- a/limiter/src/net/host/watching.rs
+++ b/limiter/src/net/host/watching.rs
@@ -71,6 +71,7 @@
         let records = &mut self.services[RECORDS];
         let listed = news.addresses.into_iter().map(|(server, address)| records.pool.listed(server, address));
         let mut idle: Vec<_> = listed.flatten().collect();
+        idle.extend(news.taken_out.into_iter().flat_map(|server| records.pool.taken_out(server)));
         idle.extend(news.gone.into_iter().flat_map(|server| records.pool.unlisted(server)));
         records.engine.listed(news.kind, news.entries);
         for key in idle {
--- a/limiter/src/net/mod.rs
+++ b/limiter/src/net/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod framing;
 mod host;
+pub mod inherited;
 
 use std::io;
 use std::net::SocketAddr;
@@ -110,6 +111,11 @@
         self.host.addresses()
     }
 
+    /// Where operators call, if they may.
+    pub fn operators(&self) -> Option<SocketAddr> {
+        self.host.operators_address()
+    }
+
     /// A handle for other threads.
     pub fn remote(&self) -> Remote {
         self.remote.clone()
--- a/limiter/src/routing_table.rs
+++ b/limiter/src/routing_table.rs
@@ -1,10 +1,12 @@
-//! The routing table: discovery's list as it stands here, and what its lines say.
+//! The routing table: discovery's list as it stands here, what its lines say, and the operators' bans over it.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 
 use serde_json::Value;
-use streamarch::{ListKind, ServerEntry, ServerId, ServerState};
+use streamarch::{ListKind, Micros, ServerEntry, ServerId, ServerState};
+
+use crate::bans::Bans;
 
 /// What a line of discovery changes.
 #[derive(Debug, PartialEq)]
@@ -15,10 +17,29 @@
     pub entries: Vec<ServerEntry>,
     /// Where the servers are that may be used.
     pub addresses: Vec<(ServerId, SocketAddr)>,
+    /// Of those, the ones that operators have taken out: no connection to them is kept for later.
+    pub taken_out: Vec<ServerId>,
     /// Servers that are gone.
     pub gone: Vec<ServerId>,
 }
 
+impl News {
+    /// Nothing yet, to be read like this.
+    pub fn new(kind: ListKind) -> News {
+        News { kind, entries: Vec::new(), addresses: Vec::new(), taken_out: Vec::new(), gone: Vec::new() }
+    }
+}
+
+/// Names of servers that are gone and still known to have been listed.
+const PAST: usize = 4_096;
+
+/// A server as discovery has it.
+#[derive(Debug)]
+struct Listed {
+    entry: ServerEntry,
+    address: Option<SocketAddr>,
+}
+
 /// Names and numbers of servers, and the version of the list.
 #[derive(Debug, Default)]
 pub struct RoutingTable {
@@ -26,10 +47,24 @@
     kinds: Vec<String>,
     /// Version of the list as held.
     pub index: u64,
-    numbers: BTreeMap<String, (ServerId, ServerState)>,
+    listed: BTreeMap<String, Listed>,
+    past: VecDeque<String>,
+    bans: Bans,
     next: u32,
 }
 
+/// A call that names a server which no list has ever named.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NeverListed;
+
+impl std::fmt::Display for NeverListed {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("no server of this id was ever listed")
+    }
+}
+
+impl std::error::Error for NeverListed {}
+
 /// Why a line of discovery is not taken.
 #[derive(Debug, PartialEq, Eq)]
 pub struct BadLine(pub &'static str);
@@ -55,7 +90,15 @@
 
     /// Some server may be used.
     pub fn serving(&self) -> bool {
-        self.numbers.values().any(|(_, state)| *state == ServerState::Ready)
+        let ready = |(name, known): (&String, &Listed)| {
+            known.entry.state == ServerState::Ready && !self.bans.out(name)
+        };
+        self.listed.iter().any(ready)
+    }
+
+    /// Some server is listed as ready, taken out or not.
+    pub fn listing(&self) -> bool {
+        self.listed.values().any(|known| known.entry.state == ServerState::Ready)
     }
 
     /// Reads the list as last held.
@@ -79,36 +122,89 @@
         let full = list["snapshot"].as_bool().ok_or(BadLine("snapshot"))?;
         let lines = list["endpoints"].as_array().ok_or(BadLine("endpoints"))?;
         let kind = if full { ListKind::Full } else { ListKind::Changes };
-        let mut news = News { kind, entries: Vec::new(), addresses: Vec::new(), gone: Vec::new() };
+        let mut news = News::new(kind);
         // All is read before any of it is taken: half a list must not replace a whole one.
         let read = lines.iter().map(|line| self.entry(line)).collect::<Result<Vec<_>, _>>()?;
         if full {
             let named = |name: &str| read.iter().any(|(n, _, _)| n == name);
-            let lost: Vec<String> = self.numbers.keys().filter(|n| !named(n)).cloned().collect();
-            news.gone.extend(lost.iter().filter_map(|name| self.numbers.remove(name)).map(|(id, _)| id));
+            let lost: Vec<String> = self.listed.keys().filter(|n| !named(n)).cloned().collect();
+            lost.iter().for_each(|name| self.drop_listed(name, &mut news));
         }
         for (name, address, mut entry) in read {
-            let known = self.numbers.get(&name).map(|(id, _)| *id);
+            let known = self.listed.get(&name).map(|known| known.entry.server);
+            if entry.state == ServerState::Gone {
+                // An end that nobody knew the start of says nothing.
+                if let Some(server) = known {
+                    entry.server = server;
+                    self.drop_listed(&name, &mut news);
+                    news.entries.push(entry);
+                }
+                continue;
+            }
             entry.server = known.unwrap_or_else(|| {
                 self.next += 1;
                 ServerId(self.next)
             });
-            if entry.state == ServerState::Gone {
-                self.numbers.remove(&name);
-                news.gone.extend(known);
-            } else {
-                self.numbers.insert(name, (entry.server, entry.state));
-                news.addresses.extend(address.map(|address| (entry.server, address)));
-            }
-            // An end that nobody knew the start of says nothing.
-            if entry.state != ServerState::Gone || known.is_some() {
-                news.entries.push(entry);
-            }
+            self.listed.insert(name.clone(), Listed { entry, address });
+            self.tell(&name, &mut news);
         }
         self.index = index;
         Ok(news)
     }
 
+    fn drop_listed(&mut self, name: &str, news: &mut News) {
+        let Some(known) = self.listed.remove(name) else { return };
+        news.gone.push(known.entry.server);
+        self.bans.gone(name);
+        self.past.push_back(name.to_string());
+        if self.past.len() > PAST {
+            self.past.pop_front();
+        }
+    }
+
+    /// What holds of a listed server now, with the bans over the list.
+    fn tell(&self, name: &str, news: &mut News) {
+        let Some(known) = self.listed.get(name) else { return };
+        let server = known.entry.server;
+        news.entries.push(self.bans.over(name, &known.entry));
+        news.addresses.extend(known.address.map(|address| (server, address)));
+        news.taken_out.extend(self.bans.out(name).then_some(server));
+    }
+
+    /// Takes a server out. Whether that changes anything, and what there is to tell.
+    ///
+    /// # Errors
+    /// No list has ever named it.
+    pub fn disable(&mut self, name: &str, now: Micros) -> Result<(bool, News), NeverListed> {
+        self.ban(name, |bans| bans.disable(name, now))
+    }
+
+    /// Uses a server again, however often it was taken out; likewise.
+    ///
+    /// # Errors
+    /// No list has ever named it.
+    pub fn enable(&mut self, name: &str, now: Micros) -> Result<(bool, News), NeverListed> {
+        self.ban(name, |bans| bans.enable(name, now))
+    }
+
+    fn ban(
+        &mut self,
+        name: &str,
+        change: impl FnOnce(&mut Bans) -> bool,
+    ) -> Result<(bool, News), NeverListed> {
+        // A ban of the process before holds here, also where its server has not been listed since.
+        if !self.listed.contains_key(name)
+            && !self.past.iter().any(|past| past == name)
+            && !self.bans.out(name)
+        {
+            return Err(NeverListed);
+        }
+        let changed = change(&mut self.bans);
+        let mut news = News::new(ListKind::Changes);
+        self.tell(name, &mut news);
+        Ok((changed, news))
+    }
+
     fn entry(&self, line: &Value) -> Result<(String, Option<SocketAddr>, ServerEntry), BadLine> {
         let name = line["name"].as_str().ok_or(BadLine("name"))?;
         let state = match line["status"].as_str() {
@@ -194,7 +290,7 @@
         ] {
             assert!(table.line(good.replacen(from, to, 1).as_bytes()).is_err(), "{from}");
         }
-        assert_eq!((table.index, table.numbers.len()), (1, 1));
+        assert_eq!((table.index, table.listed.len()), (1, 1));
         assert_eq!(table.line(b"\r\n"), Ok(None));
     }
 
--- a/limiter/src/visits.rs
+++ b/limiter/src/visits.rs
@@ -68,9 +68,10 @@
         }
     }
 
-    /// Until when it may stay as it is. An open request has its own deadline.
-    pub fn deadline(&self, limits: &Limits) -> Option<Micros> {
+    /// Until when it may stay as it is. An open request has its own deadline. `closing`: idle ones are being closed.
+    pub fn deadline(&self, closing: bool, limits: &Limits) -> Option<Micros> {
         let span = match self.stage {
+            Stage::Idle if closing => limits.late_first,
             Stage::Idle if self.answered => limits.acquirer_idle,
             Stage::Idle | Stage::Partial => limits.acquirer_first,
             Stage::Open => return None,
--- a/limiter/tests/common/mod.rs
+++ b/limiter/tests/common/mod.rs
@@ -168,6 +168,7 @@
 pub struct Limiter {
     pub platform: SocketAddr,
     pub introspection: Option<SocketAddr>,
+    operators: Option<SocketAddr>,
     hand: Arc<AtomicI64>,
     remote: Remote,
     thread: Option<thread::JoinHandle<()>>,
@@ -188,11 +189,21 @@
         let thread = thread::spawn(move || {
             let daemon = Daemon::open(config, clock).expect("sockets open");
             let (platform, second) = daemon.addresses().unwrap();
-            tell.send((platform, second, daemon.remote())).unwrap();
+            tell.send((platform, second, daemon.operators(), daemon.remote())).unwrap();
             daemon.run().expect("runs to its end");
         });
-        let (platform, introspection, remote) = told.recv().unwrap();
-        Limiter { platform, introspection, hand, remote, thread: Some(thread) }
+        let (platform, introspection, operators, remote) = told.recv().unwrap();
+        Limiter { platform, introspection, operators, hand, remote, thread: Some(thread) }
+    }
+
+    /// Calls as operators do, and gives the answer's line.
+    pub fn call(&self, line: &str) -> String {
+        call(self.operators.expect("an operators' address"), line)
+    }
+
+    /// A connection at the operators' address.
+    pub fn operator(&self) -> Client {
+        Client::connect(self.operators.expect("an operators' address"))
     }
 
     /// Moves the clock on.
@@ -255,6 +266,16 @@
         }
     }
 
+    /// All that comes until the connection ends.
+    pub fn rest(&mut self) -> String {
+        let mut text = String::from_utf8(std::mem::take(&mut self.bytes)).unwrap();
+        match self.stream.read_to_string(&mut text) {
+            Ok(_) => text,
+            Err(error) if error.kind() == std::io::ErrorKind::ConnectionReset => text,
+            Err(error) => panic!("no end: {error}"),
+        }
+    }
+
     /// Asks and takes the answer.
     pub fn ask(&mut self, text: &str) -> Answer {
         self.send(text);
@@ -262,6 +283,48 @@
     }
 }
 
+/// Calls as operators do, and gives the answer's line; empty if the connection ends without one.
+pub fn call(address: SocketAddr, line: &str) -> String {
+    let mut client = Client::connect(address);
+    client.send(line);
+    client.rest().trim_end().to_string()
+}
+
+/// Discovery's side of a watch: its request is read and its head answered.
+pub fn watched(mut stream: TcpStream) -> (TcpStream, String) {
+    stream.set_nonblocking(false).unwrap();
+    let mut bytes = vec![0; 1024];
+    let length = stream.read(&mut bytes).unwrap();
+    let line = String::from_utf8_lossy(&bytes[..length]).lines().next().unwrap().to_string();
+    stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").unwrap();
+    (stream, line)
+}
+
+/// Writes a line in two chunks: a line is not a chunk.
+pub fn tell(stream: &mut TcpStream, line: &str) {
+    let (a, b) = line.split_at(line.len() / 2);
+    for part in [a, b] {
+        stream.write_all(format!("{:x}\r\n{part}\r\n", part.len()).as_bytes()).unwrap();
+    }
+}
+
+/// A request that carries a key.
+pub fn sign_off(key: &str) -> String {
+    format!(
+        "POST /sign-off?account=0000000000000005 HTTP/1.1\r\nHost: backend.local\r\nX-Trace-Id: t-{key}\r\n\
+         X-Qos: sign-off\r\nX-Tier: empresa\r\nX-Expires-In: 2.5\r\nIdempotency-Key: {key}\r\n\
+         X-Call-Terms: units=2,spread=1,first=0\r\nContent-Length: 5\r\n\r\nhours"
+    )
+}
+
+/// A request that is safe to repeat.
+pub fn lookup(id: &str) -> String {
+    format!(
+        "GET /lookup?account=0000000000000005 HTTP/1.1\r\nHost: backend.local\r\nX-Trace-Id: {id}\r\n\
+         X-Qos: lookup\r\nX-Tier: empresa\r\nX-Expires-In: 2.5\r\nX-Call-Terms: units=1,spread=1,first=0\r\n\r\n"
+    )
+}
+
 /// Asks on a connection of its own.
 pub fn ask(address: SocketAddr, text: &str) -> Answer {
     Client::connect(address).ask(text)
--- a/limiter/tests/discovery.rs
+++ b/limiter/tests/discovery.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use std::io::{Read, Write};
+use std::io::Read;
 use std::net::{TcpListener, TcpStream};
 use std::sync::mpsc;
 
@@ -10,15 +10,6 @@
 
 const UP: &str = "GET /up HTTP/1.1\r\nHost: x\r\n\r\n";
 
-fn watched(mut stream: TcpStream) -> (TcpStream, String) {
-    stream.set_nonblocking(false).unwrap();
-    let mut bytes = vec![0; 1024];
-    let length = stream.read(&mut bytes).unwrap();
-    let line = String::from_utf8_lossy(&bytes[..length]).lines().next().unwrap().to_string();
-    stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").unwrap();
-    (stream, line)
-}
-
 /// Lets time pass step by step until a watch is opened. An answer after each step shows that the step was taken in,
 /// so that no more time passes than it needs.
 fn next_watch(listener: &TcpListener, limiter: &Limiter, step: i64) -> (TcpStream, String) {
@@ -33,14 +24,6 @@
     panic!("no watch was opened");
 }
 
-/// Writes a line in two chunks: a line is not a chunk.
-fn tell(stream: &mut TcpStream, line: &str) {
-    let (a, b) = line.split_at(line.len() / 2);
-    for part in [a, b] {
-        stream.write_all(format!("{:x}\r\n{part}\r\n", part.len()).as_bytes()).unwrap();
-    }
-}
-
 /// Asks until the limiter has heard: what was written before is read in its next turns.
 fn up_becomes(limiter: &Limiter, status: u16) {
     let mut client = Client::connect(limiter.platform);
--- a/limiter/tests/models.rs
+++ b/limiter/tests/models.rs
@@ -288,9 +288,9 @@
                 (false, _, _) => limits.acquirer_first,
             };
             let good = match visit.stage {
-                Stage::Open => owed && visit.deadline(&limits).is_none(),
-                Stage::Answering => writing && visit.deadline(&limits).is_some(),
-                _ => !owed && !writing && visit.deadline(&limits) == Some(waiting_since + span),
+                Stage::Open => owed && visit.deadline(false, &limits).is_none(),
+                Stage::Answering => writing && visit.deadline(false, &limits).is_some(),
+                _ => !owed && !writing && visit.deadline(false, &limits) == Some(waiting_since + span),
             };
             let fresh = now - waiting_since < limits.acquirer_fresh;
             let kept = owed || writing || (!last && fresh && (part || !answered));
--- a/limiter/tests/platform.rs
+++ b/limiter/tests/platform.rs
@@ -7,21 +7,6 @@
 
 use common::*;
 
-fn sign_off(key: &str) -> String {
-    format!(
-        "POST /sign-off?account=0000000000000005 HTTP/1.1\r\nHost: backend.local\r\nX-Trace-Id: t-{key}\r\n\
-         X-Qos: sign-off\r\nX-Tier: empresa\r\nX-Expires-In: 2.5\r\nIdempotency-Key: {key}\r\n\
-         X-Call-Terms: units=2,spread=1,first=0\r\nContent-Length: 5\r\n\r\nhours"
-    )
-}
-
-fn lookup(id: &str) -> String {
-    format!(
-        "GET /lookup?account=0000000000000005 HTTP/1.1\r\nHost: backend.local\r\nX-Trace-Id: {id}\r\n\
-         X-Qos: lookup\r\nX-Tier: empresa\r\nX-Expires-In: 2.5\r\nX-Call-Terms: units=1,spread=1,first=0\r\n\r\n"
-    )
-}
-
 /// A limiter before one server of `names` names: the module suspects a silent one only where there is another.
 fn start(
     names: usize,
--- a/limiter/tests/process.rs
+++ b/limiter/tests/process.rs
@@ -3,7 +3,11 @@
 mod common;
 
 use std::io::{BufRead, BufReader};
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::os::fd::OwnedFd;
 use std::process::{Child, Command, Stdio};
+use std::thread;
+use std::time::{Duration, Instant};
 
 use common::*;
 
@@ -54,6 +58,116 @@
     line_with("told to end");
 }
 
+/// A process that inherits the clients' listening socket: as its standard input, the one descriptor that a test can
+/// hand over without unsafe code.
+struct Version {
+    process: Process,
+    operators: SocketAddr,
+}
+
+impl Version {
+    fn start(folder: &std::path::Path, config: &str, socket: &TcpListener) -> Version {
+        let operators = free_address();
+        let path = folder.join(format!("config-{}.json", operators.port()));
+        let text = config.replacen('{', &format!("{{\"ops\":\"{operators}\","), 1);
+        std::fs::write(&path, text).unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_streamarch"))
+            .args(["serve", "--config"])
+            .arg(&path)
+            .env("ROUTER_PASSED_SOCKET", "0")
+            .env("TMPDIR", folder)
+            .stdin(OwnedFd::from(socket.try_clone().unwrap()))
+            .stderr(Stdio::null())
+            .spawn()
+            .unwrap();
+        Version { process: Process(child), operators }
+    }
+
+    /// Waits until it says that it takes clients.
+    fn ready(&mut self) {
+        let asked = Instant::now();
+        while std::net::TcpStream::connect(self.operators).is_err()
+            || call(self.operators, "ready\n") != "done"
+        {
+            assert!(self.process.0.try_wait().unwrap().is_none() && asked.elapsed() < HANG, "it starts");
+            thread::sleep(Duration::from_millis(5));
+        }
+    }
+
+    fn signal(&self, name: &str) {
+        let told = Command::new("sh").args(["-c", &format!("kill -{name} {}", self.process.0.id())]).status();
+        assert!(told.unwrap().success());
+    }
+
+    fn ended(&mut self) -> bool {
+        self.process.0.wait().unwrap().success()
+    }
+}
+
+/// An address that was free a moment ago; guards against two tests that are given the same one by holding none.
+fn free_address() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+#[test]
+fn a_process_started_again_takes_over_the_inherited_socket_and_no_request_is_lost() {
+    let folder = tempfile::tempdir().unwrap();
+    let server = StandIn::start(|_, _| {
+        thread::sleep(Duration::from_millis(2));
+        ok("served")
+    });
+    let socket = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = socket.local_addr().unwrap();
+    let peers = UdpSocket::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let text = config(&[server.address], counter().address)
+        .replace("127.0.0.1:0", &address.to_string())
+        .replacen('{', &format!("{{\"peer_listen\":\"{peers}\","), 1)
+        .replace("\"Permissions\":{", "\"Permissions\":{\"PeerMessages\":true,");
+    let mut old = Version::start(folder.path(), &text, &socket);
+    old.ready();
+    let stop = std::sync::Arc::new(std::sync::atomic::AtomicBool::new(false));
+    // Each client goes on on its connection for as long as that stays open, and is told its end before it asks again.
+    let clients: Vec<_> = (0..4)
+        .map(|number| {
+            let stop = stop.clone();
+            thread::spawn(move || {
+                let (mut client, mut asked) = (Client::connect(address), 0);
+                while !stop.load(std::sync::atomic::Ordering::SeqCst) {
+                    let answer = client.ask(&lookup(&format!("c{number}-{asked}")));
+                    assert_eq!(answer.status, 200);
+                    asked += 1;
+                    if !answer.keep_alive {
+                        client = Client::connect(address);
+                    }
+                }
+                asked
+            })
+        })
+        .collect();
+    let serves_on = || {
+        let before = server.count();
+        while server.count() < before + 50 {
+            thread::sleep(Duration::from_millis(1));
+        }
+    };
+    // Twice in a row, and before each of them one that dies before it is ready.
+    for _ in 0..2 {
+        serves_on();
+        let broken = text.replace("\"Lanes\"", "\"Lines\"");
+        assert!(!Version::start(folder.path(), &broken, &socket).ended());
+        let mut new = Version::start(folder.path(), &text, &socket);
+        new.ready();
+        old.signal("TERM");
+        let told = Instant::now();
+        assert!(old.ended() && told.elapsed() < Duration::from_secs(4), "what is idle does not keep it");
+        old = new;
+    }
+    serves_on();
+    stop.store(true, std::sync::atomic::Ordering::SeqCst);
+    let asked: usize = clients.into_iter().map(|client| client.join().unwrap()).sum();
+    assert_eq!(server.count(), asked, "each ran once");
+}
+
 #[test]
 fn the_log_is_lines_or_json_and_its_options_are_checked() {
     let folder = tempfile::tempdir().unwrap();
