--- a/limiter/src/routing_table.rs
+++ b/limiter/src/routing_table.rs
@@ -397,7 +397,7 @@
             true
         }
         let seeded = quickcheck::Gen::from_size_and_seed(60, 5);
-        let check = quickcheck::QuickCheck::new().rng(seeded).tests(2_000);
+        let mut check = quickcheck::QuickCheck::new().rng(seeded).tests(2_000);
         check.quickcheck(property as fn(Vec<(u8, u8)>) -> bool);
     }
 
