--- a/limiter/src/legs.rs
+++ b/limiter/src/legs.rs
@@ -28,6 +28,8 @@
     Sending(Errand),
     /// The request's last byte is written.
     Awaiting(Errand),
+    /// Its answer is final and goes on to the client as it comes: the errand is over, the connection is not free.
+    Relaying,
     /// Nothing is out on it.
     Idle,
 }
@@ -39,7 +41,7 @@
             LegState::Connecting(errand) | LegState::Sending(errand) | LegState::Awaiting(errand) => {
                 Some(errand)
             }
-            LegState::Idle => None,
+            LegState::Relaying | LegState::Idle => None,
         }
     }
 
@@ -63,7 +65,7 @@
     pub fn broken(self) -> Outcome {
         match self {
             LegState::Connecting(_) | LegState::Sending(_) => Outcome::ConnectFailed,
-            LegState::Awaiting(_) | LegState::Idle => Outcome::Reset,
+            LegState::Awaiting(_) | LegState::Relaying | LegState::Idle => Outcome::Reset,
         }
     }
 
@@ -71,7 +73,7 @@
     pub fn overdue(self) -> Outcome {
         match self {
             LegState::Connecting(_) | LegState::Sending(_) => Outcome::ConnectFailed,
-            LegState::Awaiting(_) | LegState::Idle => Outcome::TimedOut,
+            LegState::Awaiting(_) | LegState::Relaying | LegState::Idle => Outcome::TimedOut,
         }
     }
 }
--- a/limiter/src/lib.rs
+++ b/limiter/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod peers;
 pub mod probes;
 pub mod raft;
+pub mod relay;
 pub mod routing_table;
 pub mod slots;
 pub mod use_cli;
--- a/limiter/src/limits.rs
+++ b/limiter/src/limits.rs
@@ -10,8 +10,17 @@
 pub struct Limits {
     /// Longest head of a message, in bytes.
     pub head_bytes: usize,
-    /// Longest body of a message, in bytes.
+    /// Longest body of a message that is taken in whole before it goes on, in bytes. Of the longer ones a request's is
+    /// kept whole up to the next figure, and an answer's is relayed.
     pub body_bytes: usize,
+    /// Longest body of a request, in bytes.
+    pub request_bytes: u64,
+    /// Longest answer that is relayed, in bytes.
+    pub answer_bytes: u64,
+    /// Held of a relayed answer that its client has not taken in, in bytes.
+    pub relay_window: usize,
+    /// Times that what has come on one connection is read before others have their turn.
+    pub read_rounds: usize,
     /// Longest line of discovery, in bytes.
     pub line_bytes: usize,
     /// Most interim answers ahead of an answer.
@@ -28,10 +37,16 @@
     pub pipelined_bytes: usize,
     /// Taken in from a client after its last answer, and thrown away, in bytes.
     pub linger_bytes: usize,
-    /// Held of all clients' requests that are not whole yet, in bytes.
+    /// Held of all clients' requests that are coming in or not answered yet, in bytes.
     pub partial_bytes: usize,
     /// A connection of the acquirer side brings its first request whole within this, and each later one.
     pub acquirer_first: Micros,
+    /// A body may go on for this long, and as long as its bytes take at the least pace, so many of them a second.
+    pub body_grace: Micros,
+    /// See there.
+    pub body_pace: u64,
+    /// A body that has come in part brings more within this.
+    pub body_silent: Micros,
     /// One that has been answered may be idle for this long.
     pub acquirer_idle: Micros,
     /// One that was taken so lately that its first request may be on its way is not closed to make room.
@@ -58,8 +73,10 @@
     pub answer_margin: Micros,
     /// A connection to a server must come up within this.
     pub connect: Micros,
-    /// An answer that has begun is whole within this.
+    /// An answer that has begun and is not whole brings more within this.
     pub answer_rest: Micros,
+    /// One that is being relayed brings more within this.
+    pub relay_rest: Micros,
     /// An idle connection to a server is closed after this, well before the server would.
     pub leg_idle: Micros,
     /// An idle connection to the counter is not used again after this.
@@ -105,6 +122,10 @@
         Limits {
             head_bytes: 16 * 1024,
             body_bytes: 64 * 1024,
+            request_bytes: 2 * 1024 * 1024,
+            answer_bytes: 34 * 1024 * 1024,
+            relay_window: 64 * 1024,
+            read_rounds: 8,
             line_bytes: 1024 * 1024,
             interim_answers: 8,
             read_bytes: 32 * 1024,
@@ -115,6 +136,9 @@
             linger_bytes: 256 * 1024,
             partial_bytes: 8 * 1024 * 1024,
             acquirer_first: 2_300 * MS,
+            body_grace: SECOND,
+            body_pace: 32 * 1024,
+            body_silent: 700 * MS,
             acquirer_idle: 6 * SECOND,
             acquirer_fresh: 60 * MS,
             acquirer_write: 4 * SECOND,
@@ -128,7 +152,8 @@
             most_units: 1_000_000,
             answer_margin: 12 * MS,
             connect: 250 * MS,
-            answer_rest: 200 * MS,
+            answer_rest: 300 * MS,
+            relay_rest: 4 * SECOND,
             leg_idle: 9 * SECOND,
             counter_idle: 3 * SECOND,
             counter_wait: 120 * MS,
--- a/limiter/src/net/framing.rs
+++ b/limiter/src/net/framing.rs
@@ -95,13 +95,140 @@
 }
 
 /// How the end of a body is found.
-#[derive(Clone, Copy)]
-enum Extent {
-    Length(usize),
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Extent {
+    /// It has this many bytes.
+    Length(u64),
+    /// It comes in chunks; the last is empty.
     Chunked,
+    /// It ends with its connection.
     UntilClose,
 }
 
+/// Longest line that gives a chunk's size, extensions included, in bytes.
+const SIZE_LINE: usize = 256;
+/// Most bytes of trailer lines.
+const TRAILERS: usize = 8 * 1024;
+
+/// Where a body stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Place {
+    /// Plain bytes, so many of them.
+    Plain(u64),
+    UntilClose,
+    /// At the size of a chunk, in its data, or at the line's end behind it.
+    Size,
+    Data(u64),
+    DataEnd,
+    /// At a trailer line, or the empty line that ends the body; so many bytes of trailers have come.
+    Trailer(usize),
+    Whole,
+}
+
+/// Reads a body as it comes, in whatever pieces, without holding it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct BodyReader {
+    place: Place,
+    /// Bytes that it may still have.
+    left: u64,
+}
+
+impl BodyReader {
+    /// A body that ends like this and has `most` bytes at the most.
+    ///
+    /// # Errors
+    /// It is said to be longer.
+    pub fn new(extent: Extent, most: u64) -> Result<BodyReader, Malformed> {
+        let place = match extent {
+            Extent::Length(length) if length > most => return Err(Malformed::BodyTooLarge),
+            Extent::Length(0) => Place::Whole,
+            Extent::Length(length) => Place::Plain(length),
+            Extent::Chunked => Place::Size,
+            Extent::UntilClose => Place::UntilClose,
+        };
+        Ok(BodyReader { place, left: most })
+    }
+
+    /// Nothing more belongs to it.
+    pub fn whole(&self) -> bool {
+        self.place == Place::Whole
+    }
+
+    /// The connection's end is its end.
+    pub fn until_close(&self) -> bool {
+        self.place == Place::UntilClose
+    }
+
+    fn spend(&mut self, bytes: u64) -> Result<(), Malformed> {
+        self.left = self.left.checked_sub(bytes).ok_or(Malformed::BodyTooLarge)?;
+        Ok(())
+    }
+
+    /// Takes what belongs to it off the start of `bytes`: what is data goes to `out`. Gives how many bytes it took;
+    /// where it takes none of those left, it waits for more to come behind them, or is whole.
+    ///
+    /// # Errors
+    /// What is no chunk; a body that is too long. Always the same ones, however the bytes are split.
+    pub fn take(&mut self, bytes: &[u8], out: &mut Vec<u8>) -> Result<usize, Malformed> {
+        let mut at = 0;
+        loop {
+            let rest = &bytes[at..];
+            if rest.is_empty() {
+                return Ok(at);
+            }
+            match self.place {
+                Place::Whole => return Ok(at),
+                Place::Plain(left) | Place::Data(left) => {
+                    let part = rest.len().min(usize::try_from(left).unwrap_or(usize::MAX));
+                    out.extend_from_slice(&rest[..part]);
+                    at += part;
+                    let left = left - part as u64;
+                    self.place = match self.place {
+                        Place::Plain(_) if left == 0 => Place::Whole,
+                        Place::Plain(_) => Place::Plain(left),
+                        _ if left == 0 => Place::DataEnd,
+                        _ => Place::Data(left),
+                    };
+                }
+                Place::UntilClose => {
+                    self.spend(rest.len() as u64)?;
+                    out.extend_from_slice(rest);
+                    return Ok(bytes.len());
+                }
+                Place::Size => match httparse::parse_chunk_size(rest) {
+                    Ok(httparse::Status::Complete((line, size))) if line <= SIZE_LINE => {
+                        self.spend(size)?;
+                        at += line;
+                        self.place = if size == 0 { Place::Trailer(0) } else { Place::Data(size) };
+                    }
+                    Ok(httparse::Status::Partial) if rest.len() <= SIZE_LINE => return Ok(at),
+                    _ => return Err(Malformed::Syntax),
+                },
+                Place::DataEnd => match rest {
+                    [b'\r', b'\n', ..] => (self.place, at) = (Place::Size, at + 2),
+                    [b'\r'] => return Ok(at),
+                    _ => return Err(Malformed::Syntax),
+                },
+                // Trailer lines are of no use to anybody here.
+                Place::Trailer(before) => {
+                    let end = rest.iter().position(|byte| *byte == b'\n');
+                    let length = before + end.unwrap_or(rest.len());
+                    match end {
+                        _ if length > TRAILERS => return Err(Malformed::HeadTooLarge),
+                        None => return Ok(at),
+                        // Guards against smuggling: what others take for no line's end must not be one here.
+                        Some(end) if end == 0 || rest[end - 1] != b'\r' => return Err(Malformed::Syntax),
+                        Some(end) => {
+                            at += end + 1;
+                            self.place = if end == 1 { Place::Whole } else { Place::Trailer(length) };
+                        }
+                    }
+                }
+            }
+        }
+    }
+}
+
 /// Header lines of an answer. A line of which nothing depends must not cost a good answer: what is no UTF-8 is
 /// marked as such in its value, and a length or coding with such a mark is none.
 fn collect_lossy(lines: &[httparse::Header<'_>]) -> Headers {
@@ -119,7 +246,7 @@
     lines.iter().map(one).collect::<Result<_, _>>().map(Headers)
 }
 
-fn extent(headers: &Headers, otherwise: Extent, limits: &Limits) -> Result<Extent, Malformed> {
+fn extent(headers: &Headers, otherwise: Extent) -> Result<Extent, Malformed> {
     let coded = headers.has("Transfer-Encoding");
     if headers.has("Content-Length") {
         // Guards against smuggling: two lengths, or a length beside a coding, are read differently by others.
@@ -127,11 +254,7 @@
         if text.is_empty() || !text.bytes().all(|b| b.is_ascii_digit()) {
             return Err(Malformed::Syntax);
         }
-        let length = text.parse::<usize>().map_err(|_| Malformed::BodyTooLarge)?;
-        if length > limits.body_bytes {
-            return Err(Malformed::BodyTooLarge);
-        }
-        return Ok(Extent::Length(length));
+        return text.parse().map(Extent::Length).map_err(|_| Malformed::BodyTooLarge);
     }
     match (coded, headers.get("Transfer-Encoding")) {
         (false, _) => Ok(otherwise),
@@ -140,53 +263,6 @@
     }
 }
 
-/// A whole chunk at the start of `bytes`: where its data lies and how long it is in all. None yet: `Ok(None)`.
-/// The last chunk has no data.
-pub fn chunk(bytes: &[u8], most: usize) -> Result<Option<(std::ops::Range<usize>, usize)>, Malformed> {
-    let (from, size) = match httparse::parse_chunk_size(bytes) {
-        Ok(httparse::Status::Complete((from, size))) => (from, size),
-        Ok(httparse::Status::Partial) if bytes.len() > 256 => return Err(Malformed::Syntax),
-        Ok(httparse::Status::Partial) => return Ok(None),
-        Err(_) => return Err(Malformed::Syntax),
-    };
-    let size = usize::try_from(size).ok().filter(|s| *s <= most).ok_or(Malformed::BodyTooLarge)?;
-    let end = from + size;
-    match bytes.get(end..end + 2) {
-        Some(b"\r\n") => Ok(Some((from..end, end + 2))),
-        // Trailer lines after the last chunk are of no use to anybody here.
-        Some(_) if size > 0 => Err(Malformed::Syntax),
-        Some(_) => {
-            Ok(bytes[end..].windows(4).position(|w| w == b"\r\n\r\n").map(|n| (end..end, end + n + 4)))
-        }
-        None => Ok(None),
-    }
-}
-
-fn body(
-    bytes: &[u8],
-    extent: Extent,
-    ended: bool,
-    limits: &Limits,
-) -> Result<Option<(Vec<u8>, usize)>, Malformed> {
-    match extent {
-        Extent::Length(length) => Ok(bytes.get(..length).map(|b| (b.to_vec(), length))),
-        Extent::UntilClose if bytes.len() > limits.body_bytes => Err(Malformed::BodyTooLarge),
-        Extent::UntilClose => Ok(ended.then(|| (bytes.to_vec(), bytes.len()))),
-        Extent::Chunked => {
-            let (mut data, mut at) = (Vec::new(), 0);
-            loop {
-                let room = limits.body_bytes.saturating_sub(data.len());
-                let Some((part, length)) = chunk(&bytes[at..], room)? else { return Ok(None) };
-                if part.is_empty() {
-                    return Ok(Some((data, at + length)));
-                }
-                data.extend_from_slice(&bytes[at..][part]);
-                at += length;
-            }
-        }
-    }
-}
-
 fn head_partial(bytes: &[u8], limits: &Limits) -> Result<(), Malformed> {
     if bytes.len() > limits.head_bytes { Err(Malformed::HeadTooLarge) } else { Ok(()) }
 }
@@ -202,26 +278,101 @@
     version == Some(1) && !headers.lists("Connection", "close")
 }
 
-/// The request at the start of `bytes` and its length, once it is whole.
-pub fn request(bytes: &[u8], limits: &Limits) -> Result<Option<(Request, usize)>, Malformed> {
-    let mut lines = [httparse::EMPTY_HEADER; HEADERS];
-    let mut parsed = httparse::Request::new(&mut lines);
-    let from = match parsed.parse(bytes).map_err(head_error)? {
-        httparse::Status::Partial => return head_partial(bytes, limits).map(|()| None),
-        httparse::Status::Complete(from) => from,
-    };
-    head_partial(&bytes[..from], limits)?;
-    let headers = collect(parsed.headers)?;
-    let extent = extent(&headers, Extent::Length(0), limits)?;
-    let Some((body, length)) = body(&bytes[from..], extent, false, limits)? else { return Ok(None) };
-    let keep_alive = keep_alive(parsed.version, &headers);
-    let (Some(method), Some(target)) = (parsed.method, parsed.path) else { return Err(Malformed::Syntax) };
-    let (method, target) = (method.to_string(), target.to_string());
-    Ok(Some((Request { method, target, headers, body, keep_alive }, from + length)))
+/// The head of a message, and how its body ends.
+pub trait Head: Sized {
+    /// The head at the start of `bytes`, how its body ends, and where that begins; none while it is not whole.
+    ///
+    /// # Errors
+    /// What is no head.
+    fn parse(bytes: &[u8], limits: &Limits) -> Result<Option<(Self, Extent, usize)>, Malformed>;
 }
 
-/// The head of an answer: status, header lines, whether the connection stays, length.
-fn answer_head(bytes: &[u8], limits: &Limits) -> Result<Option<(u16, Headers, bool, usize)>, Malformed> {
+/// The head of a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RequestHead {
+    /// Its method.
+    pub method: String,
+    /// Path and query as they stood in the line.
+    pub target: String,
+    /// Its header lines.
+    pub headers: Headers,
+    /// The connection may carry another.
+    pub keep_alive: bool,
+    /// Its client waits to be told that the body is wanted.
+    pub expects: bool,
+}
+
+/// The head of an answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AnswerHead {
+    /// Its status.
+    pub status: u16,
+    /// Its header lines.
+    pub headers: Headers,
+    /// The connection may carry another.
+    pub keep_alive: bool,
+}
+
+impl Head for RequestHead {
+    fn parse(bytes: &[u8], limits: &Limits) -> Result<Option<(Self, Extent, usize)>, Malformed> {
+        let mut lines = [httparse::EMPTY_HEADER; HEADERS];
+        let mut parsed = httparse::Request::new(&mut lines);
+        let from = match parsed.parse(bytes).map_err(head_error)? {
+            httparse::Status::Partial => return head_partial(bytes, limits).map(|()| None),
+            httparse::Status::Complete(from) => from,
+        };
+        head_partial(&bytes[..from], limits)?;
+        let headers = collect(parsed.headers)?;
+        let extent = extent(&headers, Extent::Length(0))?;
+        let keep_alive = keep_alive(parsed.version, &headers);
+        let expects = parsed.version == Some(1)
+            && headers.get("Expect").is_some_and(|value| value.eq_ignore_ascii_case("100-continue"));
+        let (Some(method), Some(target)) = (parsed.method, parsed.path) else {
+            return Err(Malformed::Syntax);
+        };
+        let (method, target) = (method.to_string(), target.to_string());
+        Ok(Some((RequestHead { method, target, headers, keep_alive, expects }, extent, from)))
+    }
+}
+
+impl Head for AnswerHead {
+    /// Interim answers announce the one that counts. Of a peer that always says how long its answers are: one that says
+    /// nothing is taken to end with its connection only where it also says that this is its last. Guards against an
+    /// answer that broke off: without a length a part of it looks whole, and where the connection stays open its end
+    /// would be waited for in vain.
+    fn parse(bytes: &[u8], limits: &Limits) -> Result<Option<(Self, Extent, usize)>, Malformed> {
+        let mut at = 0;
+        for _ in 0..=limits.interim_answers {
+            let Some((head, length)) = answer_head(&bytes[at..], limits)? else { return Ok(None) };
+            at += length;
+            if (100..200).contains(&head.status) {
+                continue;
+            }
+            let extent = match head.status {
+                204 | 304 => Extent::Length(0),
+                _ if head.framed() => extent(&head.headers, Extent::UntilClose)?,
+                200 if head.keep_alive => return Err(Malformed::Syntax),
+                200 => Extent::UntilClose,
+                _ => Extent::Length(0),
+            };
+            return Ok(Some((head, extent, at)));
+        }
+        Err(Malformed::HeadTooLarge)
+    }
+}
+
+impl AnswerHead {
+    fn framed(&self) -> bool {
+        self.headers.has("Content-Length") || self.headers.has("Transfer-Encoding")
+    }
+
+    /// The connection may carry another: it stays, and where this one ends is known to both sides.
+    pub fn reusable(&self) -> bool {
+        self.keep_alive && (self.framed() || matches!(self.status, 204 | 304))
+    }
+}
+
+fn answer_head(bytes: &[u8], limits: &Limits) -> Result<Option<(AnswerHead, usize)>, Malformed> {
     let mut lines = [httparse::EMPTY_HEADER; HEADERS];
     let mut parsed = httparse::Response::new(&mut lines);
     let from = match parsed.parse(bytes).map_err(head_error)? {
@@ -230,60 +381,170 @@
     };
     let headers = collect_lossy(parsed.headers);
     let keep_alive = keep_alive(parsed.version, &headers);
-    Ok(Some((parsed.code.ok_or(Malformed::Syntax)?, headers, keep_alive, from)))
+    let status = parsed.code.ok_or(Malformed::Syntax)?;
+    Ok(Some((AnswerHead { status, headers, keep_alive }, from)))
 }
 
-/// The head of an answer that streams in chunks: its status, and where the chunks begin.
-pub fn stream_head(bytes: &[u8], limits: &Limits) -> Result<Option<(u16, usize)>, Malformed> {
-    let Some((status, headers, _, from)) = answer_head(bytes, limits)? else { return Ok(None) };
-    match extent(&headers, Extent::UntilClose, limits) {
-        Ok(Extent::Chunked) => Ok(Some((status, from))),
-        _ => Err(Malformed::Syntax),
+/// A message that is coming in: its head once that is whole, and of its body what has come and was not taken out.
+#[derive(Clone, Debug)]
+pub struct Incoming<H> {
+    /// Bytes that were no whole head when last looked at.
+    looked_at: usize,
+    /// The head, and where the body stands.
+    message: Option<(H, BodyReader)>,
+    /// How the body ends.
+    pub extent: Extent,
+    /// What has come of the body.
+    pub body: Vec<u8>,
+    /// Bytes of the body in all, those taken out of `body` included.
+    pub length: u64,
+}
+
+impl<H> Default for Incoming<H> {
+    fn default() -> Incoming<H> {
+        Incoming { looked_at: 0, message: None, extent: Extent::Length(0), body: Vec::new(), length: 0 }
     }
 }
 
-/// The answer at the start of `bytes` and its length, once it is whole. `ended`: the peer sends no more.
-pub fn answer(bytes: &[u8], ended: bool, limits: &Limits) -> Result<Option<(Answer, usize)>, Malformed> {
-    answer_or(bytes, ended, Some(Extent::UntilClose), limits)
+impl<H: Head> Incoming<H> {
+    /// Reads on in `input`, and takes off it what belongs to the message. `most`: bytes that its body may have.
+    ///
+    /// # Errors
+    /// What is no message; always the same, however the bytes are split.
+    pub fn read(&mut self, input: &mut Vec<u8>, most: u64, limits: &Limits) -> Result<(), Malformed> {
+        let mut at = 0;
+        if self.message.is_none() {
+            if !self.worth_a_look(input) {
+                return Ok(());
+            }
+            self.looked_at = input.len();
+            let Some((head, extent, from)) = H::parse(input, limits)? else { return Ok(()) };
+            self.message = Some((head, BodyReader::new(extent, most)?));
+            (self.extent, at) = (extent, from);
+        }
+        let Some((_, reader)) = &mut self.message else { return Ok(()) };
+        let before = self.body.len();
+        let taken = reader.take(&input[at..], &mut self.body);
+        self.length += (self.body.len() - before) as u64;
+        input.drain(..at + taken?);
+        Ok(())
+    }
+
+    /// Guards the processor against a head that comes byte by byte: it is parsed while it is short, where it has twice
+    /// as many bytes as before, and where it may be whole.
+    fn worth_a_look(&self, input: &[u8]) -> bool {
+        let news = &input[self.looked_at.saturating_sub(3).min(input.len())..];
+        let ends =
+            || news.windows(2).any(|two| two == b"\n\n") || news.windows(3).any(|three| three == b"\n\r\n");
+        input.len() < 256 || input.len() >= 2 * self.looked_at || ends()
+    }
+
+    /// Its head, once that is whole.
+    pub fn head(&self) -> Option<&H> {
+        self.message.as_ref().map(|(head, _)| head)
+    }
+
+    /// Nothing more belongs to it.
+    pub fn whole(&self) -> bool {
+        self.message.as_ref().is_some_and(|(_, reader)| reader.whole())
+    }
+
+    /// Whether the connection's end makes it whole.
+    pub fn ends_with_connection(&self) -> bool {
+        self.message.as_ref().is_some_and(|(_, reader)| reader.until_close())
+    }
+
+    /// Its parts, once the head is whole: the head, the reader of what is still to come, and what has come.
+    pub fn into_parts(self) -> Option<(H, BodyReader, Vec<u8>)> {
+        let body = self.body;
+        self.message.map(|(head, reader)| (head, reader, body))
+    }
 }
 
-/// The same of a peer that always says how long its answers are. Guards against an answer that broke off: without a
-/// length a part of it looks whole, and where the connection stays open its end would be waited for in vain.
-pub fn framed_answer(bytes: &[u8], limits: &Limits) -> Result<Option<(Answer, usize)>, Malformed> {
-    answer_or(bytes, false, None, limits)
+impl Request {
+    /// A request whose body is whole.
+    pub fn new(head: RequestHead, body: Vec<u8>) -> Request {
+        let RequestHead { method, target, headers, keep_alive, .. } = head;
+        Request { method, target, headers, body, keep_alive }
+    }
+}
+
+impl Answer {
+    /// An answer whose body is whole, or not wanted.
+    pub fn new(head: AnswerHead, body: Vec<u8>) -> Answer {
+        let keep_alive = head.reusable();
+        Answer { status: head.status, headers: head.headers, body, keep_alive }
+    }
 }
 
-fn answer_or(
+/// The request at the start of `bytes` and its length, once it is whole.
+pub fn request(bytes: &[u8], limits: &Limits) -> Result<Option<(Request, usize)>, Malformed> {
+    let Some((head, extent, from)) = RequestHead::parse(bytes, limits)? else { return Ok(None) };
+    let whole = body(&bytes[from..], extent, false, limits)?;
+    Ok(whole.map(|(body, length)| (Request::new(head, body), from + length)))
+}
+
+/// The body at the start of `bytes` and its length, once it is whole.
+fn body(
     bytes: &[u8],
+    extent: Extent,
     ended: bool,
-    unframed: Option<Extent>,
     limits: &Limits,
-) -> Result<Option<(Answer, usize)>, Malformed> {
+) -> Result<Option<(Vec<u8>, usize)>, Malformed> {
+    let mut reader = BodyReader::new(extent, limits.body_bytes as u64)?;
+    let mut body = Vec::new();
+    let length = reader.take(bytes, &mut body)?;
+    Ok((reader.whole() || (ended && reader.until_close())).then_some((body, length)))
+}
+
+/// The head of an answer that streams in chunks: its status, and where the chunks begin.
+pub fn stream_head(bytes: &[u8], limits: &Limits) -> Result<Option<(u16, usize)>, Malformed> {
+    let Some((head, from)) = answer_head(bytes, limits)? else { return Ok(None) };
+    match extent(&head.headers, Extent::UntilClose) {
+        Ok(Extent::Chunked) => Ok(Some((head.status, from))),
+        _ => Err(Malformed::Syntax),
+    }
+}
+
+/// The answer at the start of `bytes` and its length, once it is whole. `ended`: the peer sends no more.
+pub fn answer(bytes: &[u8], ended: bool, limits: &Limits) -> Result<Option<(Answer, usize)>, Malformed> {
     let mut at = 0;
-    // Interim answers announce the one that counts.
     for _ in 0..=limits.interim_answers {
-        let Some((status, headers, keep_alive, from)) = answer_head(&bytes[at..], limits)? else {
-            return Ok(None);
-        };
-        at += from;
-        if (100..200).contains(&status) {
+        let Some((head, length)) = answer_head(&bytes[at..], limits)? else { return Ok(None) };
+        at += length;
+        if (100..200).contains(&head.status) {
             continue;
         }
-        let framed = headers.has("Content-Length") || headers.has("Transfer-Encoding");
-        let extent = match unframed {
-            _ if matches!(status, 204 | 304) => Extent::Length(0),
-            None if !framed && status == 200 => return Err(Malformed::Syntax),
-            unframed => extent(&headers, unframed.unwrap_or(Extent::Length(0)), limits)?,
-        };
-        let keep_alive = keep_alive && (framed || matches!(status, 204 | 304));
+        let none = matches!(head.status, 204 | 304);
+        let extent = if none { Extent::Length(0) } else { extent(&head.headers, Extent::UntilClose)? };
         let whole = body(&bytes[at..], extent, ended, limits)?;
-        return Ok(whole.map(|(body, length)| (Answer { status, headers, body, keep_alive }, at + length)));
+        return Ok(whole.map(|(body, length)| (Answer::new(head, body), at + length)));
     }
     Err(Malformed::HeadTooLarge)
 }
 
+/// The same of a peer that says how long its answers are, or that they end with the connection.
+pub fn framed_answer(bytes: &[u8], limits: &Limits) -> Result<Option<(Answer, usize)>, Malformed> {
+    let Some((head, extent, from)) = AnswerHead::parse(bytes, limits)? else { return Ok(None) };
+    let whole = body(&bytes[from..], extent, false, limits)?;
+    Ok(whole.map(|(body, length)| (Answer::new(head, body), from + length)))
+}
+
 /// Writes an answer with a body.
 pub fn write_answer(out: &mut Vec<u8>, status: u16, headers: &[(&str, &str)], body: &[u8], close: bool) {
+    let length = body.len().to_string();
+    let lines = [("Content-Length", length.as_str())].into_iter().chain(headers.iter().copied());
+    write_head(out, status, lines, close);
+    out.extend_from_slice(body);
+}
+
+/// Writes the head of an answer. `close`: the connection carries no other.
+pub fn write_head<'a>(
+    out: &mut Vec<u8>,
+    status: u16,
+    lines: impl Iterator<Item = (&'a str, &'a str)>,
+    close: bool,
+) {
     use std::io::Write;
     let reason = match status {
         200 => "OK",
@@ -299,12 +560,11 @@
         _ => "Other",
     };
     // Writing to a vector cannot fail.
-    let _ = write!(out, "HTTP/1.1 {status} {reason}\r\nContent-Length: {}\r\n", body.len());
-    for (name, value) in headers {
+    let _ = write!(out, "HTTP/1.1 {status} {reason}\r\n");
+    for (name, value) in lines {
         let _ = write!(out, "{name}: {value}\r\n");
     }
     out.extend_from_slice(if close { b"Connection: close\r\n\r\n" } else { b"\r\n" });
-    out.extend_from_slice(body);
 }
 
 #[cfg(test)]
--- a/limiter/src/net/host/acquirers.rs
+++ b/limiter/src/net/host/acquirers.rs
@@ -4,6 +4,7 @@
 
 use super::*;
 use crate::engine::{Authorisation, Ending};
+use crate::net::framing::Request;
 
 impl Host {
     pub(super) fn accept(&mut self) {
@@ -150,6 +151,14 @@
         }
     }
 
+    /// There is no room for the rest of a request; another try may find some.
+    fn decline_upload(&mut self, key: ConnectionKey) {
+        if let Some(connection) = self.connections.get_mut(key) {
+            connection.last = true;
+        }
+        self.decline(key, 503, self.limits.stay_away, &[], b"no room for the request");
+    }
+
     /// Takes what has been read off a connection's input.
     fn consume(&mut self, key: ConnectionKey, length: usize) {
         let Some(connection) = self.connections.get_mut(key) else { return };
@@ -167,25 +176,39 @@
         if connection.closing || !matches!(connection.visit.stage, Stage::Idle | Stage::Partial) {
             return;
         }
-        let (request, length) = match framing::request(&connection.input, &self.limits) {
-            Ok(None) if connection.unread => {
-                // No more may be held of it: it is too long, or all clients' together are.
-                let long = connection.input.len() > self.limits.body_bytes;
-                let status = if long { 413 } else { 503 };
-                return self.reject(key, &Rejection { status, text: "no room for the request" }, true);
+        let before = connection.held();
+        let mut incoming = match std::mem::take(&mut connection.reading) {
+            Reading::Request(incoming) => incoming,
+            _ => Incoming::default(),
+        };
+        let read = incoming.read(&mut connection.input, self.limits.request_bytes, &self.limits);
+        if let Err(malformed) = read {
+            self.partial -= before - connection.held();
+            let rejection = Rejection { status: malformed.status(), text: "malformed" };
+            return self.reject(key, &rejection, true);
+        }
+        if !incoming.whole() {
+            let (waits, length) = (incoming.head().map(|head| head.expects), incoming.length);
+            connection.visit.partial(now);
+            if waits.is_some() {
+                connection.visit.uploading(now, length);
             }
-            Ok(None) => {
-                connection.visit.partial(now);
-                return self.arm(key);
+            connection.reading = Reading::Request(incoming);
+            self.partial -= before - connection.held();
+            if connection.held() > self.limits.body_bytes && self.partial > self.limits.partial_bytes {
+                // All that clients have under way is more than may be held.
+                return self.decline_upload(key);
             }
-            Ok(Some(whole)) => whole,
-            Err(malformed) => {
-                let rejection = Rejection { status: malformed.status(), text: "malformed" };
-                return self.reject(key, &rejection, true);
+            if waits == Some(true) && length == 0 && !std::mem::replace(&mut connection.told_to_go_on, true) {
+                self.write(key, b"HTTP/1.1 100 Continue\r\n\r\n");
             }
-        };
+            return self.arm(key);
+        }
+        connection.told_to_go_on = false;
+        self.partial -= before - connection.held();
+        let Some((head, _, body)) = incoming.into_parts() else { return };
+        let request = Request::new(head, body);
         connection.last = !request.keep_alive;
-        self.consume(key, length);
         if request.method == "GET" && request.target == "/up" {
             let serving = self.lifecycle.serving() && self.table.serving();
             let (status, text): (u16, &[u8]) = if serving { (200, b"up\n") } else { (503, b"not serving\n") };
@@ -229,6 +252,7 @@
                 if !forward.id.is_empty() {
                     self.open_ids.insert(forward.id.clone());
                 }
+                self.partial += forward.body.len();
                 known.pending.insert(authorisation, Pending { origin: key, forward, purpose });
                 if let Some(connection) = self.connections.get_mut(key)
                     && let Role::Acquirer { waits, .. } = &mut connection.role
@@ -248,16 +272,26 @@
         self.answer(key, rejection.status, &[], rejection.text.as_bytes());
     }
 
+    /// Whether a client's next answer is the last of its connection.
+    pub(super) fn last_answer(&self, key: ConnectionKey) -> bool {
+        // Guards requests of clients whose idle connections would be closed for room: where it is scarce they are told
+        // that this answer is the last, and write no other into a connection that is being closed.
+        let scarce = self.acquirers > self.limits.acquirer_kept;
+        let asked = self.connections.get(key).is_some_and(|connection| connection.last);
+        asked || scarce || self.lifecycle.last_answers(self.now(), &self.limits)
+    }
+
     /// Writes an answer to a client; the connection is then free for the next request.
     pub(super) fn answer(&mut self, key: ConnectionKey, status: u16, headers: &[(&str, &str)], body: &[u8]) {
         let now = self.now();
+        let close = self.last_answer(key);
         let Some(connection) = self.connections.get_mut(key) else { return };
-        // Guards requests of clients whose idle connections would be closed for room: where it is scarce they are told
-        // that this answer is the last, and write no other into a connection that is being closed.
-        let scarce = self.acquirers > self.limits.acquirer_kept;
-        let close = connection.last || self.lifecycle.last_answers(now, &self.limits) || scarce;
         let Role::Acquirer { waits, .. } = &mut connection.role else { return };
         *waits = None;
+        if let Reading::Request(incoming) = std::mem::take(&mut connection.reading) {
+            // The request is answered before it was whole.
+            self.partial -= incoming.body.len();
+        }
         framing::write_answer(&mut connection.output, status, headers, body, close);
         connection.closing = close;
         connection.visit.answering(now);
@@ -286,6 +320,7 @@
     pub(super) fn settle(&mut self, ticket: Ticket) -> Option<Pending> {
         let pending = self.services[ticket.0].pending.remove(ticket.1)?;
         self.open_ids.remove(&pending.forward.id);
+        self.partial -= pending.forward.body.len();
         Some(pending)
     }
 
--- a/limiter/src/net/host/errands.rs
+++ b/limiter/src/net/host/errands.rs
@@ -89,31 +89,30 @@
     pub(super) fn read_answer(&mut self, key: ConnectionKey) {
         let Some(connection) = self.connections.get_mut(key) else { return };
         let Role::Server { service, server, state } = connection.role else { return };
+        if let Reading::Relay(_, to) = connection.reading {
+            return self.read_relayed(key, to);
+        }
         let Some(errand) = state.errand() else {
             // Nothing was asked: whatever this is, the connection is of no more use.
             _ = self.close(key);
             return;
         };
-        let answer = match service {
-            RECORDS => framing::framed_answer(&connection.input, &self.limits),
-            _ => framing::answer(&connection.input, false, &self.limits),
-        };
-        match answer {
+        if service == RECORDS {
+            return self.read_records(key, errand);
+        }
+        match framing::answer(&connection.input, false, &self.limits) {
             Ok(None) => {
-                if !std::mem::replace(&mut connection.begun, true) {
-                    self.deadlines.enter(self.clock.now() + self.limits.answer_rest, Due::Rest(key, errand));
-                }
+                self.deadlines.enter(self.clock.now() + self.limits.answer_rest, Due::Rest(key, errand))
             }
             Ok(Some((answer, length))) => {
-                let clean = connection.input.len() == length && answer.keep_alive;
-                let all_sent = connection.written == connection.output.len();
+                let clean =
+                    connection.input.len() == length && answer.keep_alive && connection.backlog() == 0;
                 connection.input.clear();
                 connection.input.shrink_to(4 * 1024);
-                connection.begun = false;
                 connection.role = Role::Server { service, server, state: LegState::Idle };
                 self.end_errand(service, server, errand, Outcome::Reset, Some(answer));
                 let now = self.now();
-                if !(clean && all_sent && self.services[service].pool.rest(server, key, now)) {
+                if !(clean && self.services[service].pool.rest(server, key, now)) {
                     self.close(key);
                 }
             }
--- a/limiter/src/net/host/mod.rs
+++ b/limiter/src/net/host/mod.rs
@@ -8,6 +8,7 @@
 mod errands;
 mod operators;
 mod overlap;
+mod relaying;
 mod reloading;
 mod tokens;
 mod watching;
@@ -27,7 +28,7 @@
 use self::operators::Operators;
 use self::tokens::Tokens;
 use super::Clock;
-use super::framing::{self, Answer};
+use super::framing::{self, Answer, AnswerHead, Incoming, RequestHead};
 use super::handover::Handover;
 use super::inherited;
 use crate::config::{Config, Introspection};
@@ -41,6 +42,7 @@
 use crate::limits::Limits;
 use crate::peers::{self, Peers};
 use crate::probes;
+use crate::relay::Relay;
 use crate::routing_table::{NeverListed, News, RoutingTable};
 use crate::slots::{AuthorisationKey, ConnectionKey, SlotMap};
 use crate::visits::{Stage, Visit};
@@ -104,8 +106,14 @@
     armed: Micros,
     /// Reading has stopped though more may be there: no event will tell of it again.
     unread: bool,
-    /// Of a server: a part of an answer is there.
-    begun: bool,
+    /// What is coming in, where it is read as it comes.
+    reading: Reading,
+    /// Of the acquirer side: the client has been told that the body of its request is wanted.
+    told_to_go_on: bool,
+    /// When something last came.
+    heard: Micros,
+    /// Of the acquirer side: the server's connection from which the answer is being relayed.
+    source: Option<ConnectionKey>,
     /// Bytes thrown away after the last answer.
     discarded: usize,
     /// The client asked that the answer be the last.
@@ -114,13 +122,54 @@
     closing: bool,
 }
 
+/// A message that is coming in on a connection.
+#[derive(Debug, Default)]
+enum Reading {
+    #[default]
+    Nothing,
+    Request(Incoming<RequestHead>),
+    Answer(Incoming<AnswerHead>),
+    /// An answer that goes on to this client as it comes.
+    Relay(Relay, ConnectionKey),
+}
+
+impl Connection {
+    /// Bytes held of what has come and was not taken yet.
+    fn held(&self) -> usize {
+        let body = match &self.reading {
+            Reading::Request(incoming) => incoming.body.len(),
+            Reading::Nothing | Reading::Answer(_) | Reading::Relay(..) => 0,
+        };
+        self.input.len() + body
+    }
+
+    /// Bytes that were not written yet.
+    fn backlog(&self) -> usize {
+        self.output.len() - self.written
+    }
+}
+
+/// How far reading went.
+enum Come {
+    /// Nothing more is there for now.
+    All,
+    /// More may be there, and is not to be taken in now.
+    Full,
+    /// The other side sends no more.
+    End,
+    /// The connection broke.
+    Broken,
+}
+
 /// What falls due.
 #[derive(Debug)]
 enum Due {
     Connect(ConnectionKey),
     Errand(ConnectionKey, Errand),
-    /// An answer to the errand has begun, and is to be whole by now.
+    /// An answer to the errand has begun, and more of it is to have come by now.
     Rest(ConnectionKey, Errand),
+    /// More of an answer that is being relayed is to have come by now.
+    Relay(ConnectionKey),
     Visit(ConnectionKey),
     Counter(usize),
     Retire,
@@ -156,8 +205,8 @@
 #[derive(Default)]
 struct Watch {
     connection: Option<ConnectionKey>,
-    /// The head of the answer has been read.
-    streaming: bool,
+    /// Where the answer stands, once its head has been read.
+    stream: Option<framing::BodyReader>,
     line: Vec<u8>,
     heard: Micros,
     wait: Micros,
@@ -178,7 +227,7 @@
     dirty: Vec<ConnectionKey>,
     /// Clients' connections to be looked at again: what has come on them had to wait.
     again: Vec<ConnectionKey>,
-    /// Bytes of clients' requests that are not whole yet, on all connections together.
+    /// Bytes of clients' requests that are coming in or not answered yet, on all connections together.
     partial: usize,
     /// Ids of the requests whose final answers are owed.
     open_ids: BTreeSet<String>,
@@ -455,16 +504,19 @@
                 }
             }
             Due::Rest(key, errand) => {
-                if let Some(Role::Server { service, server, state }) =
-                    self.connections.get(key).map(|c| c.role)
-                    && state.errand() == Some(errand)
-                {
+                let Some(connection) = self.connections.get(key) else { return };
+                let Role::Server { service, server, state } = connection.role else { return };
+                let until = connection.heard + self.limits.answer_rest;
+                if state.errand() == Some(errand) && until > now {
+                    self.deadlines.enter(until, Due::Rest(key, errand));
+                } else if state.errand() == Some(errand) {
                     // Guards against an answer that is spoilt where its connection stays open: the request has run,
                     // and what is missing of it will not come.
                     self.end_errand(service, server, errand, Outcome::Error, None);
                     self.close(key);
                 }
             }
+            Due::Relay(key) => self.relay_due(now, key),
             Due::Visit(key) => self.visit_due(now, key),
             Due::Counter(line) => self.expire_line(now, line),
             Due::Retire => {
@@ -554,7 +606,10 @@
             visit: Visit::new(now),
             armed: Micros::MAX,
             unread: false,
-            begun: false,
+            reading: Reading::Nothing,
+            told_to_go_on: false,
+            heard: now,
+            source: None,
             discarded: 0,
             last: false,
             closing: false,
@@ -591,8 +646,10 @@
         match connection.role {
             Role::Acquirer { .. } => {
                 self.acquirers -= 1;
-                self.partial -= connection.input.len();
+                self.partial -= connection.held();
                 self.resume_accepting();
+                // What a server still sends is for nobody.
+                connection.source.into_iter().for_each(|source| _ = self.close(source));
             }
             Role::Server { service, server, .. } => self.services[service].pool.closed(server, key),
             Role::Operator => self.operator_left(key),
@@ -618,6 +675,10 @@
             }
             Role::Acquirer { waits: None, .. } => {}
             Role::Server { service, server, state } => {
+                if let Reading::Relay(_, to) = connection.reading {
+                    // Cut off here too, so that the client can tell.
+                    self.close(to);
+                }
                 if let Some(errand) = state.errand() {
                     // Only an introspection server's answer may end with its connection: it is judged by its text.
                     let ended =
@@ -688,7 +749,15 @@
                 return limits.linger_bytes.saturating_sub(connection.discarded);
             }
             (Role::Server { .. }, _) => {
-                return (limits.head_bytes + 2 * limits.body_bytes).saturating_sub(connection.input.len());
+                // Guards the memory against a client that is slower than the server whose answer it gets.
+                let most = match &connection.reading {
+                    Reading::Relay(_, to) => {
+                        let held = self.connections.get(*to).map_or(0, Connection::backlog);
+                        limits.relay_window.saturating_sub(held)
+                    }
+                    _ => limits.head_bytes + 2 * limits.body_bytes,
+                };
+                return most.saturating_sub(connection.input.len());
             }
             (Role::Operator, _) => return (limits.operator_line + 2).saturating_sub(connection.input.len()),
             // Guards the memory against a peer that only ever sends.
@@ -703,43 +772,71 @@
         most.saturating_sub(connection.input.len()).min(shared.max(own))
     }
 
-    /// Reads all there is and may be taken in; then what came is looked at, and only then an end.
-    fn read(&mut self, key: ConnectionKey) {
-        let ended = loop {
-            let Some(room) = self.connections.get(key).map(|c| self.room(c)) else { return };
-            let Some(connection) = self.connections.get_mut(key) else { return };
+    /// Takes in all there is and may be taken in.
+    fn fill(&mut self, key: ConnectionKey) -> Option<Come> {
+        let now = self.now();
+        loop {
+            let room = self.connections.get(key).map(|c| self.room(c))?;
+            let connection = self.connections.get_mut(key)?;
             let acquirer = matches!(connection.role, Role::Acquirer { .. });
             connection.unread = room == 0;
             if room == 0 {
-                break !acquirer;
+                return Some(Come::Full);
             }
             let size = room.min(self.scratch.len());
             match (&*connection.stream).read(&mut self.scratch[..size]) {
-                Ok(0) => break true,
+                Ok(0) => return Some(Come::End),
                 Ok(length) if acquirer && connection.visit.stage == Stage::Lingering => {
                     connection.discarded += length
                 }
                 Ok(length) => {
+                    connection.heard = now;
                     connection.input.extend_from_slice(&self.scratch[..length]);
                     self.partial += if acquirer { length } else { 0 };
                 }
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => break false,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Some(Come::All),
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-                Err(_) => break true,
+                Err(_) => return Some(Come::Broken),
             }
-        };
-        match self.connections.get(key).map(|c| (c.role, c.input.is_empty())) {
-            Some((Role::Acquirer { .. }, false)) => self.read_request(key),
-            Some((Role::Server { .. }, false)) => self.read_answer(key),
-            Some((Role::Counter(line), false)) => self.read_totals(key, line),
-            Some((Role::Watch, false)) => self.read_watch(key),
-            Some((Role::Member(_), false)) => self.read_receipts(key),
-            Some((Role::Operator, false)) => self.read_call(key),
-            _ => {}
         }
-        if ended {
-            self.broken(key);
+    }
+
+    /// Reads what there is, and looks at it; only then at an end.
+    fn read(&mut self, key: ConnectionKey) {
+        for _ in 0..self.limits.read_rounds.max(1) {
+            let Some(come) = self.fill(key) else { return };
+            match self.connections.get(key).map(|c| (c.role, c.input.is_empty())) {
+                Some((Role::Acquirer { .. }, false)) => self.read_request(key),
+                Some((Role::Server { .. }, false)) => self.read_answer(key),
+                Some((Role::Counter(line), false)) => self.read_totals(key, line),
+                Some((Role::Watch, false)) => self.read_watch(key),
+                Some((Role::Member(_), false)) => self.read_receipts(key),
+                Some((Role::Operator, false)) => self.read_call(key),
+                _ => {}
+            }
+            match come {
+                Come::All => return,
+                Come::End => {
+                    // That may be the end of an answer, in order.
+                    self.answer_ended(key);
+                    return self.broken(key);
+                }
+                Come::Broken => return self.broken(key),
+                Come::Full => {}
+            }
+            let Some(connection) = self.connections.get(key) else { return };
+            let room = self.room(connection) > 0;
+            match connection.role {
+                // The rest waits until the request before it is answered.
+                Role::Acquirer { .. } if connection.visit.stage != Stage::Partial || !room => return,
+                // The rest waits until the client has taken in what is there.
+                Role::Server { .. } if !room => return,
+                _ if !room => return self.broken(key),
+                _ => {}
+            }
         }
+        // Others have their turn first.
+        self.again.push(key);
     }
 
     fn write(&mut self, key: ConnectionKey, bytes: &[u8]) {
@@ -750,17 +847,24 @@
     }
 
     fn flush(&mut self, key: ConnectionKey) {
+        let now = self.now();
         let Some(connection) = self.connections.get_mut(key).filter(|c| c.up) else { return };
         while connection.written < connection.output.len() {
             match (&*connection.stream).write(&connection.output[connection.written..]) {
-                Ok(length) => connection.written += length,
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
+                Ok(length) => {
+                    connection.written += length;
+                    connection.visit.progress(now);
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return self.held_up(key),
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 Err(_) => return self.broken(key),
             }
         }
         connection.output.clear();
         connection.written = 0;
+        if connection.source.is_some() {
+            return self.more_for(key);
+        }
         // Guards the memory on a long day: one large message must not be paid for as long as the connection lasts.
         connection.output.shrink_to(4 * 1024);
         if let Role::Server { state, .. } = &mut connection.role {
--- a/limiter/src/net/host/watching.rs
+++ b/limiter/src/net/host/watching.rs
@@ -1,5 +1,6 @@
 //! Discovery's watch, and what it brings.
 
+use super::framing::{BodyReader, Extent};
 use super::*;
 
 impl Host {
@@ -7,7 +8,7 @@
         if let Some(former) = self.watch.connection.take() {
             self.close(former);
         }
-        self.watch.streaming = false;
+        self.watch.stream = None;
         self.watch.line.clear();
         match self.connect(self.discovery, Role::Watch) {
             Ok(key) => self.watch.connection = Some(key),
@@ -27,26 +28,26 @@
         let Some(connection) = self.connections.get_mut(key) else { return };
         let mut at = 0;
         let mut bad = false;
-        if !self.watch.streaming {
+        if self.watch.stream.is_none() {
             match framing::stream_head(&connection.input, &self.limits) {
                 Ok(None) => return,
-                Ok(Some((200, from))) => (self.watch.streaming, at) = (true, from),
+                Ok(Some((200, from))) => {
+                    // However long it lasts: what is bounded is each line.
+                    self.watch.stream = BodyReader::new(Extent::Chunked, u64::MAX).ok();
+                    at = from;
+                }
                 Ok(Some(_)) | Err(_) => bad = true,
             }
         }
-        while !bad {
-            match framing::chunk(&connection.input[at..], self.limits.line_bytes) {
-                Ok(Some((part, length))) => {
-                    bad = part.is_empty();
-                    self.watch.line.extend_from_slice(&connection.input[at..][part]);
-                    at += length;
-                }
-                Ok(None) => break,
+        if let Some(stream) = &mut self.watch.stream {
+            match stream.take(&connection.input[at..], &mut self.watch.line) {
+                Ok(taken) => at += taken,
                 Err(_) => bad = true,
             }
-            bad |= self.watch.line.len() > self.limits.line_bytes;
+            bad |= stream.whole();
         }
         connection.input.drain(..at);
+        let mut ended = false;
         while let Some(end) = self.watch.line.iter().position(|b| *b == b'\n') {
             let line: Vec<u8> = self.watch.line.drain(..=end).collect();
             match self.table.line(&line) {
@@ -57,11 +58,12 @@
                 }
                 Err(error) => {
                     self.warn(&format!("discovery: {error}"));
-                    bad = true;
+                    ended = true;
                     break;
                 }
             }
         }
+        bad |= ended || self.watch.line.len() > self.limits.line_bytes;
         if bad {
             self.broken(key);
         }
--- /dev/null
+++ b/limiter/src/relay.rs
@@ -0,0 +1,158 @@
+//! A long answer on its way to its client, without any input or output: what comes of its body goes on at once, in a
+//! framing by which the client can tell a whole answer from one that was cut off.
+
+use std::io::Write;
+
+use crate::net::framing::{AnswerHead, BodyReader, Extent, Malformed, write_head};
+
+/// What is still to come of an answer, and how it goes on.
+#[derive(Clone, Debug)]
+pub struct Relay {
+    reader: BodyReader,
+    /// Its length was not known when it began.
+    chunked: bool,
+    /// The server's connection may be used again behind it.
+    reusable: bool,
+    data: Vec<u8>,
+}
+
+impl Relay {
+    /// Writes the head of an answer for the client, and what has come of the body. `close`: it is the last of the
+    /// client's connection.
+    pub fn begin(
+        (head, extent): (&AnswerHead, Extent),
+        reader: BodyReader,
+        come: &[u8],
+        close: bool,
+        out: &mut Vec<u8>,
+    ) -> Relay {
+        let (length, coding);
+        let framing = match extent {
+            Extent::Length(bytes) => {
+                length = bytes.to_string();
+                ("Content-Length", length.as_str())
+            }
+            Extent::Chunked | Extent::UntilClose => {
+                coding = "chunked";
+                ("Transfer-Encoding", coding)
+            }
+        };
+        let kind = head.headers.get("Content-Type").map(|kind| ("Content-Type", kind));
+        write_head(out, head.status, [framing].into_iter().chain(kind), close);
+        let chunked = !matches!(extent, Extent::Length(_));
+        let mut relay = Relay { reader, chunked, reusable: head.reusable(), data: come.to_vec() };
+        relay.put(out);
+        relay
+    }
+
+    /// Passes on what has come. Bytes behind the answer's end stay in `input`.
+    ///
+    /// # Errors
+    /// What is no body: nothing more of it goes on, and its end is never written.
+    pub fn pass(&mut self, input: &mut Vec<u8>, out: &mut Vec<u8>) -> Result<(), Malformed> {
+        // Its end is written once.
+        if self.reader.whole() {
+            return Ok(());
+        }
+        let taken = self.reader.take(input, &mut self.data)?;
+        input.drain(..taken);
+        self.put(out);
+        Ok(())
+    }
+
+    fn put(&mut self, out: &mut Vec<u8>) {
+        match (self.chunked, self.data.is_empty()) {
+            (_, true) => {}
+            (false, false) => out.extend_from_slice(&self.data),
+            (true, false) => {
+                // Writing to a vector cannot fail.
+                let _ = write!(out, "{:x}\r\n", self.data.len());
+                out.extend_from_slice(&self.data);
+                out.extend_from_slice(b"\r\n");
+            }
+        }
+        self.data.clear();
+        if self.chunked && self.reader.whole() {
+            out.extend_from_slice(b"0\r\n\r\n");
+        }
+    }
+
+    /// The server's connection ended in order. True if that makes the answer whole.
+    pub fn ended(&mut self, out: &mut Vec<u8>) -> bool {
+        let whole = self.reader.until_close();
+        if whole {
+            out.extend_from_slice(b"0\r\n\r\n");
+        }
+        whole
+    }
+
+    /// All has come.
+    pub fn whole(&self) -> bool {
+        self.reader.whole()
+    }
+
+    /// The server's connection may be used again once all has come.
+    pub fn reusable(&self) -> bool {
+        self.reusable
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::limits::Limits;
+    use crate::net::framing::{self, Head, Incoming};
+
+    /// Relays an answer that comes in two pieces; what the client has then, and whether it is whole.
+    fn relayed(bytes: &[u8], cut: usize, ends: bool) -> Option<(Vec<u8>, bool)> {
+        let limits = Limits::default();
+        let (mut out, mut input) = (Vec::new(), Vec::new());
+        let (mut incoming, mut relay) = (Incoming::<AnswerHead>::default(), None::<Relay>);
+        for piece in [&bytes[..cut], &bytes[cut..]] {
+            input.extend_from_slice(piece);
+            if let Some(relay) = &mut relay {
+                relay.pass(&mut input, &mut out).ok()?;
+                continue;
+            }
+            incoming.read(&mut input, 1_000, &limits).ok()?;
+            if incoming.head().is_some() {
+                let extent = incoming.extent;
+                let (head, reader, come) = std::mem::take(&mut incoming).into_parts()?;
+                relay = Some(Relay::begin((&head, extent), reader, &come, false, &mut out));
+            }
+        }
+        let mut relay = relay?;
+        let whole = relay.whole() || (ends && relay.ended(&mut out));
+        Some((out, whole))
+    }
+
+    #[test]
+    fn every_framing_and_every_split_brings_the_same_body_or_an_end_that_the_client_can_tell() {
+        let limits = Limits::default();
+        for (answer, ends) in [
+            ("HTTP/1.1 200 OK\r\nContent-Length: 8\r\nContent-Type: a/b\r\n\r\nabcdefgh", false),
+            (
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3;x=\"y\"\r\nabc\r\n5\r\ndefgh\r\n0\r\nT: 1\r\n\r\n",
+                false,
+            ),
+            ("HTTP/1.1 103 Hints\r\n\r\nHTTP/1.1 200 OK\r\nConnection: keep, Close\r\n\r\nabcdefgh", true),
+        ] {
+            let (head, _, from) = AnswerHead::parse(answer.as_bytes(), &limits).unwrap().unwrap();
+            for cut in 0..=answer.len() {
+                let (out, whole) = relayed(answer.as_bytes(), cut, ends).unwrap();
+                let (read, length) = framing::answer(&out, false, &limits).unwrap().expect("whole");
+                assert!(whole && length == out.len(), "cut at {cut} of {answer:?}");
+                assert_eq!((read.body.as_slice(), read.status), (b"abcdefgh".as_slice(), 200));
+                assert_eq!(read.headers.get("Content-Type"), head.headers.get("Content-Type"));
+            }
+            // Broken off anywhere, the client can tell.
+            for end in from..answer.len() {
+                let (out, whole) = relayed(&answer.as_bytes()[..end], from, false).unwrap();
+                assert!(
+                    !whole && framing::answer(&out, false, &limits) == Ok(None),
+                    "ends at {end} of {answer:?}"
+                );
+            }
+        }
+    }
+}
--- a/limiter/src/visits.rs
+++ b/limiter/src/visits.rs
@@ -29,16 +29,28 @@
     pub since: Micros,
     /// An answer has been written on it before.
     pub answered: bool,
+    /// Of a request whose head is whole and whose body is coming: how that goes.
+    body: Option<Upload>,
+}
+
+/// A body on its way in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Upload {
+    /// Since when its head has been whole.
+    since: Micros,
+    /// When something last came, and how much has.
+    heard: Micros,
+    bytes: u64,
 }
 
 impl Visit {
     /// A connection that was taken now.
     pub fn new(now: Micros) -> Visit {
-        Visit { stage: Stage::Idle, since: now, answered: false }
+        Visit { stage: Stage::Idle, since: now, answered: false, body: None }
     }
 
     fn enter(&mut self, now: Micros, stage: Stage) {
-        (self.stage, self.since) = (stage, now);
+        (self.stage, self.since, self.body) = (stage, now, None);
     }
 
     /// A part of a request is there. The first one of a connection has its time from the connection's start, so
@@ -50,6 +62,21 @@
         }
     }
 
+    /// The head is whole, and so much of the body has come.
+    pub fn uploading(&mut self, now: Micros, bytes: u64) {
+        let upload = self.body.get_or_insert(Upload { since: now, heard: now, bytes });
+        if upload.bytes != bytes {
+            (upload.heard, upload.bytes) = (now, bytes);
+        }
+    }
+
+    /// The client has taken in a part of its answer.
+    pub fn progress(&mut self, now: Micros) {
+        if self.stage == Stage::Answering {
+            self.since = now;
+        }
+    }
+
     /// A whole request was taken.
     pub fn taken(&mut self, now: Micros) {
         self.enter(now, Stage::Open);
@@ -73,6 +100,9 @@
         let span = match self.stage {
             Stage::Idle if closing => limits.late_first,
             Stage::Idle if self.answered => limits.acquirer_idle,
+            Stage::Partial if self.body.is_some() => {
+                return self.body.map(|upload| self.upload(upload, limits));
+            }
             Stage::Idle | Stage::Partial => limits.acquirer_first,
             Stage::Open => return None,
             Stage::Answering => limits.acquirer_write,
@@ -81,6 +111,14 @@
         Some(self.since + span)
     }
 
+    /// Until when a body may be without its end. A slow one is waited for as long as it keeps a least pace; one that
+    /// falls silent has no more time than a request that never came.
+    fn upload(&self, upload: Upload, limits: &Limits) -> Micros {
+        let paced = (upload.bytes * 1_000_000 / limits.body_pace.max(1)) as Micros;
+        let slowest = upload.since + limits.body_grace + paced;
+        (self.since + limits.acquirer_first).max(slowest.min(upload.heard + limits.body_silent))
+    }
+
     /// How well this connection can be spared where room is wanted: the lowest first. None: not at all.
     ///
     /// Guards the first request of a connection just taken, which may be on its way: a client whose request
--- /dev/null
+++ b/limiter/tests/relay.rs
@@ -0,0 +1,232 @@
+//! Long and slow messages: answers that are relayed, bodies that come slowly, and what a client can tell of a cut.
+
+mod common;
+
+use std::io::{Read, Write};
+use std::net::{Shutdown, TcpListener, TcpStream};
+use std::thread;
+use std::time::Duration;
+
+use common::*;
+
+/// A server that does this with each connection, once a request has come on it.
+fn raw_server(
+    serve: impl Fn(&mut TcpStream, Vec<u8>) + Send + Sync + Clone + 'static,
+) -> std::net::SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let (mut stream, serve) = (stream.unwrap(), serve.clone());
+            thread::spawn(move || {
+                let mut bytes = [0; 4096];
+                let length = stream.read(&mut bytes).unwrap_or(0);
+                if length > 0 {
+                    serve(&mut stream, bytes[..length].to_vec());
+                }
+            });
+        }
+    });
+    address
+}
+
+fn before(server: std::net::SocketAddr) -> Limiter {
+    Limiter::start(&config(&[server], counter().address), None)
+}
+
+/// Bytes by which a shift or a gap shows.
+fn pattern(length: usize) -> Vec<u8> {
+    (0..length).map(|n| (n * 31 / 7) as u8).collect()
+}
+
+const SAME: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+const OTHER: &[u8] = b"HTTP/1.1 500 Other\r\nContent-Length: 0\r\n\r\n";
+
+/// Limits for the ends of a transfer, which hold messages whole.
+fn large() -> limiter::limits::Limits {
+    limiter::limits::Limits { body_bytes: 64 << 20, ..Default::default() }
+}
+
+/// Reads a whole answer of any length: what the limits of the others are for does not hold here.
+fn long_answer(stream: &mut TcpStream) -> Option<limiter::net::framing::Answer> {
+    let limits = large();
+    let mut bytes = Vec::new();
+    let mut part = vec![0; 1 << 20];
+    loop {
+        match stream.read(&mut part) {
+            Ok(0) | Err(_) => return None,
+            Ok(length) => bytes.extend_from_slice(&part[..length]),
+        }
+        // Parsed where it may be whole only: the tail tells, for a length as for chunks.
+        if let Some((answer, _)) = limiter::net::framing::answer(&bytes, false, &limits).unwrap() {
+            return Some(answer);
+        }
+    }
+}
+
+fn asks(limiter: &Limiter, text: &str) -> TcpStream {
+    let mut stream = TcpStream::connect(limiter.platform).unwrap();
+    stream.set_read_timeout(Some(HANG)).unwrap();
+    stream.write_all(text.as_bytes()).unwrap();
+    stream
+}
+
+#[test]
+fn long_answers_of_every_framing_come_through_unchanged() {
+    for framing in ["length", "chunks", "close"] {
+        let body = pattern(300_000);
+        let sent = body.clone();
+        let server = raw_server(move |stream, _| {
+            let mut out = b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\n".to_vec();
+            match framing {
+                "length" => out.extend(format!("content-length:  {} \r\n\r\n", sent.len()).bytes()),
+                "chunks" => out.extend(b"Transfer-Encoding: Chunked\r\n\r\n"),
+                _ => out.extend(b"Connection: x, close\r\n\r\n"),
+            }
+            for part in sent.chunks(7_001) {
+                if framing == "chunks" {
+                    out.extend(format!("{:X};n=\"v\"\r\n", part.len()).bytes());
+                }
+                out.extend_from_slice(part);
+                out.extend_from_slice(if framing == "chunks" { b"\r\n" } else { b"" });
+            }
+            out.extend_from_slice(if framing == "chunks" { b"0\r\nTrailer: t\r\n\r\n" } else { b"" });
+            // Small pieces first, so that heads and chunks are cut anywhere.
+            out[..400].iter().for_each(|byte| stream.write_all(&[*byte]).unwrap());
+            stream.write_all(&out[400..]).unwrap();
+            let _ = stream.shutdown(Shutdown::Write);
+        });
+        let limiter = before(server);
+        let mut stream = asks(&limiter, &lookup("t"));
+        let answer = long_answer(&mut stream).expect("whole");
+        assert!(answer.status == 200 && answer.body == body && answer.keep_alive, "{framing}");
+        // The connection is free for the next request.
+        stream.write_all(lookup("u").as_bytes()).unwrap();
+        assert_eq!(long_answer(&mut stream).expect("whole").body, body, "{framing}");
+    }
+}
+
+#[test]
+fn a_short_answer_that_ends_with_its_connection_is_whole_and_one_that_is_reset_is_not() {
+    let server = raw_server(|stream, _| {
+        stream.write_all(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nall of it").unwrap();
+    });
+    assert_eq!(ask(before(server).platform, &lookup("t")).body, b"all of it");
+    let server = raw_server(|stream, _| {
+        stream.write_all(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\na part").unwrap();
+        socket2::SockRef::from(&*stream).set_linger(Some(Duration::ZERO)).unwrap();
+    });
+    assert_ne!(ask(before(server).platform, &lookup("t")).status, 200);
+}
+
+#[test]
+fn an_answer_that_breaks_off_or_falls_silent_midway_is_cut_so_that_the_client_can_tell() {
+    for silent in [false, true] {
+        for head in ["Content-Length: 200000", "Transfer-Encoding: chunked"] {
+            let (sent, told) = std::sync::mpsc::channel();
+            let server = raw_server(move |stream, _| {
+                stream.write_all(format!("HTTP/1.1 200 OK\r\n{head}\r\n\r\n").as_bytes()).unwrap();
+                let chunk = if head.starts_with('T') { "186a0\r\n" } else { "" };
+                stream.write_all(chunk.as_bytes()).unwrap();
+                stream.write_all(&pattern(100_000)).unwrap();
+                let _ = sent.send(());
+                if silent {
+                    let _ = stream.read(&mut [0; 16]);
+                }
+            });
+            let limiter = before(server);
+            let mut stream = asks(&limiter, &lookup("t"));
+            told.recv_timeout(HANG).unwrap();
+            let mut begun = vec![0; 90_000];
+            stream.read_exact(&mut begun).expect("what the server gave is passed on");
+            if silent {
+                // All that was sent has been read by then: what is asked now is answered in a later turn.
+                assert_eq!(ask(limiter.platform, "GET /up HTTP/1.1\r\n\r\n").status, 200);
+                limiter.pass(8_500_000);
+                limiter.pass(4_500_000);
+            }
+            // The connection ends, short of what was promised, or without the last chunk.
+            let mut rest = Vec::new();
+            let _ = stream.read_to_end(&mut rest);
+            assert!(rest.len() < 20_000 && !rest.ends_with(b"0\r\n\r\n"), "{head}, silent: {silent}");
+        }
+    }
+}
+
+#[test]
+fn a_client_that_leaves_midway_ends_the_relay_and_another_is_served() {
+    let (sent, gone) = std::sync::mpsc::channel();
+    let server = raw_server(move |stream, _| {
+        let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 30000000\r\n\r\n");
+        while stream.write_all(&[7; 50_000]).is_ok() {}
+        let _ = sent.send(());
+    });
+    let limiter = before(server);
+    let mut stream = asks(&limiter, &lookup("t"));
+    stream.read_exact(&mut [0; 100_000]).unwrap();
+    drop(stream);
+    gone.recv_timeout(HANG).expect("the server's connection is closed too");
+    assert_eq!(ask(limiter.platform, "GET /up HTTP/1.1\r\n\r\n").status, 200);
+}
+
+#[test]
+fn a_body_that_comes_slowly_is_waited_for_while_it_keeps_a_pace_and_is_told_to_come() {
+    let server = StandIn::start(|request, _| ok(&request.body.len().to_string()));
+    let limiter = before(server.address);
+    let mut client = Client::connect(limiter.platform);
+    let request = sign_off("k")
+        .replace("Content-Length: 5\r\n\r\nhours", "Expect: 100-continue\r\nContent-Length: 65536\r\n\r\n");
+    client.send(&request[..50]);
+    // What is asked afterwards is answered in a later turn: the part has been read.
+    let seen = || assert_eq!(ask(limiter.platform, "GET /up HTTP/1.1\r\n\r\n").status, 200);
+    seen();
+    limiter.pass(1_900_000);
+    client.send(&request[50..]);
+    assert_eq!(client.stream.read(&mut [0; 64]).unwrap(), 25, "100 Continue, at once");
+    for _ in 0..16 {
+        client.send(&"x".repeat(4_096));
+        seen();
+        limiter.pass(64_000);
+    }
+    assert_eq!(client.answer().unwrap().body, b"65536");
+    // One that falls silent is not waited for.
+    let mut client = Client::connect(limiter.platform);
+    client.send(&request.replace("t-k", "t-l"));
+    client.stream.read_exact(&mut [0; 25]).unwrap();
+    client.send("half");
+    seen();
+    limiter.pass(2_400_000);
+    assert_eq!(client.answer().unwrap().status, 408);
+}
+
+#[test]
+fn a_large_body_goes_on_unchanged_whatever_its_framing() {
+    let body = pattern(1_000_000);
+    let expected = body.clone();
+    let server = raw_server(move |stream, mut bytes| {
+        let mut part = vec![0; 1 << 16];
+        loop {
+            if let Some((request, _)) = limiter::net::framing::request(&bytes, &large()).unwrap() {
+                let same = request.body == expected;
+                return stream.write_all(if same { SAME } else { OTHER }).unwrap();
+            }
+            let length = stream.read(&mut part).unwrap();
+            bytes.extend_from_slice(&part[..length]);
+        }
+    });
+    let limiter = before(server);
+    let head = sign_off("k");
+    let length = format!("Content-Length: {}\r\n\r\n", body.len());
+    let mut plain = asks(&limiter, &head.replace("Content-Length: 5\r\n\r\nhours", &length));
+    plain.write_all(&body).unwrap();
+    assert_eq!(long_answer(&mut plain).unwrap().status, 200);
+    let chunked = head.replace("Content-Length: 5\r\n\r\nhours", "Transfer-Encoding: chunked\r\n\r\n");
+    let mut stream = asks(&limiter, &chunked.replace("t-k", "t-l"));
+    for part in body.chunks(100_000) {
+        stream.write_all(format!("{:x}\r\n", part.len()).as_bytes()).unwrap();
+        stream.write_all(part).unwrap();
+        stream.write_all(b"\r\n").unwrap();
+    }
+    stream.write_all(b"0\r\n\r\n").unwrap();
+    assert_eq!(long_answer(&mut stream).unwrap().status, 200);
+}
