Send bodies on while they come where they are longer than what is kept

upload.rs passes on what comes and keeps the first 64 KiB for another leg; host/uploading.rs holds the client back while the server is slow; the engine counts a leg from its last byte and starts none whose body is gone. Bad heads of long requests are now answered at once, not after their bodies.

Sixteen transfers of 32 MB both ways with slow peers stay under 24 MB of memory (limiter/tests/process.rs).

--- a/limiter/src/engine.rs
+++ b/limiter/src/engine.rs
@@ -134,6 +134,8 @@
     legs: u32,
     out: Option<Out>,
     may_have_run: bool,
+    /// What a leg would carry is no longer here.
+    body_gone: bool,
     done: bool,
 }
 
@@ -228,6 +230,7 @@
             legs: 0,
             out: None,
             may_have_run: false,
+            body_gone: false,
             done: false,
         };
         let key = self.held.insert(held);
@@ -278,6 +281,21 @@
         answers
     }
 
+    /// The last byte of a leg is written: what it takes counts from now. Guards the figures of servers against clients
+    /// whose bodies come slowly.
+    pub fn leg_written(&mut self, now: Micros, key: AuthorisationKey) {
+        if let Some(out) = self.held.get_mut(key).and_then(|held| held.out.as_mut()) {
+            out.sent = now;
+        }
+    }
+
+    /// What a leg would carry is no longer here: none starts for it any more.
+    pub fn body_gone(&mut self, key: AuthorisationKey) {
+        if let Some(held) = self.held.get_mut(key) {
+            held.body_gone = true;
+        }
+    }
+
     /// The client left: nothing is owed any more, and a leg that is out is stopped.
     pub fn client_left(&mut self, now: Micros, key: AuthorisationKey, orders: &mut Vec<Order>) {
         if self.end(key, true) {
@@ -403,7 +421,7 @@
             self.leg_ended(now, key, leg, Outcome::Moot, None);
             return self.answer(now, key, Ending::Expired { may_have_run }, orders);
         }
-        if leg >= self.max_legs || held.authorisation.deadline <= now {
+        if leg >= self.max_legs || held.body_gone || held.authorisation.deadline <= now {
             self.leg_ended(now, key, leg, Outcome::Moot, None);
             return;
         }
--- a/limiter/src/front/mod.rs
+++ b/limiter/src/front/mod.rs
@@ -3,7 +3,7 @@
 pub mod introspection;
 pub mod platform;
 
-use crate::net::framing::Request;
+use crate::net::framing::{Extent, Request};
 
 /// What a leg of an authorisation carries to a server.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -19,15 +19,27 @@
 impl Forward {
     /// What goes on of a request: line, the lines that servers need, body.
     pub fn of(request: &Request) -> Forward {
+        let framed = request.method != "GET" || !request.body.is_empty();
+        let framing = framed.then(|| format!("Content-Length: {}\r\n", request.body.len()));
+        Forward::with(request, &framing.unwrap_or_default())
+    }
+
+    /// The same of a request whose body goes on while it comes.
+    pub fn streamed(request: &Request, extent: Extent) -> Forward {
+        match extent {
+            Extent::Length(length) => Forward::with(request, &format!("Content-Length: {length}\r\n")),
+            Extent::Chunked | Extent::UntilClose => Forward::with(request, "Transfer-Encoding: chunked\r\n"),
+        }
+    }
+
+    fn with(request: &Request, framing: &str) -> Forward {
         let mut head = format!("{} {} HTTP/1.1\r\nHost: backend.local\r\n", request.method, request.target);
         for name in ["X-Trace-Id", "X-Qos", "Idempotency-Key", "Content-Type"] {
             if let Some(value) = request.headers.get(name) {
                 head.push_str(&format!("{name}: {value}\r\n"));
             }
         }
-        if request.method != "GET" || !request.body.is_empty() {
-            head.push_str(&format!("Content-Length: {}\r\n", request.body.len()));
-        }
+        head.push_str(framing);
         let id = request.headers.get("X-Trace-Id").unwrap_or_default().to_string();
         Forward { head: head.into_bytes(), body: request.body.clone(), id }
     }
--- a/limiter/src/lib.rs
+++ b/limiter/src/lib.rs
@@ -24,5 +24,6 @@
 pub mod relay;
 pub mod routing_table;
 pub mod slots;
+pub mod upload;
 pub mod use_cli;
 pub mod visits;
--- a/limiter/src/limits.rs
+++ b/limiter/src/limits.rs
@@ -13,11 +13,13 @@
     /// Longest body of a message that is taken in whole before it goes on, in bytes. Of the longer ones a request's is
     /// kept whole up to the next figure, and an answer's is relayed.
     pub body_bytes: usize,
+    /// Longest body of a request that is kept whole before it goes on, in bytes.
+    pub kept_bytes: u64,
     /// Longest body of a request, in bytes.
     pub request_bytes: u64,
     /// Longest answer that is relayed, in bytes.
     pub answer_bytes: u64,
-    /// Held of a relayed answer that its client has not taken in, in bytes.
+    /// Held of a relayed answer that its client has not taken in, and of a body that its server has not, in bytes.
     pub relay_window: usize,
     /// Times that what has come on one connection is read before others have their turn.
     pub read_rounds: usize,
@@ -47,6 +49,8 @@
     pub body_pace: u64,
     /// A body that has come in part brings more within this.
     pub body_silent: Micros,
+    /// Most time that is added to a request's for a body which goes on while it comes.
+    pub upload_longest: Micros,
     /// One that has been answered may be idle for this long.
     pub acquirer_idle: Micros,
     /// One that was taken so lately that its first request may be on its way is not closed to make room.
@@ -122,7 +126,8 @@
         Limits {
             head_bytes: 16 * 1024,
             body_bytes: 64 * 1024,
-            request_bytes: 2 * 1024 * 1024,
+            kept_bytes: 2 * 1024 * 1024,
+            request_bytes: 34 * 1024 * 1024,
             answer_bytes: 34 * 1024 * 1024,
             relay_window: 64 * 1024,
             read_rounds: 8,
@@ -139,6 +144,7 @@
             body_grace: SECOND,
             body_pace: 32 * 1024,
             body_silent: 700 * MS,
+            upload_longest: 20 * SECOND,
             acquirer_idle: 6 * SECOND,
             acquirer_fresh: 60 * MS,
             acquirer_write: 4 * SECOND,
--- a/limiter/src/net/framing.rs
+++ b/limiter/src/net/framing.rs
@@ -538,6 +538,18 @@
     out.extend_from_slice(body);
 }
 
+/// Writes a chunk, if there is anything in it: an empty one would be the last.
+pub fn write_chunk(out: &mut Vec<u8>, data: &[u8]) {
+    use std::io::Write;
+    if data.is_empty() {
+        return;
+    }
+    // Writing to a vector cannot fail.
+    let _ = write!(out, "{:x}\r\n", data.len());
+    out.extend_from_slice(data);
+    out.extend_from_slice(b"\r\n");
+}
+
 /// Writes the head of an answer. `close`: the connection carries no other.
 pub fn write_head<'a>(
     out: &mut Vec<u8>,
--- a/limiter/src/net/host/acquirers.rs
+++ b/limiter/src/net/host/acquirers.rs
@@ -4,7 +4,7 @@
 
 use super::*;
 use crate::engine::{Authorisation, Ending};
-use crate::net::framing::Request;
+use crate::net::framing::{Extent, Request};
 
 impl Host {
     pub(super) fn accept(&mut self) {
@@ -111,14 +111,15 @@
         if !over(connection, &self.limits) {
             return self.arm(key);
         }
+        let late = Rejection { status: 408, text: "the request did not come whole in time" };
         match connection.visit.stage {
-            Stage::Partial => {
-                self.reject(
-                    key,
-                    &Rejection { status: 408, text: "the request did not come whole in time" },
-                    true,
-                );
+            Stage::Partial => self.reject(key, &late, true),
+            // Where the server is slow the client is not asked for more.
+            Stage::Open if connection.uploading().is_some() && connection.unread => {
+                connection.visit.held_up(now);
+                self.arm(key);
             }
+            Stage::Open if connection.uploading().is_some() => self.end_upload(key, &late),
             Stage::Idle | Stage::Lingering => _ = self.close(key),
             // A client that takes nothing in has gone away.
             Stage::Open | Stage::Answering => self.broken(key),
@@ -151,14 +152,6 @@
         }
     }
 
-    /// There is no room for the rest of a request; another try may find some.
-    fn decline_upload(&mut self, key: ConnectionKey) {
-        if let Some(connection) = self.connections.get_mut(key) {
-            connection.last = true;
-        }
-        self.decline(key, 503, self.limits.stay_away, &[], b"no room for the request");
-    }
-
     /// Takes what has been read off a connection's input.
     fn consume(&mut self, key: ConnectionKey, length: usize) {
         let Some(connection) = self.connections.get_mut(key) else { return };
@@ -173,6 +166,9 @@
         let Some(connection) = self.connections.get_mut(key) else { return };
         // One request at a time: what comes while one is out waits.
         let Role::Acquirer { door, .. } = connection.role else { return };
+        if connection.uploading().is_some() {
+            return self.read_upload(key);
+        }
         if connection.closing || !matches!(connection.visit.stage, Stage::Idle | Stage::Partial) {
             return;
         }
@@ -193,15 +189,22 @@
             if waits.is_some() {
                 connection.visit.uploading(now, length);
             }
-            connection.reading = Reading::Request(incoming);
-            self.partial -= before - connection.held();
-            if connection.held() > self.limits.body_bytes && self.partial > self.limits.partial_bytes {
-                // All that clients have under way is more than may be held.
-                return self.decline_upload(key);
-            }
+            let long = match incoming.extent {
+                Extent::Length(length) => length > self.limits.kept_bytes,
+                Extent::Chunked | Extent::UntilClose => length > self.limits.kept_bytes,
+            };
+            // Or all that clients have under way is more than may be held.
+            let crowded = length > self.limits.body_bytes as u64 && self.partial > self.limits.partial_bytes;
             if waits == Some(true) && length == 0 && !std::mem::replace(&mut connection.told_to_go_on, true) {
-                self.write(key, b"HTTP/1.1 100 Continue\r\n\r\n");
+                connection.output.extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
+                self.dirty.push(key);
+            }
+            if waits.is_some() && (long || crowded) {
+                self.partial -= before - connection.held();
+                return self.begin_upload(key, incoming);
             }
+            connection.reading = Reading::Request(incoming);
+            self.partial -= before - connection.held();
             return self.arm(key);
         }
         connection.told_to_go_on = false;
@@ -272,12 +275,21 @@
         self.answer(key, rejection.status, &[], rejection.text.as_bytes());
     }
 
+    /// The request is answered: what is here of it is of no more use.
+    pub(super) fn drop_rest(&mut self, key: ConnectionKey) {
+        let Some(connection) = self.connections.get_mut(key) else { return };
+        let before = connection.held();
+        connection.reading = Reading::Nothing;
+        self.partial -= before - connection.held();
+    }
+
     /// Whether a client's next answer is the last of its connection.
     pub(super) fn last_answer(&self, key: ConnectionKey) -> bool {
         // Guards requests of clients whose idle connections would be closed for room: where it is scarce they are told
         // that this answer is the last, and write no other into a connection that is being closed.
         let scarce = self.acquirers > self.limits.acquirer_kept;
-        let asked = self.connections.get(key).is_some_and(|connection| connection.last);
+        let last = |connection: &Connection| connection.last || connection.uploading().is_some();
+        let asked = self.connections.get(key).is_some_and(last);
         asked || scarce || self.lifecycle.last_answers(self.now(), &self.limits)
     }
 
@@ -288,10 +300,8 @@
         let Some(connection) = self.connections.get_mut(key) else { return };
         let Role::Acquirer { waits, .. } = &mut connection.role else { return };
         *waits = None;
-        if let Reading::Request(incoming) = std::mem::take(&mut connection.reading) {
-            // The request is answered before it was whole.
-            self.partial -= incoming.body.len();
-        }
+        self.drop_rest(key);
+        let Some(connection) = self.connections.get_mut(key) else { return };
         framing::write_answer(&mut connection.output, status, headers, body, close);
         connection.closing = close;
         connection.visit.answering(now);
--- a/limiter/src/net/host/errands.rs
+++ b/limiter/src/net/host/errands.rs
@@ -80,6 +80,8 @@
                 // Writing to a vector cannot fail.
                 let _ = write!(connection.output, "X-Expires-In: {:.3}\r\n\r\n", left as f64 / 1e6);
                 connection.output.extend_from_slice(&pending.forward.body);
+                let origin = pending.origin;
+                self.start_upload(origin, key);
             }
             None => {}
         }
@@ -105,8 +107,7 @@
                 self.deadlines.enter(self.clock.now() + self.limits.answer_rest, Due::Rest(key, errand))
             }
             Ok(Some((answer, length))) => {
-                let clean =
-                    connection.input.len() == length && answer.keep_alive && connection.backlog() == 0;
+                let clean = connection.input.len() == length && answer.keep_alive && connection.all_sent();
                 connection.input.clear();
                 connection.input.shrink_to(4 * 1024);
                 connection.role = Role::Server { service, server, state: LegState::Idle };
@@ -142,6 +143,7 @@
                     Some(answer) if service == TOKENS => self.judged(now, answer),
                     Some(answer) => legs::outcome(answer),
                 };
+                self.leg_left_upload(service, authorisation);
                 let known = &mut self.services[service];
                 known.legs.remove(authorisation);
                 let answers = known.engine.leg_ended(now, authorisation, leg, outcome, report);
--- a/limiter/src/net/host/mod.rs
+++ b/limiter/src/net/host/mod.rs
@@ -11,6 +11,7 @@
 mod relaying;
 mod reloading;
 mod tokens;
+mod uploading;
 mod watching;
 
 use std::collections::BTreeSet;
@@ -45,6 +46,7 @@
 use crate::relay::Relay;
 use crate::routing_table::{NeverListed, News, RoutingTable};
 use crate::slots::{AuthorisationKey, ConnectionKey, SlotMap};
+use crate::upload::Upload;
 use crate::visits::{Stage, Visit};
 
 /// Positions of the services: the records servers, and the introspection servers that we ask.
@@ -112,6 +114,8 @@
     told_to_go_on: bool,
     /// When something last came.
     heard: Micros,
+    /// Of a server: more of the request that is being written is still to come.
+    feeding: bool,
     /// Of the acquirer side: the server's connection from which the answer is being relayed.
     source: Option<ConnectionKey>,
     /// Bytes thrown away after the last answer.
@@ -129,6 +133,8 @@
     Nothing,
     Request(Incoming<RequestHead>),
     Answer(Incoming<AnswerHead>),
+    /// A body that goes on to a server as it comes, and how many bytes of it have.
+    Upload(Upload, u64),
     /// An answer that goes on to this client as it comes.
     Relay(Relay, ConnectionKey),
 }
@@ -138,11 +144,25 @@
     fn held(&self) -> usize {
         let body = match &self.reading {
             Reading::Request(incoming) => incoming.body.len(),
+            Reading::Upload(upload, _) => upload.held(),
             Reading::Nothing | Reading::Answer(_) | Reading::Relay(..) => 0,
         };
         self.input.len() + body
     }
 
+    /// The body that still comes of a request which was taken.
+    fn uploading(&self) -> Option<&Upload> {
+        match &self.reading {
+            Reading::Upload(upload, _) if !upload.whole() => Some(upload),
+            _ => None,
+        }
+    }
+
+    /// The request that was to be written is, to its end.
+    fn all_sent(&self) -> bool {
+        self.backlog() == 0 && !self.feeding
+    }
+
     /// Bytes that were not written yet.
     fn backlog(&self) -> usize {
         self.output.len() - self.written
@@ -555,6 +575,7 @@
                 self.start_leg(now, (service, key), leg, server, deadline)
             }
             Order::StopLeg { key, .. } => {
+                self.leg_left_upload(service, key);
                 if let Some(connection) = self.services[service].legs.remove(key) {
                     self.close(connection);
                 }
@@ -609,6 +630,7 @@
             reading: Reading::Nothing,
             told_to_go_on: false,
             heard: now,
+            feeding: false,
             source: None,
             discarded: 0,
             last: false,
@@ -663,16 +685,7 @@
         let now = self.now();
         let Some(connection) = self.close(key) else { return };
         match connection.role {
-            Role::Acquirer { waits: Some((service, authorisation)), .. } => {
-                self.settle((service, authorisation));
-                let known = &mut self.services[service];
-                let mut orders = std::mem::take(&mut self.orders);
-                known.engine.client_left(now, authorisation, &mut orders);
-                for order in orders.drain(..) {
-                    self.carry_out(now, service, order);
-                }
-                self.orders = orders;
-            }
+            Role::Acquirer { waits: Some(ticket), .. } => self.abandon(now, ticket),
             Role::Acquirer { waits: None, .. } => {}
             Role::Server { service, server, state } => {
                 if let Reading::Relay(_, to) = connection.reading {
@@ -698,6 +711,28 @@
         }
     }
 
+    /// Nobody waits for an authorisation any more.
+    fn abandon(&mut self, now: Micros, ticket: Ticket) {
+        self.settle(ticket);
+        let mut orders = std::mem::take(&mut self.orders);
+        self.services[ticket.0].engine.client_left(now, ticket.1, &mut orders);
+        for order in orders.drain(..) {
+            self.carry_out(now, ticket.0, order);
+        }
+        self.orders = orders;
+    }
+
+    /// The request of a connection that stays is over without the engine's answer.
+    fn client_gone(&mut self, key: ConnectionKey) {
+        let now = self.now();
+        if let Some(connection) = self.connections.get_mut(key)
+            && let Role::Acquirer { waits, .. } = &mut connection.role
+            && let Some(ticket) = waits.take()
+        {
+            self.abandon(now, ticket);
+        }
+    }
+
     fn ready(&mut self, key: ConnectionKey) {
         let Some(connection) = self.connections.get_mut(key) else { return };
         if !connection.up {
@@ -744,6 +779,13 @@
             }
             // Guards the memory against a client that sends on and on while its request is out. A little is read,
             // so that its leaving is seen.
+            (Role::Acquirer { .. }, Stage::Open) if connection.uploading().is_some() => {
+                // Guards it against a client that is faster than the server which gets its body.
+                let leg =
+                    connection.uploading().and_then(Upload::leg).and_then(|leg| self.connections.get(leg));
+                let held = leg.map_or(connection.held(), |leg| leg.backlog() + connection.input.len());
+                return limits.relay_window.saturating_sub(held);
+            }
             (Role::Acquirer { .. }, Stage::Open | Stage::Answering) => limits.pipelined_bytes,
             (Role::Acquirer { .. }, Stage::Lingering) => {
                 return limits.linger_bytes.saturating_sub(connection.discarded);
@@ -828,7 +870,12 @@
             let room = self.room(connection) > 0;
             match connection.role {
                 // The rest waits until the request before it is answered.
-                Role::Acquirer { .. } if connection.visit.stage != Stage::Partial || !room => return,
+                Role::Acquirer { .. } if !room => return,
+                Role::Acquirer { .. }
+                    if connection.visit.stage != Stage::Partial && connection.uploading().is_none() =>
+                {
+                    return;
+                }
                 // The rest waits until the client has taken in what is there.
                 Role::Server { .. } if !room => return,
                 _ if !room => return self.broken(key),
@@ -865,10 +912,16 @@
         if connection.source.is_some() {
             return self.more_for(key);
         }
+        if connection.feeding {
+            return self.more_from(key);
+        }
         // Guards the memory on a long day: one large message must not be paid for as long as the connection lasts.
         connection.output.shrink_to(4 * 1024);
-        if let Role::Server { state, .. } = &mut connection.role {
-            *state = state.written();
+        if let Role::Server { service, state, .. } = &mut connection.role {
+            let before = std::mem::replace(state, state.written());
+            if let (true, Some(Errand::Leg(authorisation, _))) = (before != *state, state.errand()) {
+                self.services[*service].engine.leg_written(now, authorisation);
+            }
         }
         match connection.role {
             Role::Acquirer { .. } => self.answer_written(key),
--- a/limiter/src/net/host/relaying.rs
+++ b/limiter/src/net/host/relaying.rs
@@ -26,6 +26,7 @@
             return;
         };
         let close = self.last_answer(to);
+        self.drop_rest(to);
         let Some(client) = self.connections.get_mut(to) else { return };
         let Role::Acquirer { waits, .. } = &mut client.role else { return };
         *waits = None;
@@ -59,7 +60,7 @@
             (&server.reading, server.role)
             && relay.whole()
         {
-            let clean = relay.reusable() && server.input.is_empty() && server.backlog() == 0;
+            let clean = relay.reusable() && server.input.is_empty() && server.all_sent();
             server.reading = Reading::Nothing;
             server.role = Role::Server { service, server: id, state: LegState::Idle };
             client.source = None;
@@ -109,7 +110,7 @@
         let answer = Answer::new(head, body);
         let Some(connection) = self.connections.get_mut(key) else { return };
         let Role::Server { service, server, .. } = connection.role else { return };
-        let clean = whole && connection.input.is_empty() && answer.keep_alive && connection.backlog() == 0;
+        let clean = whole && connection.input.is_empty() && answer.keep_alive && connection.all_sent();
         connection.input.clear();
         connection.input.shrink_to(4 * 1024);
         connection.role = Role::Server { service, server, state: LegState::Idle };
@@ -171,10 +172,12 @@
     pub(super) fn held_up(&mut self, key: ConnectionKey) {
         let Some(connection) = self.connections.get_mut(key) else { return };
         // Guards the memory: what was written must not be held for as long as more is passed on behind it.
-        if connection.source.is_some() && connection.written >= connection.output.len() / 2 {
+        let passes_on = connection.source.is_some() || connection.feeding;
+        if passes_on && connection.written >= connection.output.len() / 2 {
             connection.output.drain(..connection.written);
             connection.written = 0;
         }
         self.more_for(key);
+        self.more_from(key);
     }
 }
--- /dev/null
+++ b/limiter/src/net/host/uploading.rs
@@ -0,0 +1,139 @@
+//! Bodies on their way from a client's connection to a server's while they still come.
+
+use super::*;
+use crate::front::reject;
+use crate::net::framing::{Extent, Request};
+use crate::upload::Upload;
+
+impl Host {
+    /// A body that is not kept whole: the request is taken by its head.
+    pub(super) fn begin_upload(&mut self, key: ConnectionKey, incoming: Incoming<RequestHead>) {
+        let now = self.now();
+        let Some(connection) = self.connections.get_mut(key) else { return };
+        let Role::Acquirer { door, .. } = connection.role else { return };
+        let (extent, come) = (incoming.extent, incoming.length);
+        let Some((head, reader, body)) = incoming.into_parts() else { return };
+        self.partial += body.len();
+        connection.last = !head.keep_alive;
+        connection.told_to_go_on = false;
+        let upload = Upload::new(extent, reader, body, self.limits.relay_window);
+        connection.reading = Reading::Upload(upload, come);
+        let request = Request::new(head, Vec::new());
+        let read = match door {
+            // What is safe to repeat has no body.
+            Door::Platform if request.method == "GET" => Err(reject(400, "the class has no body")),
+            Door::Platform => self.platform.read(&request, &self.limits, now),
+            Door::Introspection | Door::Agreement => Err(reject(413, "the body is too long")),
+        };
+        match read {
+            Ok(mut authorisation) => {
+                // The client's time counts from its last byte.
+                let left = match extent {
+                    Extent::Length(length) => length.saturating_sub(come),
+                    Extent::Chunked | Extent::UntilClose => self.limits.request_bytes.saturating_sub(come),
+                };
+                let rest = (left / self.limits.body_pace.max(1)) as Micros * 1_000_000;
+                authorisation.deadline += rest.min(self.limits.upload_longest);
+                let forward = Forward::streamed(&request, extent);
+                self.take(key, RECORDS, authorisation, forward, Purpose::Platform);
+                if let Some(connection) = self.connections.get_mut(key) {
+                    connection.visit.uploading(now, come);
+                }
+                self.arm(key);
+                self.read_upload(key);
+            }
+            Err(rejection) => self.reject(key, &rejection, true),
+        }
+    }
+
+    /// More has come of a body that goes on while it comes.
+    pub(super) fn read_upload(&mut self, key: ConnectionKey) {
+        let now = self.now();
+        let Some(connection) = self.connections.get_mut(key) else { return };
+        let Reading::Upload(upload, _) = &connection.reading else { return };
+        let (before, leg) = (connection.held(), upload.leg());
+        let taken = match leg {
+            None => Host::upload_on(connection, None),
+            Some(leg) => match self.connections.get_disjoint_mut([key, leg]) {
+                Some([client, server]) => Host::upload_on(client, Some(&mut server.output)),
+                None => return,
+            },
+        };
+        let Some(connection) = self.connections.get_mut(key) else { return };
+        self.partial = (self.partial + connection.held()).saturating_sub(before);
+        let Reading::Upload(upload, bytes) = &connection.reading else { return };
+        let (whole, bytes) = (upload.whole(), *bytes);
+        connection.visit.uploading(now, bytes);
+        if taken.is_err() {
+            // What is spoilt here cannot be told on: the leg ends, and the client hears what is wrong.
+            return self.end_upload(key, &reject(400, "malformed"));
+        }
+        if whole {
+            connection.visit.taken(now);
+        }
+        if let Some(leg) = leg {
+            self.feed(leg, whole);
+        }
+        self.arm(key);
+    }
+
+    fn upload_on(connection: &mut Connection, out: Option<&mut Vec<u8>>) -> Result<(), framing::Malformed> {
+        let Reading::Upload(upload, bytes) = &mut connection.reading else { return Ok(()) };
+        let before = connection.input.len();
+        let taken = upload.take(&mut connection.input, out);
+        *bytes += (before - connection.input.len()) as u64;
+        taken
+    }
+
+    /// A leg of such a request is up, and its head written: what is here goes on.
+    pub(super) fn start_upload(&mut self, origin: ConnectionKey, leg: ConnectionKey) {
+        let Some([client, server]) = self.connections.get_disjoint_mut([origin, leg]) else { return };
+        let before = client.held();
+        let Reading::Upload(upload, _) = &mut client.reading else { return };
+        upload.start(leg, &mut server.output);
+        let whole = upload.whole();
+        self.partial = (self.partial + client.held()).saturating_sub(before);
+        self.feed(leg, whole);
+        self.again.push(origin);
+    }
+
+    /// What was passed on to a server is written; until its end has been, nothing counts as sent.
+    fn feed(&mut self, leg: ConnectionKey, whole: bool) {
+        if let Some(server) = self.connections.get_mut(leg) {
+            server.feeding = !whole;
+            self.dirty.push(leg);
+        }
+    }
+
+    /// A leg is over. Where its body is no longer here no other one can start.
+    pub(super) fn leg_left_upload(&mut self, service: usize, authorisation: AuthorisationKey) {
+        let known = &mut self.services[service];
+        let Some(origin) = known.pending.get(authorisation).map(|pending| pending.origin) else { return };
+        let Some(client) = self.connections.get_mut(origin) else { return };
+        if let Reading::Upload(upload, _) = &mut client.reading {
+            upload.leg_ended();
+            if upload.gone() {
+                known.engine.body_gone(authorisation);
+            }
+        }
+    }
+
+    /// A leg's connection takes in more: its client may be read on.
+    pub(super) fn more_from(&mut self, leg: ConnectionKey) {
+        let Some(Role::Server { service, state, .. }) = self.connections.get(leg).map(|c| c.role) else {
+            return;
+        };
+        let Some(Errand::Leg(authorisation, _)) = state.errand() else { return };
+        let origin = self.services[service].pending.get(authorisation).map(|pending| pending.origin);
+        let waits = |key: &ConnectionKey| self.connections.get(*key).is_some_and(|client| client.unread);
+        if let Some(origin) = origin.filter(waits) {
+            self.again.push(origin);
+        }
+    }
+
+    /// The client's body is spoilt or does not come: its request is over, and this is its answer.
+    pub(super) fn end_upload(&mut self, key: ConnectionKey, rejection: &Rejection) {
+        self.client_gone(key);
+        self.reject(key, rejection, true);
+    }
+}
--- a/limiter/src/relay.rs
+++ b/limiter/src/relay.rs
@@ -1,9 +1,7 @@
 //! A long answer on its way to its client, without any input or output: what comes of its body goes on at once, in a
 //! framing by which the client can tell a whole answer from one that was cut off.
 
-use std::io::Write;
-
-use crate::net::framing::{AnswerHead, BodyReader, Extent, Malformed, write_head};
+use crate::net::framing::{AnswerHead, BodyReader, Extent, Malformed, write_chunk, write_head};
 
 /// What is still to come of an answer, and how it goes on.
 #[derive(Clone, Debug)]
@@ -61,15 +59,9 @@
     }
 
     fn put(&mut self, out: &mut Vec<u8>) {
-        match (self.chunked, self.data.is_empty()) {
-            (_, true) => {}
-            (false, false) => out.extend_from_slice(&self.data),
-            (true, false) => {
-                // Writing to a vector cannot fail.
-                let _ = write!(out, "{:x}\r\n", self.data.len());
-                out.extend_from_slice(&self.data);
-                out.extend_from_slice(b"\r\n");
-            }
+        match self.chunked {
+            true => write_chunk(out, &self.data),
+            false => out.extend_from_slice(&self.data),
         }
         self.data.clear();
         if self.chunked && self.reader.whole() {
--- a/limiter/src/visits.rs
+++ b/limiter/src/visits.rs
@@ -70,6 +70,11 @@
         }
     }
 
+    /// More was not asked for, so that none came.
+    pub fn held_up(&mut self, now: Micros) {
+        self.body = self.body.map(|upload| Upload { since: now, heard: now, bytes: upload.bytes });
+    }
+
     /// The client has taken in a part of its answer.
     pub fn progress(&mut self, now: Micros) {
         if self.stage == Stage::Answering {
@@ -95,7 +100,7 @@
         }
     }
 
-    /// Until when it may stay as it is. An open request has its own deadline. `closing`: idle ones are being closed.
+    /// Until when it may stay as it is. An open request has its own deadline, but its body may still be coming. `closing`: idle ones are being closed.
     pub fn deadline(&self, closing: bool, limits: &Limits) -> Option<Micros> {
         let span = match self.stage {
             Stage::Idle if closing => limits.late_first,
@@ -104,7 +109,7 @@
                 return self.body.map(|upload| self.upload(upload, limits));
             }
             Stage::Idle | Stage::Partial => limits.acquirer_first,
-            Stage::Open => return None,
+            Stage::Open => return self.body.map(|upload| self.upload(upload, limits)),
             Stage::Answering => limits.acquirer_write,
             Stage::Lingering => limits.acquirer_linger,
         };
--- a/limiter/tests/process.rs
+++ b/limiter/tests/process.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use std::io::{BufRead, BufReader};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::os::fd::OwnedFd;
 use std::process::{Child, Command, Stdio};
@@ -206,6 +206,79 @@
     assert!(old.ended());
 }
 
+/// The most memory that a process has had, in KiB.
+fn most_memory(process: &Process) -> usize {
+    let status = std::fs::read_to_string(format!("/proc/{}/status", process.0.id())).unwrap();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
+    line.trim().trim_end_matches(" kB").parse().unwrap()
+}
+
+#[test]
+fn many_transfers_of_32_mb_both_ways_with_slow_peers_stay_within_a_bound_of_memory() {
+    const LENGTH: usize = 32 << 20;
+    const EACH: usize = 8;
+    let folder = tempfile::tempdir().unwrap();
+    // Takes a body in slowly at first, and gives one as long as fast as it is taken.
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let server = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            thread::spawn(move || {
+                let (mut stream, mut part) = (stream.unwrap(), vec![7; 1 << 20]);
+                let mut head = Vec::new();
+                while !head.windows(4).any(|four| four == b"\r\n\r\n") {
+                    let mut byte = [0];
+                    stream.read_exact(&mut byte).unwrap();
+                    head.push(byte[0]);
+                }
+                thread::sleep(Duration::from_millis(300));
+                let mut left = if head.starts_with(b"POST") { LENGTH } else { 0 };
+                while left > 0 {
+                    left -= stream.read(&mut part).unwrap();
+                }
+                let _ = write!(stream, "HTTP/1.1 200 OK\r\nContent-Length: {LENGTH}\r\n\r\n");
+                (0..LENGTH >> 20).for_each(|_| stream.write_all(&part).unwrap());
+            });
+        }
+    });
+    let socket = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = socket.local_addr().unwrap();
+    let text = config(&[server; 32], counter().address).replace("127.0.0.1:0", &address.to_string());
+    let mut limiter = Version::start(folder.path(), &text, &socket);
+    limiter.ready();
+    let transfer = move |number: usize| {
+        let mut client = std::net::TcpStream::connect(address).unwrap();
+        let uploads = number.is_multiple_of(2);
+        let text = match uploads {
+            true => sign_off(&format!("k{number}"))
+                .replace("Content-Length: 5\r\n\r\nhours", &format!("Content-Length: {LENGTH}\r\n\r\n")),
+            false => lookup(&format!("t{number}")),
+        };
+        client.write_all(text.replace("X-Expires-In: 2.5", "X-Expires-In: 60").as_bytes()).unwrap();
+        if uploads {
+            let part = vec![3; 1 << 20];
+            (0..LENGTH >> 20).for_each(|_| client.write_all(&part).unwrap());
+        }
+        // Takes nothing in for a while, then all.
+        thread::sleep(Duration::from_millis(300));
+        let (mut part, mut come) = (vec![0; 1 << 20], 0);
+        while come < LENGTH {
+            match client.read(&mut part).unwrap() {
+                0 => break,
+                length => come += length,
+            }
+        }
+        come
+    };
+    let clients: Vec<_> = (0..2 * EACH).map(|number| thread::spawn(move || transfer(number))).collect();
+    for client in clients {
+        assert!(client.join().unwrap() >= LENGTH);
+    }
+    let memory = most_memory(&limiter.process);
+    println!("{memory} KiB for {} transfers of 32 MB", 2 * EACH);
+    assert!(memory < 24 * 1024, "{memory} KiB for {} transfers", 2 * EACH);
+}
+
 #[test]
 fn the_log_is_lines_or_json_and_its_options_are_checked() {
     let folder = tempfile::tempdir().unwrap();
--- a/limiter/tests/relay.rs
+++ b/limiter/tests/relay.rs
@@ -30,6 +30,13 @@
     address
 }
 
+/// Reads on. Ends the server's thread with the connection.
+fn more(stream: &mut TcpStream, part: &mut [u8], bytes: &mut Vec<u8>) {
+    let length = stream.read(part).expect("the connection holds");
+    assert!(length > 0, "the connection holds");
+    bytes.extend_from_slice(&part[..length]);
+}
+
 fn before(server: std::net::SocketAddr) -> Limiter {
     Limiter::start(&config(&[server], counter().address), None)
 }
@@ -210,8 +217,7 @@
                 let same = request.body == expected;
                 return stream.write_all(if same { SAME } else { OTHER }).unwrap();
             }
-            let length = stream.read(&mut part).unwrap();
-            bytes.extend_from_slice(&part[..length]);
+            more(stream, &mut part, &mut bytes);
         }
     });
     let limiter = before(server);
@@ -230,3 +236,102 @@
     stream.write_all(b"0\r\n\r\n").unwrap();
     assert_eq!(long_answer(&mut stream).unwrap().status, 200);
 }
+
+/// A request with a body of this many bytes, as the start of it.
+fn with_body(key: &str, length: usize) -> String {
+    sign_off(key).replace("Content-Length: 5\r\n\r\nhours", &format!("Content-Length: {length}\r\n\r\n"))
+}
+
+#[test]
+fn a_body_longer_than_what_is_kept_goes_on_while_it_comes() {
+    let (head, arrived) = std::sync::mpsc::channel();
+    let body = pattern(5_000_000);
+    let expected = body.clone();
+    let server = raw_server(move |stream, mut bytes| {
+        let mut part = vec![0; 1 << 16];
+        while bytes.len() < 300_000 {
+            more(stream, &mut part, &mut bytes);
+        }
+        head.send(()).unwrap();
+        while bytes.len() < 5_000_000 {
+            more(stream, &mut part, &mut bytes);
+        }
+        while limiter::net::framing::request(&bytes, &large()).unwrap().is_none() {
+            more(stream, &mut part, &mut bytes);
+        }
+        let (request, _) = limiter::net::framing::request(&bytes, &large()).unwrap().unwrap();
+        stream.write_all(if request.body == expected { SAME } else { OTHER }).unwrap();
+    });
+    let limiter = before(server);
+    let mut client = asks(&limiter, &with_body("k", body.len()));
+    client.write_all(&body[..2_000_000]).unwrap();
+    arrived.recv_timeout(HANG).expect("the server has the first of it before the last has come");
+    client.write_all(&body[2_000_000..]).unwrap();
+    assert_eq!(long_answer(&mut client).unwrap().status, 200);
+    client.write_all(b"GET /up HTTP/1.1\r\n\r\n").unwrap();
+    assert_eq!(long_answer(&mut client).unwrap().status, 200, "the connection goes on");
+}
+
+#[test]
+fn a_body_is_sent_again_only_while_all_of_it_is_here_and_a_client_is_told_at_once() {
+    // Turned away with the head, then once more after a good part of the body.
+    for (taken, status) in [(0, 200), (1_000_000, 503)] {
+        let tries = std::sync::Arc::new(std::sync::atomic::AtomicUsize::new(0));
+        let counted = tries.clone();
+        let server = raw_server(move |stream, mut bytes| {
+            let mut part = vec![0; 1 << 16];
+            let first = counted.fetch_add(1, std::sync::atomic::Ordering::SeqCst) == 0;
+            let wanted = if first { taken } else { 3_000_000 };
+            while bytes.len() < wanted {
+                more(stream, &mut part, &mut bytes);
+            }
+            let never =
+                b"HTTP/1.1 503 Full\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+            stream.write_all(if first { never } else { SAME }).unwrap();
+            let _ = stream.read(&mut part);
+        });
+        let limiter = Limiter::start(&config(&[server; 3], counter().address), None);
+        let mut client = asks(&limiter, &with_body("k", 3_000_000));
+        client.write_all(&pattern(if taken == 0 { 20_000 } else { 1_100_000 })).unwrap();
+        if taken == 0 {
+            while tries.load(std::sync::atomic::Ordering::SeqCst) < 2 {
+                thread::yield_now();
+            }
+            client.write_all(&pattern(2_980_000)).unwrap();
+        }
+        let answer = long_answer(&mut client).expect("an answer, whatever of the body has come");
+        assert_eq!(answer.status, status, "after {taken} bytes");
+        assert_eq!(answer.keep_alive, taken == 0);
+        assert_eq!(answer.headers.has("Retry-After"), taken > 0);
+    }
+}
+
+#[test]
+fn a_long_body_that_is_bad_by_its_head_or_falls_silent_is_answered_at_once_and_reaches_nobody_whole() {
+    let (left, gone) = std::sync::mpsc::channel();
+    let server = raw_server(move |stream, _| {
+        let mut part = vec![0; 1 << 16];
+        while stream.read(&mut part).is_ok_and(|length| length > 0) {}
+        left.send(()).unwrap();
+    });
+    let limiter = before(server);
+    for (from, to, status) in [
+        ("X-Tier: empresa", "X-Tier: gold", 400),
+        ("POST /sign-off", "GET /lookup", 400),
+        ("Content-Length: 5000000", "Content-Length: 60000000", 413),
+        ("Content-Length: 5000000", "Content-Length: 5000000\r\nTransfer-Encoding: chunked", 400),
+    ] {
+        let text = with_body("k", 5_000_000).replace(from, to);
+        assert_eq!(long_answer(&mut asks(&limiter, &text)).unwrap().status, status, "{to}");
+    }
+    let mut client = asks(&limiter, &with_body("k", 5_000_000));
+    client.write_all(&pattern(500_000)).unwrap();
+    let seen = || assert_eq!(ask(limiter.platform, "GET /up HTTP/1.1\r\n\r\n").status, 200);
+    // Read by then, some in each turn.
+    (0..100).for_each(|_| seen());
+    limiter.pass(2_400_000);
+    (0..3).for_each(|_| seen());
+    limiter.pass(800_000);
+    assert_eq!(long_answer(&mut client).unwrap().status, 408);
+    gone.recv_timeout(HANG).expect("its leg is ended, before the last byte");
+}
