--- a/limiter/src/net/host/errands.rs
+++ b/limiter/src/net/host/errands.rs
@@ -104,12 +104,15 @@
         }
         match framing::answer(&connection.input, false, &self.limits) {
             Ok(None) => {
-                self.deadlines.enter(self.clock.now() + self.limits.answer_rest, Due::Rest(key, errand))
+                if !matches!(std::mem::replace(&mut connection.reading, Reading::Begun), Reading::Begun) {
+                    self.deadlines.enter(self.clock.now() + self.limits.answer_rest, Due::Rest(key, errand));
+                }
             }
             Ok(Some((answer, length))) => {
                 let clean = connection.input.len() == length && answer.keep_alive && connection.all_sent();
                 connection.input.clear();
                 connection.input.shrink_to(4 * 1024);
+                connection.reading = Reading::Nothing;
                 connection.role = Role::Server { service, server, state: LegState::Idle };
                 self.end_errand(service, server, errand, Outcome::Reset, Some(answer));
                 let now = self.now();
--- a/limiter/src/net/host/mod.rs
+++ b/limiter/src/net/host/mod.rs
@@ -132,6 +132,8 @@
     #[default]
     Nothing,
     Request(Incoming<RequestHead>),
+    /// A part of an answer is there, which is looked at anew each time.
+    Begun,
     Answer(Incoming<AnswerHead>),
     /// A body that goes on to a server as it comes, and how many bytes of it have.
     Upload(Upload, u64),
@@ -145,7 +147,7 @@
         let body = match &self.reading {
             Reading::Request(incoming) => incoming.body.len(),
             Reading::Upload(upload, _) => upload.held(),
-            Reading::Nothing | Reading::Answer(_) | Reading::Relay(..) => 0,
+            Reading::Nothing | Reading::Begun | Reading::Answer(_) | Reading::Relay(..) => 0,
         };
         self.input.len() + body
     }
--- a/limiter/src/net/host/relaying.rs
+++ b/limiter/src/net/host/relaying.rs
@@ -76,12 +76,9 @@
         let now = self.now();
         let Some(connection) = self.connections.get_mut(key) else { return };
         let Role::Server { service, server, .. } = connection.role else { return };
-        let mut incoming = match std::mem::take(&mut connection.reading) {
-            Reading::Answer(incoming) => incoming,
-            _ => {
-                self.deadlines.enter(now + self.limits.answer_rest, Due::Rest(key, errand));
-                Incoming::default()
-            }
+        let (mut incoming, first) = match std::mem::take(&mut connection.reading) {
+            Reading::Answer(incoming) => (incoming, false),
+            _ => (Incoming::default(), true),
         };
         if incoming.read(&mut connection.input, self.limits.answer_bytes, &self.limits).is_err() {
             self.end_errand(service, server, errand, Outcome::Error, None);
@@ -99,7 +96,13 @@
                 self.answer_came(key, errand, incoming);
                 _ = self.close(key);
             }
-            _ => connection.reading = Reading::Answer(incoming),
+            _ => {
+                connection.reading = Reading::Answer(incoming);
+                // Most answers are there at once: the rest is waited for only where some of it is missing.
+                if first {
+                    self.deadlines.enter(now + self.limits.answer_rest, Due::Rest(key, errand));
+                }
+            }
         }
     }
 
