Bound the windows of all transfers together to a quarter of the memory

Seen on reading: each relay and upload has a window of 64 KiB whatever the memory; with 1,024 descriptors and 32 MB all 560 connections of clients could hold more than there is. Now the window follows from memory and connections, 8 to 64 KiB; limiter/tests/config.rs holds the sum.

--- a/limiter/src/config/file.rs
+++ b/limiter/src/config/file.rs
@@ -345,6 +345,10 @@
             acquirer_kept: acquirer_connections * 3 / 4,
             leg_connections: defaults.leg_connections.min(share(4)),
             partial_bytes: defaults.partial_bytes.min(eighth),
+            // One budget over all connections, a quarter of the memory: all of them may have a transfer at once.
+            relay_window: (eighth / acquirer_connections.max(1))
+                .saturating_mul(2)
+                .clamp(8 * 1024, defaults.relay_window),
             held: or(Micros::from(allow.most_held.0), defaults.held as Micros) as usize,
             most_units: if most_units > 0.0 { (most_units * 1_000.0) as u64 } else { defaults.most_units },
             connect: or(allow.connect_timeout_us.micros(), defaults.connect),
--- a/limiter/tests/config.rs
+++ b/limiter/tests/config.rs
@@ -50,6 +50,19 @@
     assert!(limits.partial_bytes < 32 << 20);
     assert!(limits.leg_idle < 10_000_000, "well before the server's 15 s");
     assert_eq!(limits.drain, 4_600_000);
+    let of = |sockets: u32, memory: u32| {
+        let machine = format!("{{\"limits\":{{\"sockets\":{sockets},\"memory_mb\":{memory}}},");
+        Environment::default().parse(&config(&[], nobody()).replacen('{', &machine, 1)).unwrap().limits
+    };
+    for (sockets, memory) in [(256, 32), (384, 48), (1_024, 32), (1_024, 192)] {
+        let limits = of(sockets, memory);
+        let all = limits.relay_window * limits.acquirer_connections;
+        assert!(
+            all <= (memory as usize) << 18,
+            "transfers on all connections have a quarter of the memory at the most"
+        );
+        assert!((8 << 10..=64 << 10).contains(&limits.relay_window));
+    }
 }
 
 #[test]
