Skip interim answers in one place

The relay's reader of answers had repeated the loop over interim answers. No change of behaviour: the tests of framing, relay and platform hold as before.

--- a/limiter/src/net/framing.rs
+++ b/limiter/src/net/framing.rs
@@ -336,28 +336,20 @@
 }
 
 impl Head for AnswerHead {
-    /// Interim answers announce the one that counts. Of a peer that always says how long its answers are: one that says
+    /// Of a peer that always says how long its answers are: one that says
     /// nothing is taken to end with its connection only where it also says that this is its last. Guards against an
     /// answer that broke off: without a length a part of it looks whole, and where the connection stays open its end
     /// would be waited for in vain.
     fn parse(bytes: &[u8], limits: &Limits) -> Result<Option<(Self, Extent, usize)>, Malformed> {
-        let mut at = 0;
-        for _ in 0..=limits.interim_answers {
-            let Some((head, length)) = answer_head(&bytes[at..], limits)? else { return Ok(None) };
-            at += length;
-            if (100..200).contains(&head.status) {
-                continue;
-            }
-            let extent = match head.status {
-                204 | 304 => Extent::Length(0),
-                _ if head.framed() => extent(&head.headers, Extent::UntilClose)?,
-                200 if head.keep_alive => return Err(Malformed::Syntax),
-                200 => Extent::UntilClose,
-                _ => Extent::Length(0),
-            };
-            return Ok(Some((head, extent, at)));
-        }
-        Err(Malformed::HeadTooLarge)
+        let Some((head, from)) = final_head(bytes, limits)? else { return Ok(None) };
+        let extent = match head.status {
+            204 | 304 => Extent::Length(0),
+            _ if head.framed() => extent(&head.headers, Extent::UntilClose)?,
+            200 if head.keep_alive => return Err(Malformed::Syntax),
+            200 => Extent::UntilClose,
+            _ => Extent::Length(0),
+        };
+        Ok(Some((head, extent, from)))
     }
 }
 
@@ -385,6 +377,19 @@
     Ok(Some((AnswerHead { status, headers, keep_alive }, from)))
 }
 
+/// The head of the answer that counts, behind interim ones that announce it, and where its body begins.
+fn final_head(bytes: &[u8], limits: &Limits) -> Result<Option<(AnswerHead, usize)>, Malformed> {
+    let mut at = 0;
+    for _ in 0..=limits.interim_answers {
+        let Some((head, length)) = answer_head(&bytes[at..], limits)? else { return Ok(None) };
+        at += length;
+        if !(100..200).contains(&head.status) {
+            return Ok(Some((head, at)));
+        }
+    }
+    Err(Malformed::HeadTooLarge)
+}
+
 /// A message that is coming in: its head once that is whole, and of its body what has come and was not taken out.
 #[derive(Clone, Debug)]
 pub struct Incoming<H> {
@@ -508,19 +513,11 @@
 
 /// The answer at the start of `bytes` and its length, once it is whole. `ended`: the peer sends no more.
 pub fn answer(bytes: &[u8], ended: bool, limits: &Limits) -> Result<Option<(Answer, usize)>, Malformed> {
-    let mut at = 0;
-    for _ in 0..=limits.interim_answers {
-        let Some((head, length)) = answer_head(&bytes[at..], limits)? else { return Ok(None) };
-        at += length;
-        if (100..200).contains(&head.status) {
-            continue;
-        }
-        let none = matches!(head.status, 204 | 304);
-        let extent = if none { Extent::Length(0) } else { extent(&head.headers, Extent::UntilClose)? };
-        let whole = body(&bytes[at..], extent, ended, limits)?;
-        return Ok(whole.map(|(body, length)| (Answer::new(head, body), at + length)));
-    }
-    Err(Malformed::HeadTooLarge)
+    let Some((head, from)) = final_head(bytes, limits)? else { return Ok(None) };
+    let none = matches!(head.status, 204 | 304);
+    let extent = if none { Extent::Length(0) } else { extent(&head.headers, Extent::UntilClose)? };
+    let whole = body(&bytes[from..], extent, ended, limits)?;
+    Ok(whole.map(|(body, length)| (Answer::new(head, body), from + length)))
 }
 
 /// The same of a peer that says how long its answers are, or that they end with the connection.
