Give back what a question holds where the cache answers it

Seen on reading the change once more: each request's body now counts in the budget of what clients have under way, and settle gives it back; answered_from_cache (net/host/tokens.rs) removed its entry without settle, so each question answered from the cache stayed counted. In the end every body over 64 KiB would have been taken for one too many and, at the second front, refused with 413.

limiter/tests/introspection.rs asks 60 questions of 3 KB from the cache with 128 KiB to hold: a body of 70,000 bytes is refused with 413 without this change, and taken with it.

--- a/limiter/src/net/host/tokens.rs
+++ b/limiter/src/net/host/tokens.rs
@@ -171,8 +171,9 @@
             None if token.is_void() => Finding::Inactive,
             None => return false,
         };
+        // Guards the budget: what a question holds is given back by the one way in which an answer stops being owed.
         if known.engine.leg_ended(now, key, leg, Outcome::Ok, None)
-            && let Some(pending) = known.pending.remove(key)
+            && let Some(pending) = self.settle(ticket)
         {
             self.tell(now, pending.origin, finding);
         }
--- a/limiter/tests/introspection.rs
+++ b/limiter/tests/introspection.rs
@@ -278,3 +278,22 @@
     assert_eq!(sent.len(), 12, "only those whose client is known");
     assert!(sent.values().all(|times| *times == 1), "{sent:?}");
 }
+
+#[test]
+fn what_questions_hold_is_given_back_also_where_the_cache_answers_them() {
+    let records = StandIn::start(|_, _| ok(""));
+    let upstream = StandIn::start(|_, _| ok(ACTIVE));
+    // Requests may hold 128 KiB at once.
+    let config = config(&[records.address, records.address], counter().address);
+    let config = config.replacen('{', "{\"limits\":{\"memory_mb\":1},", 1);
+    let front = front(&[upstream.address]).replace("taller", "empresa");
+    let limiter = Limiter::start(&config, Some(&front));
+    let at = limiter.introspection.expect("the second front is on");
+    let token = "t".repeat(3_000);
+    // More than that in all, one after the other.
+    (0..60).for_each(|_| assert_eq!(ask(at, &question(&token)).status, 200));
+    assert_eq!(upstream.count(), 1, "the rest came from the cache");
+    let long = format!("Content-Length: 70000\r\n\r\n{}", "x".repeat(70_000));
+    let answer = ask(at, &sign_off("k", &token, "2.5").replace("Content-Length: 5\r\n\r\nhours", &long));
+    assert_ne!(answer.status, 413, "there is room for a body again");
+}
