--- a/load/src/lib.rs
+++ b/load/src/lib.rs
@@ -3,10 +3,11 @@
 //!
 //! `scenario` says what a run is; `schedule` lays out every request ahead, from the scenario and a seed alone;
 //! `generator` is the clients, without I/O or a clock of its own; `driver` puts them on sockets. `records` holds what
-//! became of every try, `summary` what follows from it, `report` what a person looks at. `trace` replays what was
+//! became of every try, `summary` what follows from it (`bounds` the quotas over the fleet), `report` what a person looks at. `trace` replays what was
 //! recorded elsewhere, and `trial` starts limiters in an emulated world. `fleet` plays the decision module alone, a hundred times, on driven
 //! time.
 
+pub mod bounds;
 pub mod cli;
 pub mod driver;
 pub mod fleet;
--- a/load/src/scenario.rs
+++ b/load/src/scenario.rs
@@ -205,11 +205,13 @@
     pub connections: usize,
     /// The schedule was held if 999 in 1,000 requests went out within so many milliseconds of their time.
     pub lag_bound_ms: f64,
+    /// Quotas over the fleet are judged by windows of so many seconds (`bounds`).
+    pub quota_window_s: f64,
 }
 
 impl Default for GeneratorPlan {
     fn default() -> GeneratorPlan {
-        GeneratorPlan { threads: 0, connections: 4_000, lag_bound_ms: 10.0 }
+        GeneratorPlan { threads: 0, connections: 4_000, lag_bound_ms: 10.0, quota_window_s: 60.0 }
     }
 }
 
@@ -249,6 +251,7 @@
         within("generator.threads", g.threads as f64, 0.0, 64.0)?;
         within("generator.connections", g.connections as f64, 1.0, 1e6)?;
         within("generator.lag_bound_ms", g.lag_bound_ms, 0.001, 60_000.0)?;
+        within("generator.quota_window_s", g.quota_window_s, 0.1, 86_400.0)?;
         let requests: f64 = self.arrivals.iter().map(|a| a.expected(self.seconds, &self.workshops)).sum();
         if requests > MOST_REQUESTS as f64 {
             return Err(Fault::at(
--- a/load/src/summary.rs
+++ b/load/src/summary.rs
@@ -8,6 +8,7 @@
 use standins::world::Counts;
 
 use crate::Micros;
+use crate::bounds::{self, Bounds};
 use crate::driver::Outcomes;
 use crate::generator::Setup;
 use crate::records::{Fate, OUTCOMES, Outcome, fates};
@@ -167,6 +168,8 @@
     pub by_plan: BTreeMap<String, Ends>,
     /// By class.
     pub by_class: BTreeMap<String, Ends>,
+    /// Quotas over the whole fleet, window by window.
+    pub quota: Bounds,
     /// Answers by status; 0 for none.
     pub by_status: BTreeMap<u16, u64>,
     /// What the emulated world counted, where there was one.
@@ -275,6 +278,13 @@
             by_plan: named(plans.clone(), by_plan),
             by_class: named(classes, by_class),
             by_status,
+            quota: bounds::of(
+                &setup.schedule,
+                &scenario.workshops.plans,
+                &fates,
+                (scenario.generator.quota_window_s * 1e6) as Micros,
+                (scenario.seconds * 1e6) as Micros,
+            ),
             world: None,
             limiter_cpu_us: Vec::new(),
             plans,
@@ -317,6 +327,20 @@
         text += &row("from the intended time", &self.latency_us);
         text += &row("from the sending", &self.service_us);
         text += &row("lag behind the schedule", &self.send_lag_us);
+        let q = &self.quota;
+        if q.windows > 0 {
+            text += &format!(
+                "quotas over the fleet, {} windows of {} s: worst {:.3} (workshop {} at {} s), {} over 1.10, least {:.3} \
+                 where the quota was asked\n",
+                q.windows,
+                q.window_s,
+                q.overuse_ratio,
+                q.worst.workshop,
+                q.worst.from_s,
+                q.over_tenth,
+                q.least_share
+            );
+        }
         if let Some(w) = &self.world {
             text += &format!(
                 "nodes: arrived {}  ids {}  again {}  copies {}  keys run twice {}  after drain {}  counter calls {}\n",
