Slices of the window for a limiter that has lost the counter, off unless named

Checked in fits_here and ask (src/logic.rs): each limiter judged by its own expectation as if it were the customer's only one, and the chance to pass by earlier verdicts stayed what it was when the counter went. A unit test of the module alone shows both: 71 units where its slice is 35 for a new customer, 14 for one that had been over.

--- a/limiter/src/cli.rs
+++ b/limiter/src/cli.rs
@@ -25,6 +25,7 @@
   --config FILE         the configuration, in place of ROUTER_CONFIG
   --introspection FILE  the second front's file; it is on if the file names a listen address
   --raft FILE           the instances that agree on a configuration; likewise
+  --shared FILE         what is done with shared state when part of the fleet hears nothing (deploy/shared.json)
   --log-format FORMAT   text (the default) or json
   --log-level LEVEL     error, warn, info (the default) or debug
 ";
@@ -45,6 +46,7 @@
             Long("config") => environment.config = Some(parser.value()?.string()?),
             Long("introspection") => environment.introspection = Some(parser.value()?.string()?),
             Long("raft") => environment.raft = Some(parser.value()?.string()?),
+            Long("shared") => environment.shared = Some(parser.value()?.string()?),
             Long("log-format") => {
                 logging.format = match parser.value()?.string()?.as_str() {
                     "text" => Format::Text,
--- a/limiter/src/config/file.rs
+++ b/limiter/src/config/file.rs
@@ -318,6 +318,7 @@
             cold_for: rules.cold_us.micros(),
             fall_multiple: rules.fall_multiple.0,
             fall_window: rules.fall_us.micros(),
+            lost_slices: false,
         }
     }
 
--- a/limiter/src/config/mod.rs
+++ b/limiter/src/config/mod.rs
@@ -1,11 +1,12 @@
 //! The only place where configuration is read, checked and given defaults. Errors name the faulty key.
 //!
-//! `file` is the platform's file, which may hold keys that we don't know. `fronts` and `members` are operators' files of
-//! our own: there a key that is unknown is a fault, and the one that was meant is named.
+//! `file` is the platform's file, which may hold keys that we don't know. `fronts`, `members` and `shared` are operators'
+//! files of our own: there a key that is unknown is a fault, and the one that was meant is named.
 
 mod file;
 mod fronts;
 mod members;
+mod shared;
 
 use std::fmt;
 use std::net::SocketAddr;
@@ -119,6 +120,8 @@
     pub introspection: Option<String>,
     /// Path of the file of the instances that agree on a configuration; likewise.
     pub raft: Option<String>,
+    /// Path of the file of what limiters do with shared state when part of the fleet hears nothing; likewise.
+    pub shared: Option<String>,
 }
 
 fn read(path: String) -> Result<String, ConfigError> {
@@ -150,6 +153,7 @@
             folder: get("TMPDIR"),
             introspection: None,
             raft: None,
+            shared: None,
         }
     }
 
@@ -166,6 +170,9 @@
         if let Some(path) = self.raft.clone() {
             config.agree(&read(path)?)?;
         }
+        if let Some(path) = self.shared.clone() {
+            config.share(&read(path)?)?;
+        }
         Ok(config)
     }
 
--- a/limiter/tests/config.rs
+++ b/limiter/tests/config.rs
@@ -96,6 +96,18 @@
     }
 }
 
+#[test]
+fn slices_while_the_counter_is_lost_only_where_named_and_a_wrong_word_is_refused_by_its_key() {
+    let mut read = Environment::default().parse(&config(&[], nobody())).unwrap();
+    read.share(include_str!("../../deploy/shared.json")).unwrap();
+    assert!(!read.settings.lost_slices, "as it is shipped");
+    read.share(r#"{"counter_lost": "slices"}"#).unwrap();
+    assert!(read.settings.lost_slices);
+    let error = read.share(r#"{"counter_lost": "shares"}"#).unwrap_err().to_string();
+    assert!(error.starts_with("key 'shared.counter_lost'"), "{error}");
+    assert!(read.share(r#"{"counter_los": "open"}"#).unwrap_err().to_string().contains("shared"));
+}
+
 #[test]
 fn a_misspelt_key_of_our_own_files_is_named_and_one_of_the_platform_is_passed_over() {
     let platform = config(&[nobody()], nobody()).replacen('{', "{\"new_of_the_platform\":{\"a\":[1]},", 1);
--- a/load/src/bounds.rs
+++ b/load/src/bounds.rs
@@ -44,6 +44,8 @@
     pub least_share: f64,
     /// That window.
     pub least: Window,
+    /// Window by window from the start: the worst ratio of any workshop in it, and windows beyond 1.10.
+    pub by_window: Vec<(f64, u64)>,
 }
 
 /// The bounds of a run whose load lasted `span`, by windows of `window`.
@@ -67,7 +69,8 @@
         }
     }
     let length_s = window as f64 / 1e6;
-    let mut bounds = Bounds { window_s: length_s, least_share: 1.0, ..Bounds::default() };
+    let by_window = vec![(0.0, 0); whole];
+    let mut bounds = Bounds { window_s: length_s, least_share: 1.0, by_window, ..Bounds::default() };
     for (k, cell) in cells.iter_mut().enumerate() {
         let workshop = k / whole.max(1);
         let Some(plan) = schedule.workshops.get(workshop).and_then(|w| plans.get(usize::from(w.plan))) else {
@@ -81,6 +84,8 @@
         bounds.windows += 1;
         let ratio = cell.served / cell.quota;
         bounds.over_tenth += u64::from(ratio > 1.10);
+        let at = &mut bounds.by_window[k % whole];
+        *at = (at.0.max(ratio), at.1 + u64::from(ratio > 1.10));
         if ratio > bounds.overuse_ratio {
             (bounds.overuse_ratio, bounds.worst) = (ratio, *cell);
         }
@@ -122,6 +127,7 @@
         assert_eq!(bounds.windows, 2, "two windows asked something, the third is not whole");
         assert_eq!((bounds.overuse_ratio, bounds.worst.workshop, bounds.worst.quota), (7.0 / 6.0, 0, 6.0));
         assert_eq!(bounds.over_tenth, 1);
+        assert_eq!(bounds.by_window, vec![(7.0 / 6.0, 1), (0.5, 0)]);
         assert_eq!((bounds.least_share, bounds.least.workshop, bounds.least.from_s), (0.5, 1, 4.0));
     }
 }
--- a/load/src/cli.rs
+++ b/load/src/cli.rs
@@ -46,6 +46,7 @@
   --report DIR          write report.json, report.html and records.parquet there
   --json                print report.json alone
   --limiter PATH        the limiter's program; by default streamarch beside this one
+  --shared FILE         the limiters' file of shared state (deploy/shared.json), in place of the scenario's
   --speed X             a trace so many times as fast
   --scenario FILE       plans, classes, world and limiters for a trace
   --gateways N, --servers N
@@ -67,6 +68,7 @@
     report: Option<PathBuf>,
     json: bool,
     limiter: Option<PathBuf>,
+    shared: Option<PathBuf>,
     speed: Option<f64>,
     scenario: Option<PathBuf>,
     key: Option<String>,
@@ -112,6 +114,7 @@
             Long("report") => options.report = Some(parser.value()?.into()),
             Long("json") => options.json = true,
             Long("limiter") => options.limiter = Some(parser.value()?.into()),
+            Long("shared") => options.shared = Some(parser.value()?.into()),
             Long("speed") => options.speed = Some(parser.value()?.parse()?),
             Long("scenario") => options.scenario = Some(parser.value()?.into()),
             Long("key") => options.key = Some(parser.value()?.string()?),
@@ -228,6 +231,11 @@
         scenario.seconds = seconds;
         scenario.check().map_err(|e| usage(format!("--seconds: {e}")))?;
     }
+    if let Some(path) = &options.shared {
+        let text = std::fs::read_to_string(path).map_err(|e| fault(format!("{}: {e}", path.display())))?;
+        let file = serde_json::from_str(&text).map_err(|e| usage(format!("--shared: {e}")))?;
+        scenario.limiters.shared = Some(file);
+    }
     Ok(scenario)
 }
 
--- a/load/src/fleet/mod.rs
+++ b/load/src/fleet/mod.rs
@@ -251,6 +251,7 @@
         cold_for: 15 * SECOND,
         fall_multiple: 3.0,
         fall_window: 3 * SECOND,
+        lost_slices: false,
         ..Settings::default()
     }
 }
--- a/load/src/scenario.rs
+++ b/load/src/scenario.rs
@@ -165,11 +165,14 @@
     pub uneven: f64,
     /// It favours another one after so many seconds, from this range.
     pub shift_s: [f64; 2],
+    /// The limiters' own file of shared state (`deploy/shared.json`), as it is given to each with `--shared`.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub shared: Option<serde_json::Value>,
 }
 
 impl Default for Limiters {
     fn default() -> Limiters {
-        Limiters { count: 2, spread: [2, 4], uneven: 0.5, shift_s: [5.6, 25.0] }
+        Limiters { count: 2, spread: [2, 4], uneven: 0.5, shift_s: [5.6, 25.0], shared: None }
     }
 }
 
--- a/load/src/trial.rs
+++ b/load/src/trial.rs
@@ -145,12 +145,15 @@
         let folder = TempDir::new().map_err(system("a folder for configurations"))?;
         let peers = datagram_addresses(count).map_err(system("sockets for datagrams"))?;
         let mut limiters = Vec::new();
+        let shared = folder.path().join("shared.json");
+        let text = scenario.limiters.shared.as_ref().map_or_else(|| "{}".to_string(), Value::to_string);
+        std::fs::write(&shared, text).map_err(system(shared.display()))?;
         for number in 0..count {
             let listen = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
             let text = configuration(scenario, seed, number, listen, &peers, &world).to_string();
             let path = folder.path().join(format!("limiter-{number}.json"));
             std::fs::write(&path, text).map_err(system(path.display()))?;
-            limiters.push(Limiter::start(program, &path, number, logs)?);
+            limiters.push(Limiter::start(program, [&path, &shared], number, logs)?);
         }
         limiters.iter().enumerate().try_for_each(|(number, l)| l.ready(number))?;
         Ok(Trial { world: Some(world), limiters, _folder: folder })
@@ -199,7 +202,7 @@
 impl Limiter {
     fn start(
         program: &Path,
-        config: &Path,
+        [config, shared]: [&Path; 2],
         number: usize,
         logs: Option<&Path>,
     ) -> Result<Limiter, TrialError> {
@@ -207,6 +210,8 @@
             .arg("serve")
             .arg("--config")
             .arg(config)
+            .arg("--shared")
+            .arg(shared)
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(Stdio::piped())
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -151,6 +151,9 @@
     pub fall_multiple: f64,
     /// ...for this long, a cold server falls over.
     pub fall_window: Micros,
+    /// While the counter is lost, a gateway lets each customer use no more than its even slice of the window;
+    /// else DESIGN's open without a counter, by what is known here.
+    pub lost_slices: bool,
 }
 
 /// State of a server in the list.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -153,7 +153,8 @@
             self.debt = if next { store.overhang(self.estimate() + self.carry) } else { 0.0 };
             (self.window, self.current, self.asked, self.spill) = (window, self.debt, 0.0, 0.0);
             (self.own, self.flying, self.carry, self.read) = (0.0, 0.0, 0.0, false);
-            (self.told, self.foreign) = (now, 0.0);
+            (self.told, self.foreign, self.unheard) =
+                (now, 0.0, if next { store.overhang(self.unheard) } else { 0.0 });
             // Danger: verdicts clearing together at the turn let held-back demand go at once.
             self.over &= next;
         }
@@ -190,7 +191,7 @@
             let others = ((foreign - self.foreign) / since).clamp(0.0, rate);
             self.others += (others - self.others) * (1.0 - (-since / OTHERS_TAU).exp());
         }
-        (self.told, self.foreign) = (now, foreign);
+        (self.told, self.foreign, self.unheard) = (now, foreign, 0.0);
         let total = total.max(least);
         self.current = total + self.flying;
         // Danger: an idle spell must not let a customer save more than its store holds.
@@ -221,9 +222,9 @@
         1.0 - self.kept_out * (-((now - self.told) as f64) / TOLD_TAU).exp()
     }
 
-    /// Danger: who stays over must not have back by the next notice what the last took.
+    /// Danger: who stays over must not have back by the next notice what the last took. Told over is seen.
     fn told_over(&mut self, now: Micros) {
-        (self.kept_out, self.told) = (1.0 - self.let_in(now) * (1.0 - GRANT_GAIN), now);
+        (self.kept_out, self.told, self.seen) = (1.0 - self.let_in(now) * (1.0 - GRANT_GAIN), now, now);
     }
 
     /// The hard ceiling, kept by each gateway alone: an even share, empty at its start: a restart fills none.
@@ -269,11 +270,10 @@
     /// Danger: a jam of work that nobody waits for outlives its cause; only what comes back in time is sent.
     fn learn_bound(&mut self, outcome: Outcome, late: bool, least: f64) {
         let used = f64::from(self.out) + 1.0 >= BOUND_USED * self.bound;
+        let rise = BOUND_RISE * least * (BOUND_FEW * least).min(1.0);
         self.bound = match outcome {
             Outcome::Ok if late => self.bound * LATE_CUT,
-            Outcome::Ok if used => {
-                self.bound + BOUND_RISE * least * (BOUND_FEW * least).min(1.0) / self.bound
-            }
+            Outcome::Ok if used => self.bound + rise / self.bound,
             Outcome::Full | Outcome::TimedOut => self.bound * FULL_CUT,
             _ => self.bound,
         };
@@ -397,6 +397,8 @@
         let granted = customer.granted(now).max(ASK_LEAST);
         let spread = f64::from(request.spread.clamp(1, self.settings.gateways.max(1)));
         let lost = self.counter_lost();
+        // Danger: cut off, all gateways grant all, and verdicts' shares hold until the counter is back.
+        let sliced = self.settings.lost_slices && lost;
         // Danger: at a crowded counter denied tries hold places of the cap while they wait and deny others.
         let asks = plan.most_open == 0 || self.counter.pace >= 1.0 || self.random() < granted;
         let usable = asks && self.settings.counter && (!lost || now >= self.counter.next_probe);
@@ -405,14 +407,14 @@
         let weight = if usable && self.random() < share { 1.0 / share } else { 0.0 };
         let store = |open: &bool| self.store_of(request.plan, request.units, *open);
         let meters: Vec<Counted> = [false, true].iter().filter_map(store).collect();
-        let mut fits = self.fits_here(&request, (plan.most_open, spread), &meters, weight == 0.0);
+        let mut fits = self.fits_here(who, (plan.most_open, spread, sliced), &meters, weight == 0.0);
         // Danger: a share of the tries that pass unasked grows with them, and the refused come back at once.
         let informed = plan.most_open == 0 && self.customers.get(&who).is_some_and(|c| c.units.read);
-        fits = fits && (weight > 0.0 || informed || self.random() < self.alone(who));
+        fits = fits && (weight > 0.0 || informed || sliced || self.random() < self.alone(who));
         let ceiling = |c: &mut Customer| c.take_ceiling(&plan, spread, request.units, now);
         fits = fits && (plan.ceiling_rate <= 0.0 || self.customers.get_mut(&who).is_some_and(ceiling));
         if fits {
-            self.count(&request, &meters, weight);
+            self.count(&request, &meters, weight, spread);
         }
         let Some(held) = self.held.get_mut(&id) else { return };
         held.denied = !fits;
@@ -446,30 +448,32 @@
     }
 
     /// The local count: past its slice, or with the counter lost or crowded, who is over makes no call.
-    fn fits_here(&mut self, request: &Request, most: (u32, f64), meters: &[Counted], alone: bool) -> bool {
-        let (most, spread) = most;
+    fn fits_here(&mut self, who: CustomerId, how: (u32, f64, bool), meters: &[Counted], alone: bool) -> bool {
+        let (most, spread, sliced) = how;
         let (now, lost) = (self.now, alone || self.counter_lost() || self.counter.pace < PACE_LOW);
-        let Some(customer) = self.customers.get_mut(&request.customer) else { return true };
+        let Some(customer) = self.customers.get_mut(&who) else { return true };
         let mut fits = most == 0 || customer.out < i64::from(most);
         for (open, store, units) in meters {
             let meter = customer.meter(*open);
-            let room = meter.turn(*store, request.customer, now);
+            let room = meter.turn(*store, who, now);
             meter.asked += units;
             let past_slice = store.rate > 0.0 && meter.asked > (room / spread).max(*units);
             let told_lately = now - meter.called < VERDICT_FRESH;
             let known = units + if alone { meter.expected(now) } else { meter.estimate() + meter.carry };
             fits &= known <= room || !(lost || (meter.over && (past_slice || told_lately)));
+            fits &= !sliced || store.rate <= 0.0 || meter.unheard + (units * spread).min(room) <= room;
         }
         fits
     }
 
-    fn count(&mut self, request: &Request, meters: &[Counted], weight: f64) {
+    fn count(&mut self, request: &Request, meters: &[Counted], weight: f64, spread: f64) {
         let now = self.now;
         let (grant, mut counted) = (self.alone(request.customer), Vec::new());
         let likely = self.customers.get(&request.customer).is_none_or(|c| c.granted(now) >= LIKELY);
         for (open, store, units) in meters {
             let Some(customer) = self.customers.get_mut(&request.customer) else { return };
             let meter = customer.meter(*open);
+            meter.unheard += if *open { 0.0 } else { *units * spread };
             if weight == 0.0 {
                 // What the counter was not told goes along with the next call.
                 meter.carry += if *open { 0.0 } else { *units };
@@ -556,7 +560,6 @@
         let (now, booted) = (self.now, self.booted.unwrap_or(self.now));
         let unknown = || Customer::unknown(notice.plan, booted, 1.0);
         let known = self.customers.entry(notice.customer).or_insert_with(unknown);
-        known.seen = now;
         known.told_over(now);
     }
 
@@ -1008,10 +1011,8 @@
             }
         }
         server.learn_report(now, end.report);
-        if matches!(end.outcome, Outcome::Ok | Outcome::Error | Outcome::Full | Outcome::Reset) {
-            server.unheard = Some(now);
-        }
-        server.unheard = server.unheard.filter(|_| server.out > 0);
+        let heard = matches!(end.outcome, Outcome::Ok | Outcome::Error | Outcome::Full | Outcome::Reset);
+        server.unheard = if heard { Some(now) } else { server.unheard }.filter(|_| server.out > 0);
         if let (Outcome::Ok, Some(mean)) = (end.outcome, class.and_then(|c| self.means.get_mut(c))) {
             let took = end.took.max(1) as f64;
             if let Some(work) = class.and_then(|c| self.works.get_mut(c)) {
@@ -1079,11 +1080,10 @@
 
     /// The request is over; it is remembered only while attempts are out.
     fn close(&mut self, id: RequestId) {
-        if let Some(held) = self.held.get_mut(&id) {
-            held.done = true;
-            if held.out.is_empty() && !held.opened {
-                self.held.remove(&id);
-            }
+        let Some(held) = self.held.get_mut(&id) else { return };
+        held.done = true;
+        if held.out.is_empty() && !held.opened {
+            self.held.remove(&id);
         }
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -50,6 +50,9 @@
     pub(crate) told: Micros,
     pub(crate) foreign: f64,
     pub(crate) others: f64,
+    /// Units let through here since the last total came in, times the customer's gateways: what the fleet would have
+    /// let through if all of them did as this one; what exceeds the window's filling counts in the next.
+    pub(crate) unheard: f64,
     /// A total has shown the customer over its allowance; share of the allowance in use as last told.
     pub(crate) over: bool,
     pub(crate) used: f64,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -40,6 +40,7 @@
         cold_for: 10 * SECOND,
         fall_multiple: 2.0,
         fall_window: SECOND,
+        lost_slices: false,
         ..Settings::default()
     }
 }
--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -383,3 +383,36 @@
     let at_once = burst(&mut gateways[1..], &mut counter, 3, 40);
     assert!(at_once <= 2, "{at_once} passed through the other gateway");
 }
+
+/// Units passed to a customer at 20 tries a second, without the counter for 12 s: after 3 s with it, or at once.
+fn passed_without_the_counter(slices: bool, heard_before: bool) -> usize {
+    let mut gateway = Gateway::with_servers(Settings { lost_slices: slices, ..settings() }, 8);
+    let (mut counter, mut passed, before) = (Counter::default(), 0, if heard_before { 60 } else { 0 });
+    for tick in 0..before + 240 {
+        gateway.now += 50 * MS;
+        let (id, mut actions) = gateway.ask(0, 1, 7);
+        if tick < before {
+            actions = counter.answer(&mut gateway, actions);
+        } else {
+            for (name, _) in counts(&actions) {
+                actions.extend(gateway.feed(Event::Counted { name, outcome: Outcome::TimedOut, total: 0.0 }));
+            }
+            passed += sends(&actions).len();
+        }
+        for (_, server) in sends(&actions) {
+            gateway.end(id, 0, server, Outcome::Ok);
+        }
+    }
+    passed
+}
+
+/// Guards two faults of a gateway cut off from the counter, where `lost_slices` is set: it granted a customer as if it
+/// were its only gateway, and one whose verdicts had kept it out was refused all until the counter came back.
+#[test]
+fn without_the_counter_a_gateway_grants_its_even_slice_and_no_more() {
+    // Rate 5 and burst 10 over a set of 2: 12 s hold 35 units a gateway.
+    let sliced = [true, false].map(|before| passed_without_the_counter(true, before));
+    assert!(sliced.iter().all(|n| (32..=40).contains(n)), "{sliced:?} passed in slices");
+    let open = [true, false].map(|before| passed_without_the_counter(false, before));
+    assert!(open[0] < 20 && open[1] > 50, "{open:?} passed as DESIGN has it");
+}
