Pauses of limiters in the laboratory (SIGSTOP, SIGCONT) and the scenario pause

A pause is now a fault of the plan on limiter:N; the world ignores it and load/src/pauses.rs sends the signals from a thread of its own, holding a lock while it does, and lets all go on before the run ends them: a stopped process would not hear SIGTERM. A run also ends on SIGHUP now: a run killed with its shell left six limiters behind, ended here by their ids.

--why: a limiter that stands still and comes back is the failure the operators named, and had no way to be played.

--- a/load/src/cli.rs
+++ b/load/src/cli.rs
@@ -239,10 +239,11 @@
     Ok(scenario)
 }
 
-/// Set by SIGINT and SIGTERM: the run ends, and its report is written.
+/// Set by SIGINT, SIGTERM and SIGHUP: the run ends, its report is written, and the limiters it started are ended.
+/// Guards against limiters left running where the terminal of a run goes away.
 fn stopped() -> Result<Arc<AtomicBool>, Failure> {
     let stop = Arc::new(AtomicBool::new(false));
-    for signal in [signal_hook::consts::SIGINT, signal_hook::consts::SIGTERM] {
+    for signal in [signal_hook::consts::SIGINT, signal_hook::consts::SIGTERM, signal_hook::consts::SIGHUP] {
         // A second signal ends the program at once: nobody has to wait for a run that hangs.
         signal_hook::flag::register_conditional_shutdown(signal, 130, stop.clone()).map_err(fault)?;
         signal_hook::flag::register(signal, stop.clone()).map_err(fault)?;
@@ -273,7 +274,7 @@
         std::fs::create_dir_all(folder).map_err(|e| fault(format!("{}: {e}", folder.display())))?;
     }
     let requests = schedule.requests.len();
-    let trial = if options.targets.is_empty() {
+    let mut trial = if options.targets.is_empty() {
         let program = options.limiter.clone().unwrap_or_else(trial::program);
         tracing::info!(
             limiters = scenario.limiters.count,
@@ -293,7 +294,7 @@
     let setup = Arc::new(Setup { scenario, schedule, targets: targets.len(), seed });
     tracing::info!(requests, seconds = setup.scenario.seconds, threads, "sending");
     let before = trial.as_ref().map(Trial::cpu_us);
-    if let Some(trial) = &trial {
+    if let Some(trial) = &mut trial {
         trial.begin(&setup.scenario);
     }
     let progress = Progress { stop, ..Progress::default() };
--- a/load/src/lib.rs
+++ b/load/src/lib.rs
@@ -4,7 +4,7 @@
 //! `scenario` says what a run is; `schedule` lays out every request ahead, from the scenario and a seed alone;
 //! `generator` is the clients, without I/O or a clock of its own; `driver` puts them on sockets. `records` holds what
 //! became of every try, `summary` what follows from it (`bounds` the quotas over the fleet), `report` what a person looks at. `trace` replays what was
-//! recorded elsewhere, and `trial` starts limiters in an emulated world. `fleet` plays the decision module alone, a hundred times, on driven
+//! recorded elsewhere, and `trial` starts limiters in an emulated world, and `pauses` stops and resumes them. `fleet` plays the decision module alone, a hundred times, on driven
 //! time.
 
 pub mod bounds;
@@ -12,6 +12,7 @@
 pub mod driver;
 pub mod fleet;
 pub mod generator;
+pub mod pauses;
 pub mod records;
 pub mod report;
 pub mod scenario;
--- /dev/null
+++ b/load/src/pauses.rs
@@ -0,0 +1,112 @@
+//! Limiters that stand still and go on (SIGSTOP, SIGCONT), by the scenario's plan of faults: the grey failure, in
+//! which a process keeps its sockets and its state while time passes it by. A thread of its own sends the signals
+//! at their times; all that was stopped is let go on before the limiters are told to end.
+
+use std::sync::{Arc, Mutex};
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use rustix::process::{Pid, Signal, kill_process};
+use standins::faults::{Kind, Party, turns};
+use standins::plan::WorldPlan;
+
+use crate::Micros;
+
+/// Signals to processes by the plan; dropped or ended, it lets all go on.
+pub struct Pauses {
+    /// Held while a signal is sent; true once the pauses are over, so that nothing is stopped after.
+    ended: Arc<Mutex<bool>>,
+    pids: Vec<i32>,
+    thread: Option<JoinHandle<u64>>,
+}
+
+fn signal(pid: i32, signal: Signal) {
+    if let Some(pid) = Pid::from_raw(pid) {
+        // One that has ended already is not there to be told.
+        let _ = kill_process(pid, signal);
+    }
+}
+
+impl Pauses {
+    /// Begins now with the load, for `span`; `pids` are the limiters' by their numbers.
+    pub fn begin(plan: &WorldPlan, pids: Vec<i32>, span: Micros) -> Pauses {
+        let mut rng = ChaCha8Rng::seed_from_u64(0);
+        let laid = turns(&plan.faults, plan.nodes.count, span, &mut rng);
+        let mut laid: Vec<_> = laid.into_iter().filter(|t| t.kind == Kind::Pause).collect();
+        let ended = Arc::new(Mutex::new(false));
+        let (told, known) = (ended.clone(), pids.clone());
+        let start = Instant::now();
+        let thread = (!laid.is_empty()).then(|| {
+            laid.sort_by_key(|t| t.at);
+            thread::spawn(move || {
+                let mut sent = 0;
+                for turn in laid {
+                    let Party::Limiter(number) = turn.party else { continue };
+                    let at = start + Duration::from_micros(turn.at.max(0) as u64);
+                    // Waits in steps, so that the end of the run is not held up by a pause to come.
+                    while Instant::now() < at {
+                        if told.lock().map_or(true, |ended| *ended) {
+                            return sent;
+                        }
+                        thread::sleep((at - Instant::now()).min(Duration::from_millis(50)));
+                    }
+                    let Ok(ended) = told.lock() else { return sent };
+                    let Some(pid) = known.get(number).copied().filter(|_| !*ended) else { return sent };
+                    signal(pid, if turn.begins { Signal::STOP } else { Signal::CONT });
+                    sent += u64::from(turn.begins);
+                }
+                sent
+            })
+        });
+        Pauses { ended, pids, thread }
+    }
+
+    /// Ends the pauses: no more are begun, all are let go on. How many were begun.
+    pub fn end(&mut self) -> u64 {
+        if let Ok(mut ended) = self.ended.lock() {
+            *ended = true;
+        }
+        self.pids.iter().for_each(|pid| signal(*pid, Signal::CONT));
+        self.thread.take().map_or(0, |thread| thread.join().unwrap_or(0))
+    }
+}
+
+impl Drop for Pauses {
+    fn drop(&mut self) {
+        self.end();
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::process::Command;
+
+    fn state(pid: u32) -> Option<char> {
+        let text = std::fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
+        text.rsplit_once(") ")?.1.chars().next()
+    }
+
+    #[test]
+    fn a_limiter_stands_still_for_its_time_and_all_go_on_at_the_end() {
+        let text = r#"{"faults": [{"kind": "pause", "on": "limiter:1", "at_s": 0.05, "for_ms": 60000}]}"#;
+        let plan: WorldPlan = checked::read(text).unwrap();
+        assert!(plan.check(2).is_ok() && plan.check(1).is_err(), "there is no limiter 1 of one");
+        let wrong: WorldPlan = checked::read(&text.replace("limiter:1", "counter")).unwrap();
+        assert!(wrong.check(2).is_err(), "only a limiter pauses");
+        let mut children: Vec<_> = (0..2).map(|_| Command::new("sleep").arg("30").spawn().unwrap()).collect();
+        let pids = children.iter().map(|c| c.id() as i32).collect();
+        let mut pauses = Pauses::begin(&plan, pids, 120_000_000);
+        thread::sleep(Duration::from_millis(400));
+        assert_eq!([state(children[0].id()), state(children[1].id())], [Some('S'), Some('T')]);
+        assert_eq!(pauses.end(), 1);
+        thread::sleep(Duration::from_millis(50));
+        assert_eq!(state(children[1].id()), Some('S'), "let go on before the end of its pause");
+        for child in &mut children {
+            child.kill().unwrap();
+            child.wait().unwrap();
+        }
+    }
+}
--- a/load/src/trial.rs
+++ b/load/src/trial.rs
@@ -14,6 +14,7 @@
 use standins::world::{Counts, Service};
 use tempfile::TempDir;
 
+use crate::pauses::Pauses;
 use crate::scenario::Scenario;
 
 /// A limiter must be ready within this.
@@ -49,6 +50,7 @@
 pub struct Trial {
     world: Option<Serving>,
     limiters: Vec<Limiter>,
+    pauses: Option<Pauses>,
     _folder: TempDir,
 }
 
@@ -156,7 +158,7 @@
             limiters.push(Limiter::start(program, [&path, &shared], number, logs)?);
         }
         limiters.iter().enumerate().try_for_each(|(number, l)| l.ready(number))?;
-        Ok(Trial { world: Some(world), limiters, _folder: folder })
+        Ok(Trial { world: Some(world), limiters, pauses: None, _folder: folder })
     }
 
     /// Where the limiters listen.
@@ -164,11 +166,14 @@
         self.limiters.iter().map(|l| l.address).collect()
     }
 
-    /// The load begins.
-    pub fn begin(&self, scenario: &Scenario) {
+    /// The load begins, and with it the faults of the world and the pauses of limiters.
+    pub fn begin(&mut self, scenario: &Scenario) {
+        let span = (scenario.seconds * 1e6) as crate::Micros;
         if let Some(world) = &self.world {
-            world.begin((scenario.seconds * 1e6) as crate::Micros);
+            world.begin(span);
         }
+        let pids = self.limiters.iter().map(|l| l.child.id() as i32).collect();
+        self.pauses = Some(Pauses::begin(&scenario.world, pids, span));
     }
 
     /// CPU time that each limiter has used so far, in microseconds; 0 where the system doesn't say.
@@ -182,6 +187,11 @@
 
     /// Ends the limiters, then the world; what arrived there.
     pub fn stop(mut self) -> Counts {
+        // A limiter that stands still would not hear that it is to end.
+        let paused = self.pauses.take().map_or(0, |mut pauses| pauses.end());
+        if paused > 0 {
+            tracing::info!(paused, "limiters were paused");
+        }
         for limiter in &self.limiters {
             if let Some(pid) = rustix::process::Pid::from_raw(limiter.child.id() as i32) {
                 // One that has ended already is not there to be told.
--- a/standins/src/faults.rs
+++ b/standins/src/faults.rs
@@ -34,6 +34,9 @@
     Replace,
     /// Nothing passes between one limiter and the party, either way.
     Partition,
+    /// A limiter's process stands still (SIGSTOP) and goes on (SIGCONT) with all it had: the grey failure. Done by
+    /// whoever started the limiters; the world has no part in it.
+    Pause,
 }
 
 /// Who is struck.
@@ -47,18 +50,22 @@
     Counter,
     /// Discovery.
     Discovery,
+    /// A limiter, by its number.
+    Limiter(usize),
 }
 
 impl FromStr for Party {
     type Err = String;
 
     fn from_str(text: &str) -> Result<Party, String> {
-        let bad = || format!("'{text}' is none of 'node:N', 'nodes:SHARE', 'counter', 'discovery'");
+        let bad =
+            || format!("'{text}' is none of 'node:N', 'nodes:SHARE', 'counter', 'discovery', 'limiter:N'");
         match text.split_once(':') {
             None if text == "counter" => Ok(Party::Counter),
             None if text == "discovery" => Ok(Party::Discovery),
             Some(("node", number)) => number.parse().map(Party::Node).map_err(|_| bad()),
             Some(("nodes", share)) => share.parse().map(Party::Nodes).map_err(|_| bad()),
+            Some(("limiter", number)) => number.parse().map(Party::Limiter).map_err(|_| bad()),
             _ => Err(bad()),
         }
     }
@@ -71,6 +78,7 @@
             Party::Nodes(share) => write!(f, "nodes:{share}"),
             Party::Counter => f.write_str("counter"),
             Party::Discovery => f.write_str("discovery"),
+            Party::Limiter(number) => write!(f, "limiter:{number}"),
         }
     }
 }
@@ -155,6 +163,14 @@
         if matches!(self.kind, Kind::Drain | Kind::Replace) && !node {
             return Err(Fault::at("on", "only records nodes drain or are replaced"));
         }
+        if (self.kind == Kind::Pause) != matches!(self.on, Party::Limiter(_)) {
+            return Err(Fault::at("on", "only a limiter pauses, and a limiter does nothing else"));
+        }
+        if let Party::Limiter(number) = self.on
+            && number >= limiters
+        {
+            return Err(Fault::at("on", format!("there is no limiter {number}")));
+        }
         if self.kind == Kind::Partition && self.limiter >= limiters {
             return Err(Fault::at("limiter", format!("there is no limiter {}", self.limiter)));
         }
--- a/standins/src/world.rs
+++ b/standins/src/world.rs
@@ -463,7 +463,7 @@
             Party::Node(number) => Service::Node(number),
             Party::Counter => Service::Counter,
             Party::Discovery => Service::Discovery,
-            Party::Nodes(_) => return,
+            Party::Nodes(_) | Party::Limiter(_) => return,
         };
         if self.gate(service).gone {
             return;
@@ -518,6 +518,8 @@
                 let cut = self.cut.entry((service, turn.limiter)).or_insert(until);
                 *cut = (*cut).max(until);
             }
+            // Only a limiter pauses, and that is not the world's to do.
+            Kind::Pause => {}
         }
     }
 
