Load tests: a counter back empty grants no window twice, on four processes

Every limiter logs `counter lost: requests pass` and `counter is back`: a limiter goes by what it knows for up to a second after the counter returns (LOST_PROBE); a quarter of a 4 s window.

Checked and ruled out: that the test guards `Meter::learn`'s own adds standing in for a lost total.

The limiter is unchanged.

--- a/load/tests/faults.rs
+++ b/load/tests/faults.rs
@@ -3,12 +3,17 @@
 
 use std::path::Path;
 use std::process::{Command, Stdio};
+use std::sync::Mutex;
 use std::thread;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_streamarch-load");
+const LOST: &str = include_str!("../scenarios/faults/counter-lost-short.json");
+const CRASH: &str = include_str!("../scenarios/faults/counter-crash-short.json");
+/// Runs side by side disturb each other's figures: one test's runs at a time.
+static BENCH: Mutex<()> = Mutex::new(());
 
-/// The worst ratio of served to quota, window by window, of a run with this file of shared state.
-fn by_window(shared: &'static str) -> Vec<f64> {
+/// The worst ratio of served to quota, window by window, of a run of this scenario with this file of shared state.
+fn by_window(scenario_text: &'static str, shared: &'static str) -> Vec<f64> {
     let limiter = Path::new(PROGRAM).with_file_name("streamarch");
     assert!(
         limiter.exists(),
@@ -16,8 +21,8 @@
         limiter.display()
     );
     let folder = tempfile::tempdir().unwrap();
-    let (scenario, file) = (folder.path().join("lost.json"), folder.path().join("shared.json"));
-    std::fs::write(&scenario, include_str!("../scenarios/faults/counter-lost-short.json")).unwrap();
+    let (scenario, file) = (folder.path().join("scenario.json"), folder.path().join("shared.json"));
+    std::fs::write(&scenario, scenario_text).unwrap();
     std::fs::write(&file, shared).unwrap();
     let output = Command::new(PROGRAM)
         .args(["run", &scenario.display().to_string(), "--json", "--shared", &file.display().to_string()])
@@ -38,9 +43,22 @@
 /// as DESIGN has it, the fleet grants a multiple.
 #[test]
 fn without_the_counter_slices_keep_the_fleet_within_its_quotas() {
-    let open = thread::spawn(|| by_window("{}"));
-    let sliced = by_window(r#"{"counter_lost": "slices"}"#);
+    let _alone = BENCH.lock().unwrap_or_else(|e| e.into_inner());
+    let open = thread::spawn(|| by_window(LOST, "{}"));
+    let sliced = by_window(LOST, r#"{"counter_lost": "slices"}"#);
     let open = open.join().unwrap();
     assert!(sliced[1..3].iter().all(|r| *r <= 1.10), "with slices: {sliced:?}");
     assert!(open[1..3].iter().any(|r| *r > 1.25), "open: {open:?}");
 }
+
+/// Guards a counter that comes back empty: four limiters, the counter dead at 6 s for 500 ms and back with no counts,
+/// windows of 4 s, the program as `run` has it. The windows after it is back stay within 1.10 (0.77 to 1.04 by hand):
+/// no window is granted twice. The window of the crash itself is not asked for: the limiters let requests pass until
+/// they see the counter back (1.25 to 1.39 by hand). Nor does this show which part holds the bound: with the own adds
+/// no longer standing in for a lost total (`Meter::learn`) it still passes.
+#[test]
+fn a_counter_back_empty_grants_no_window_twice() {
+    let _alone = BENCH.lock().unwrap_or_else(|e| e.into_inner());
+    let open = by_window(CRASH, "{}");
+    assert!(open[2..].iter().all(|r| *r <= 1.10), "after the crash: {open:?}");
+}
