--- a/standins/src/world.rs
+++ b/standins/src/world.rs
@@ -109,6 +109,10 @@
     pub spoilt: u64,
     /// Calls of the counter.
     pub calls: u64,
+    /// Calls of the counter by limiter, second by second from instant 0: who calls it when. Bounded by the run's
+    /// length and the limiters' count.
+    #[serde(default)]
+    pub calls_by: Vec<Vec<u64>>,
     /// Probes.
     pub probes: u64,
 }
@@ -338,6 +342,12 @@
     /// A call of the counter has arrived whole.
     pub fn count(&mut self, now: Micros, limiter: usize, token: u64, call: Call<'_>) {
         self.counts.calls += 1;
+        let second = usize::try_from(now / 1_000_000).unwrap_or(0);
+        let by = &mut self.counts.calls_by;
+        by.resize_with(by.len().max(limiter + 1), Vec::new);
+        let seconds = &mut by[limiter];
+        seconds.resize(seconds.len().max(second + 1), 0);
+        seconds[second] += 1;
         let held = Held::Count(token, call.name.to_string(), call.delta, call.life);
         self.come(now, Service::Counter, limiter, held);
     }
--- a/standins/tests/world.rs
+++ b/standins/tests/world.rs
@@ -57,6 +57,7 @@
     assert_eq!(until(&mut world, 2 * SECOND), [(2 * SECOND, Word::Open(Service::Counter))]);
     world.count(2 * SECOND, 0, 2, call);
     assert_eq!(until(&mut world, 3 * SECOND)[0].1, Word::Answer(2, Reply::Total(3.0)));
+    assert_eq!(world.counts().calls_by, [vec![1, 0, 1]], "calls by limiter, second by second");
 }
 
 #[test]
