Host: a request read together with its client's end makes no call of the counter

At fault: `read` in limiter/src/net/host/mod.rs hands what was read to `read_request` before it looks at `Come::End`, and only then abandons the connection (`broken`). A client that gave up while the limiter stood still left its request and its end in the socket together; each was handed to the engine, which called the counter, and was abandoned just after. Now such a request is not handed in; the connection is abandoned as before, so nothing else changes for it.

Test `a_request_read_with_its_clients_end_after_a_pause_makes_no_call` (limiter/tests/process.rs): stops the process, sends three requests and closes, lets it go on; no call and no leg. It fails with the old line (checked), passes three runs in a row with the new.

--why: after a pause a limiter called the counter for clients long gone and starved the others' calls.

--- a/limiter/src/net/host/mod.rs
+++ b/limiter/src/net/host/mod.rs
@@ -850,7 +850,10 @@
         for _ in 0..self.limits.read_rounds.max(1) {
             let Some(come) = self.fill(key) else { return };
             match self.connections.get(key).map(|c| (c.role, c.input.is_empty())) {
-                Some((Role::Acquirer { .. }, false)) => self.read_request(key),
+                // Danger: a client that has gone (its end read with its request, as after a pause) is abandoned just
+                // below; handed in, its request would first cost a call of the counter, and a burst of them starves
+                // the other limiters' calls.
+                Some((Role::Acquirer { .. }, false)) if !matches!(come, Come::End) => self.read_request(key),
                 Some((Role::Server { .. }, false)) => self.read_answer(key),
                 Some((Role::Counter(line), false)) => self.read_totals(key, line),
                 Some((Role::Watch, false)) => self.read_watch(key),
--- a/limiter/tests/process.rs
+++ b/limiter/tests/process.rs
@@ -340,3 +340,28 @@
     let (whole, said) = call(&["verify"], &[&ledger], &[]);
     assert!(!whole && said.contains("damaged at byte "), "{said}");
 }
+
+/// Guards what a limiter that stood still does with requests whose clients gave up meanwhile: the request and the
+/// client's end are read together, and the request costs no call of the counter. A burst of such calls after a
+/// pause starved the other limiters' calls (`docs/shared-state.md`).
+#[test]
+fn a_request_read_with_its_clients_end_after_a_pause_makes_no_call() {
+    let folder = tempfile::tempdir().unwrap();
+    let (server, counter) = (StandIn::start(|_, _| ok("served")), counter());
+    let socket = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = socket.local_addr().unwrap();
+    let text = config(&[server.address], counter.address).replace("127.0.0.1:0", &address.to_string());
+    let mut process = Version::start(folder.path(), &text, &socket);
+    process.ready();
+    process.signal("STOP");
+    for n in 0..3 {
+        let mut gone = std::net::TcpStream::connect(address).unwrap();
+        gone.write_all(lookup(&format!("gone-{n}")).as_bytes()).unwrap();
+    }
+    process.signal("CONT");
+    thread::sleep(Duration::from_millis(300));
+    assert_eq!((counter.count(), server.count()), (0, 0), "no call and no leg for a client that has gone");
+    assert_eq!(ask(address, &lookup("here")).status, 200, "it serves on");
+    process.signal("TERM");
+    assert!(process.ended());
+}
