Refusals before the list is known, and for quotas, say when to come back

Cause: after all machines lose power a proxy knows its configuration for a second before any server. It judged quotas and declined; over-quota refusals of a large tenant said to stay away for 2 ms, the next unit's time. Clients used up their tries within milliseconds.

Change: without any server 503 with 0.35 to 1.05 s; over quota at least 0.15 to 0.45 s (new setting, 0 in service).

--- a/sluice/src/host/clients.rs
+++ b/sluice/src/host/clients.rs
@@ -18,6 +18,9 @@
 const WINDOW: usize = 128 * 1024;
 /// Where the module gives no advice, and for requests that came before the configuration did.
 const STAY_AWAY: Micros = 200 * MS;
+/// The same, on the average, from a proxy that was told nothing yet: after all have lost power the list of servers is
+/// back within a second.
+const START_AWAY: Micros = 700 * MS;
 /// A request ends so long before its client gives up: the way back takes time.
 const MARGIN: Micros = 12 * MS;
 
@@ -192,7 +195,10 @@
 
     fn admit(&mut self, now: Micros, key: WireKey, head: RequestHead, body: Vec<u8>) -> Result<(), Own> {
         if !self.book.serves() {
-            return Err(away(503, STAY_AWAY, "no configuration yet"));
+            return Err(away(503, start_away(), "no configuration yet"));
+        }
+        if !self.yard.any() {
+            return Err(away(503, start_away(), "no server is known yet"));
         }
         let host = head.headers.get("Host").ok_or(own(400, "Host"))?;
         let route = self.book.route(host, &head.target).ok_or(own(404, "no route"))?.clone();
@@ -358,6 +364,13 @@
     chosen.or_else(positive).map(|(svc, _)| svc.to_string())
 }
 
+/// Danger: told the same time, all that came to a proxy that has just started would come back together; and told a
+/// short one, they would use up their tries before it knows more.
+fn start_away() -> Micros {
+    let spread = 0.5 + fastrand::f64();
+    (START_AWAY as f64 * spread) as Micros
+}
+
 /// The regions that both allow; none named: everywhere. None at all: nowhere.
 fn pins(route: &[String], tenant: &[String]) -> Option<Vec<String>> {
     match (route.is_empty(), tenant.is_empty()) {
--- a/sluice/src/manifold.rs
+++ b/sluice/src/manifold.rs
@@ -40,6 +40,9 @@
 const JUDGING_AIM: Micros = 10 * SECOND;
 /// Longest time that clients are told to stay away.
 const STAY_AWAY: Micros = SECOND;
+/// Who is over its quota is told to stay away for about this at the least. A large tenant's next unit is there after
+/// milliseconds, and all that it has would come back for it at once, each client until its tries are used up.
+const LEAST_AWAY: Micros = 300 * MS;
 /// What a tenant may have on top is a part of its burst: a count that was lost with its holder starts full.
 const BURST_SHARE: f64 = 0.55;
 /// Share of the rules' bounds on further tries that is used: the rest is for windows that slide and clocks that differ.
@@ -195,6 +198,7 @@
         lost_slices: true,
         slice_first: true,
         first_bound: ALL,
+        least_away: LEAST_AWAY,
         max_attempts: 1,
         ..settings(ASKERS)
     };
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -176,6 +176,8 @@
     pub may_tell: bool,
     /// Longest time to stay away that a client honours.
     pub max_retry_after: Micros,
+    /// Clients refused for their quota are told to stay away for about this at the least.
+    pub least_away: Micros,
     /// A cold server starts with this share of its capacity or more...
     pub cold_from: f64,
     /// ...and is warm no later than this.
--- a/src/policy/requests.rs
+++ b/src/policy/requests.rs
@@ -94,7 +94,7 @@
         };
         let most = if self.settings.retry_after { self.settings.max_retry_after } else { 0 };
         let plan = self.settings.plans.get(held.request.plan).filter(|p| held.denied && p.rate > 0.0);
-        let refill = |p: &Plan| held.request.units / p.rate * SECOND as f64;
+        let refill = |p: &Plan| (held.request.units / p.rate * 1e6).max(self.settings.least_away as f64);
         // Danger: told the same time, all that were refused come back together. A place comes free in about
         // the time of an answer; later than the aim allows, a return is of no use.
         let time = plan.map_or(self.work_of(held.request.class), refill) * (0.5 + chance);
