--- a/headworks/src/core/members.rs
+++ b/headworks/src/core/members.rs
@@ -98,10 +98,14 @@
         let span = if in_touch { limits::LEASE } else { limits::LEASE_ALONE };
         self.hearsay.retain(|_, hearsay| now - hearsay.heard <= span);
         self.own.retain(|_, lease| now - lease.heard <= limits::LEASE);
-        let served = self.all().into_iter().filter(|told| told.standing != Standing::Away);
-        let served: Vec<String> = served.map(|told| told.edge.node.clone()).collect();
+        let (away, served): (Vec<&Told>, Vec<&Told>) =
+            self.all().into_iter().partition(|told| told.standing == Standing::Away);
+        let node = |told: &&Told| told.edge.node.clone();
+        let (away, served): (Vec<String>, Vec<String>) =
+            (away.iter().map(node).collect(), served.iter().map(node).collect());
         self.lately.extend(served.into_iter().map(|node| (node, now)));
-        self.lately.retain(|_, at| now - *at <= limits::LATELY);
+        // Who says that it leaves uses no slice any more.
+        self.lately.retain(|node, at| now - *at <= limits::LATELY && !away.contains(node));
         self.settle()
     }
 
@@ -152,3 +156,28 @@
         best.into_values().map(|(_, told)| told).collect()
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use std::net::SocketAddr;
+
+    use super::*;
+
+    #[test]
+    fn an_edge_that_falls_silent_counts_for_a_while_and_one_that_leaves_does_not() {
+        let mut members = Members::default();
+        let (zone, region, http) = (String::new(), String::new(), SocketAddr::from(([10, 0, 0, 1], 80)));
+        let edge =
+            |node: &str| Edge { node: node.to_string(), zone: zone.clone(), region: region.clone(), http };
+        for (link, node) in [(1, "a"), (2, "b")] {
+            members.hello(0, link, edge(node));
+            members.beat(0, link, Standing::Ready);
+        }
+        members.expire(0, true);
+        members.beat(100, 1, Standing::Away);
+        members.expire(limits::LEASE + 1, true);
+        assert_eq!((members.all().len(), members.lately()), (1, 1));
+        members.expire(limits::LATELY + 1, true);
+        assert_eq!(members.lately(), 0);
+    }
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -176,7 +176,7 @@
     pub may_tell: bool,
     /// Longest time to stay away that a client honours.
     pub max_retry_after: Micros,
-    /// Clients refused for their quota are told to stay away for about this at the least.
+    /// While the counter is lost, clients refused for their quota are told to stay away for about this at the least.
     pub least_away: Micros,
     /// A cold server starts with this share of its capacity or more...
     pub cold_from: f64,
--- a/src/policy/requests.rs
+++ b/src/policy/requests.rs
@@ -94,12 +94,13 @@
         };
         let most = if self.settings.retry_after { self.settings.max_retry_after } else { 0 };
         let plan = self.settings.plans.get(held.request.plan).filter(|p| held.denied && p.rate > 0.0);
-        let refill = |p: &Plan| (held.request.units / p.rate * 1e6).max(self.settings.least_away as f64);
+        let least = if self.counter_lost() { self.settings.least_away as f64 } else { 0.0 };
+        let refill = |p: &Plan| (held.request.units / p.rate * SECOND as f64).max(least);
         // Danger: told the same time, all that were refused come back together. A place comes free in about
         // the time of an answer; later than the aim allows, a return is of no use.
         let time = plan.map_or(self.work_of(held.request.class), refill) * (0.5 + chance);
-        let stay_away = (time as Micros).min(most);
-        let shed = Action::Shed { request: id, stay_away, over_quota: held.denied };
+        let shed =
+            Action::Shed { request: id, stay_away: (time as Micros).min(most), over_quota: held.denied };
         self.actions.push(if harmless { shed } else { Action::Fail(id) });
         self.close(id);
     }
