--- a/headworks/src/core/agreement.rs
+++ b/headworks/src/core/agreement.rs
@@ -13,6 +13,9 @@
 use crate::calls::{Command, Reply};
 use crate::limits;
 
+/// Why no change is taken: operators are to look at this seat's disk.
+const DISK: &str = "the disk of this seat is full or fails: it takes no writes";
+
 /// A reading of all registers by more than half of the seats: nothing that was acknowledged can be missing in it.
 #[derive(Clone, Debug)]
 pub(super) struct Reading {
@@ -54,7 +57,7 @@
         } else if !self.seats.in_touch(now) {
             Some("more than half of the seats are out of touch")
         } else if self.full && command != Command::Get {
-            Some("the disk of this seat is full")
+            Some(DISK)
         } else {
             None
         };
@@ -122,12 +125,9 @@
         for number in numbers {
             let Some(round) = self.rounds.get(&number) else { continue };
             if now >= round.deadline || !self.seats.takes_part() {
-                self.over(
-                    now,
-                    number,
-                    Some(Reply::Unavailable("no answer of more than half of the seats")),
-                    out,
-                );
+                // The others' votes may do without this seat's; where they did not, its disk is what is to be mended.
+                let why = if self.full { DISK } else { "no answer of more than half of the seats" };
+                self.over(now, number, Some(Reply::Unavailable(why)), out);
                 continue;
             }
             let names = if self.rounds.len() > 1 { round.names() } else { Vec::new() };
--- /dev/null
+++ b/headworks/src/disk/log.rs
@@ -0,0 +1,141 @@
+//! A look at SQLite's log before SQLite itself reads it. SQLite takes the first frame that does not match its checksum
+//! for the end of the log; what follows is gone without a word. That is right after a loss of power, and wrong where
+//! what was synced is harmed.
+//!
+//! A commit is synced before the next one begins to be written. So only the last commit can be torn by a loss of power:
+//! where a later one follows the bad frame, what was synced is harmed. Of the last commit itself harm and tear can't be
+//! told apart: then what it wrote is missing, as a whole.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+const HEAD: usize = 32;
+const FRAME: usize = 24;
+const MAGIC: u32 = 0x377f_0682;
+const SECTOR: usize = 512;
+/// A commit of more frames may have had more pages than the cache holds, and those are written more than once.
+const FEW: usize = 64;
+
+/// What a log holds.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(super) struct Log {
+    /// Newest content of each page, by where it stands in the log.
+    pub pages: BTreeMap<u32, usize>,
+    /// Pages of the database after the last commit.
+    pub size: Option<u32>,
+    /// Commits, and the frames of these.
+    pub commits: usize,
+    pub frames: usize,
+    /// Why it can't be trusted.
+    pub harm: Option<String>,
+}
+
+fn word(bytes: &[u8], at: usize) -> u32 {
+    bytes.get(at..at + 4).and_then(|word| word.try_into().ok()).map_or(0, u32::from_be_bytes)
+}
+
+/// SQLite's checksum, on top of that of what came before.
+fn sum(bytes: &[u8], big: bool, before: (u32, u32)) -> (u32, u32) {
+    let word = |word: &[u8]| {
+        let word = word.try_into().unwrap_or_default();
+        if big { u32::from_be_bytes(word) } else { u32::from_le_bytes(word) }
+    };
+    bytes.chunks_exact(8).fold(before, |(one, two), pair| {
+        let one = one.wrapping_add(word(&pair[..4])).wrapping_add(two);
+        (one, two.wrapping_add(word(&pair[4..])).wrapping_add(one))
+    })
+}
+
+/// A place for a frame, whatever stands there.
+#[derive(Clone, Copy)]
+struct Slot {
+    at: usize,
+    page: u32,
+    commit: u32,
+    salts: u64,
+}
+
+impl Slot {
+    /// Page, mark and salts are of one sector, and so of one write.
+    fn whole(&self) -> bool {
+        self.at % SECTOR + 16 <= SECTOR
+    }
+}
+
+fn slots(log: &[u8], page: usize) -> Vec<Slot> {
+    let slots = log.len().saturating_sub(HEAD) / (FRAME + page);
+    let slot = |number: usize| {
+        let at = HEAD + number * (FRAME + page);
+        let salts = u64::from(word(log, at + 8)) << 32 | u64::from(word(log, at + 12));
+        Slot { at, page: word(log, at), commit: word(log, at + 4), salts }
+    };
+    (0..slots).map(slot).collect()
+}
+
+/// The page whose frame stands there.
+pub(super) fn content(log: &[u8], at: usize, page: usize) -> &[u8] {
+    &log[at + FRAME..at + FRAME + page]
+}
+
+/// Reads a log. `page`: the size of the database's pages; `stands`: whether a page of the file has this content.
+pub(super) fn read(log: &[u8], page: usize, stands: impl Fn(u32, &[u8]) -> bool) -> Log {
+    let mut read = Log::default();
+    if log.len() < HEAD || page == 0 {
+        return read;
+    }
+    let slots = slots(log, page);
+    let content = |at: usize| content(log, at, page);
+    let big = word(log, 0) & 1 == 1;
+    let mut sums = sum(&log[..24], big, (0, 0));
+    let whole = word(log, 0) & !1 == MAGIC && sums == (word(log, 24), word(log, 28));
+    if !whole || word(log, 8) as usize != page {
+        // The head is torn where the log begins anew; then all that the log held before is in the file by now.
+        let first = slots.first().map(|slot| slot.salts);
+        let run: Vec<Slot> = slots.iter().copied().take_while(|slot| Some(slot.salts) == first).collect();
+        let ends = run.iter().rposition(|slot| slot.commit != 0).map_or(0, |last| last + 1);
+        let newest: BTreeMap<u32, usize> = run[..ends].iter().map(|slot| (slot.page, slot.at)).collect();
+        let lacks = newest.iter().any(|(number, at)| !stands(*number, content(*at)));
+        if lacks || (ends == 0 && !slots.is_empty()) {
+            read.harm =
+                Some("the head of the log is harmed, and the file lacks what the log holds".to_string());
+        }
+        return read;
+    }
+    let salts = u64::from(word(log, 16)) << 32 | u64::from(word(log, 20));
+    let mut open = BTreeMap::new();
+    let mut good = 0;
+    for slot in &slots {
+        let (head, content) = (&log[slot.at..slot.at + 8], content(slot.at));
+        sums = sum(content, big, sum(head, big, sums));
+        let told = (word(log, slot.at + 16), word(log, slot.at + 20));
+        if slot.salts != salts || told != sums || slot.page == 0 {
+            break;
+        }
+        good += 1;
+        open.insert(slot.page, slot.at);
+        if slot.commit != 0 {
+            read.pages.append(&mut open);
+            read.size = Some(slot.commit);
+            read.commits += 1;
+            read.frames = good;
+        }
+    }
+    // One bit or two are no other log's salts: those are drawn by chance.
+    let own = |slot: &&Slot| (slot.salts ^ salts).count_ones() <= 2;
+    let (mut over, mut known) = (false, BTreeSet::new());
+    for slot in slots[good..].iter().filter(own) {
+        let newer = |at: &usize| content(*at) != content(slot.at) && stands(slot.page, content(slot.at));
+        if over {
+            read.harm = Some(format!("frame {good} of the log is harmed, and a later commit follows"));
+        } else if read.pages.get(&slot.page).is_some_and(newer) {
+            read.harm = Some(format!("frame {good} of the log is harmed, and the file holds what followed"));
+        }
+        over |= slot.commit != 0 && slot.whole();
+    }
+    // The mark of a commit may be harmed itself; but a commit of few pages writes none of them twice.
+    let tail: Vec<&Slot> = slots[read.frames..].iter().filter(own).collect();
+    let twice = tail.iter().any(|slot| slot.whole() && !known.insert(slot.page));
+    if good < slots.len() && tail.len() <= FEW && twice && read.harm.is_none() {
+        read.harm = Some(format!("frame {good} of the log is harmed, and more than one commit follows"));
+    }
+    read
+}
--- /dev/null
+++ b/headworks/src/disk/mod.rs
@@ -0,0 +1,267 @@
+//! The database: one thread owns it, works through a queue of writes, and tells the loop when they are on disk. What
+//! waits is grouped into one commit, as each costs a sync of the disk.
+//!
+//! Files are trusted only as far as they can be checked: `log` looks at SQLite's log before SQLite does, SQLite checks
+//! its own pages, and each row has a checksum. What fails is put aside ([`Opened::lost`]), and the seat counts as empty.
+//! A file of a newer schema version is refused and not touched. `docs/disk.md` says what each line of the log means.
+
+mod aside;
+mod log;
+mod queue;
+mod rows;
+mod schema;
+#[cfg(test)]
+mod trials;
+mod verify;
+
+use std::fs::File;
+use std::io;
+use std::os::unix::fs::FileExt;
+use std::path::Path;
+
+use eyre::{WrapErr, eyre};
+use rusqlite::config::DbConfig;
+use rusqlite::{Connection, ErrorCode, OpenFlags, ffi};
+
+use crate::core::letters::Life;
+use crate::core::{Restored, Row};
+
+pub use self::queue::{Heard, Order, spawn};
+pub use self::rows::{Fault, Harm};
+pub use self::schema::NEWEST;
+pub use self::verify::{Report, verify, verify_file};
+
+/// Its file in the data folder.
+const FILE: &str = "headworks.db";
+
+/// The database.
+pub struct Store {
+    connection: Connection,
+}
+
+/// What a store was opened with.
+pub struct Opened {
+    /// The database.
+    pub store: Store,
+    /// What it held.
+    pub restored: Restored,
+    /// Why what was there was put aside, and where it is, if it was.
+    pub lost: Option<String>,
+}
+
+/// How files are reached: as they are, or by way of a test.
+#[derive(Clone, Copy)]
+struct Reach {
+    vfs: Option<&'static str>,
+    sync: fn(&Path) -> io::Result<()>,
+}
+
+impl Reach {
+    const PLAIN: Reach = Reach { vfs: None, sync: aside::sync };
+}
+
+/// Whether an error says that the files are harmed, and not that the disk takes or gives nothing now.
+fn harmed(error: &eyre::Report) -> bool {
+    use rusqlite::Error;
+    error.chain().any(|cause| match cause.downcast_ref::<Error>() {
+        None => cause.is::<Harm>(),
+        // A place that can't be read any more is lost, as one that reads wrongly.
+        Some(Error::SqliteFailure(error, _)) => match error.code {
+            ErrorCode::DatabaseCorrupt | ErrorCode::NotADatabase | ErrorCode::TypeMismatch => true,
+            _ => matches!(error.extended_code, ffi::SQLITE_IOERR_READ | ffi::SQLITE_ERROR),
+        },
+        Some(Error::SqlInputError { .. } | Error::QueryReturnedNoRows) => true,
+        Some(Error::InvalidColumnType(..) | Error::IntegralValueOutOfRange(..)) => true,
+        Some(_) => false,
+    })
+}
+
+fn length(path: &Path) -> io::Result<Option<u64>> {
+    match std::fs::metadata(path) {
+        Ok(metadata) => Ok(Some(metadata.len())),
+        Err(error) if error.kind() == io::ErrorKind::NotFound => Ok(None),
+        Err(error) => Err(error),
+    }
+}
+
+/// The size of the pages, as a file's head says.
+fn page_size(head: &[u8]) -> usize {
+    match head.get(16..18) {
+        Some([0, 1]) => 65_536,
+        Some([high, low]) => usize::from(*high) << 8 | usize::from(*low),
+        _ => 0,
+    }
+}
+
+/// What is wrong with the head of a file.
+fn head_harm(head: &[u8]) -> Option<&'static str> {
+    if head.len() < 100 {
+        return Some("the file is cut short");
+    }
+    if !head.starts_with(b"SQLite format 3\0") || page_size(head) < 512 {
+        return Some("the file is no database");
+    }
+    // Of another number there SQLite makes a file that is only read.
+    let formats = head[18..20].iter().all(|format| (1..=2).contains(format));
+    (!formats).then_some("the head of the file names formats that are none")
+}
+
+/// What SQLite itself would pass over without a word, and a newer version.
+fn look(folder: &Path) -> eyre::Result<()> {
+    let path = |end: &str| folder.join(format!("{FILE}{end}"));
+    let step = || format!("disk: looking at {}", path("").display());
+    if length(&path("-journal")).wrap_err_with(step)?.is_some_and(|length| length > 0) {
+        // Cut in the first moment of all: SQLite takes it back.
+        return Ok(());
+    }
+    let length = length(&path("")).wrap_err_with(step)?;
+    let log = match std::fs::read(path("-wal")) {
+        Ok(log) => log,
+        Err(error) if error.kind() == io::ErrorKind::NotFound => Vec::new(),
+        Err(error) => return Err(error).wrap_err_with(step),
+    };
+    if length.is_none_or(|length| length == 0) {
+        return match log.is_empty() {
+            true => Ok(()),
+            false => Err(Harm::of("the log stands without its file").into()),
+        };
+    }
+    let file = File::open(path("")).wrap_err_with(step)?;
+    let mut head = [0; 100];
+    if file.read_exact_at(&mut head, 0).is_err() {
+        return Err(Harm::of("the file is cut short").into());
+    }
+    if let Some(harm) = head_harm(&head) {
+        return Err(Harm::of(harm).into());
+    }
+    let page = page_size(&head);
+    let stands = |number: u32, content: &[u8]| {
+        let mut there = vec![0; page];
+        let at = u64::from(number.saturating_sub(1)) * page as u64;
+        file.read_exact_at(&mut there, at).is_ok() && there == content
+    };
+    let read = log::read(&log, page, stands);
+    // The schema's version is in the first page.
+    let first = read.pages.get(&1).map(|at| log::content(&log, *at, page));
+    let version = first.unwrap_or(&head).get(60..64).and_then(|word| word.try_into().ok());
+    if version.is_some_and(|version| u32::from_be_bytes(version) > NEWEST) {
+        // SQLite would put a log beside the file even where it only reads: looked at in memory, it stays as it is.
+        verify(folder)?;
+    }
+    match read.harm {
+        Some(harm) => Err(Harm::of(harm).into()),
+        None => Ok(()),
+    }
+}
+
+fn pragma(connection: &Connection, text: &str) -> eyre::Result<String> {
+    let step = || format!("disk: {text}");
+    let mut statement = connection.prepare(text).wrap_err_with(step)?;
+    let mut rows = statement.query([]).wrap_err_with(step)?;
+    let row = rows.next().wrap_err_with(step)?;
+    Ok(row.and_then(|row| row.get::<_, String>(0).ok()).unwrap_or_default())
+}
+
+/// SQLite's own check of a database.
+fn check(connection: &Connection) -> eyre::Result<()> {
+    match pragma(connection, "PRAGMA quick_check")? {
+        whole if whole == "ok" => Ok(()),
+        found => Err(Harm::of(format!("the check says {found:?}")).into()),
+    }
+}
+
+impl Store {
+    fn connect(reach: Reach, folder: &Path) -> eyre::Result<(Store, Restored)> {
+        look(folder)?;
+        let (file, flags) = (folder.join(FILE), OpenFlags::default());
+        let opened = match reach.vfs {
+            None => Connection::open_with_flags(file, flags),
+            Some(vfs) => Connection::open_with_flags_and_vfs(file, flags, vfs),
+        };
+        let mut connection = opened.wrap_err("disk: opening")?;
+        // Danger: what is refused must stay as it is. SQLite would write the log into the file as it closes it.
+        let kept = DbConfig::SQLITE_DBCONFIG_NO_CKPT_ON_CLOSE;
+        connection.set_db_config(kept, true).wrap_err("disk: opening")?;
+        // Danger: exclusive first. Otherwise the log's index lies in mapped memory that processes share.
+        pragma(&connection, "PRAGMA locking_mode=EXCLUSIVE")?;
+        pragma(&connection, "PRAGMA synchronous=FULL")?;
+        let found = schema::found(&connection)?;
+        check(&connection)?;
+        let mode = pragma(&connection, "PRAGMA journal_mode=WAL")?;
+        if mode != "wal" {
+            return Err(eyre!("disk: the journal is {mode:?}, not wal"));
+        }
+        pragma(&connection, "PRAGMA cache_size=-512")?;
+        pragma(&connection, "PRAGMA temp_store=MEMORY")?;
+        pragma(&connection, "PRAGMA journal_size_limit=1048576")?;
+        schema::migrate(&mut connection, found)?;
+        let (restored, faults) = rows::all(&connection, true)?;
+        if !faults.is_empty() {
+            return Err(Harm(faults).into());
+        }
+        connection.set_db_config(kept, false).wrap_err("disk: opening")?;
+        Ok((Store { connection }, restored))
+    }
+
+    /// Opens the database of a folder. `bootstrap`: the whole system starts for the first time, so that an empty disk is
+    /// in order. What can't be trusted is put aside and counts as an empty disk, and then never as a first start.
+    ///
+    /// # Errors
+    /// The folder can't be used, the disk does not write, or the file is of a newer schema version.
+    pub fn open(folder: &Path, bootstrap: bool) -> eyre::Result<Opened> {
+        Store::open_by(Reach::PLAIN, folder, bootstrap)
+    }
+
+    fn open_by(reach: Reach, folder: &Path, bootstrap: bool) -> eyre::Result<Opened> {
+        let step = || format!("disk: folder {}", folder.display());
+        std::fs::create_dir_all(folder).wrap_err_with(step)?;
+        let mut lost = None;
+        let (mut store, mut restored) = match Store::connect(reach, folder) {
+            Ok(found) => found,
+            Err(error) if harmed(&error) => {
+                let kept = aside::put(folder, reach.sync)?;
+                lost = Some(format!("{error:#}; put aside as {}", kept.display()));
+                Store::connect(reach, folder)?
+            }
+            Err(error) => return Err(error),
+        };
+        if restored.own.life == Life::NONE {
+            // What was not written to its end counts for nothing.
+            if restored != Restored::default() {
+                store.clear()?;
+                restored = Restored::default();
+            }
+            if bootstrap && !aside::any(folder) {
+                restored.own.life = Life::FIRST;
+            }
+        }
+        if restored.own.life != Life::NONE {
+            // A ballot must never come twice: each start has a run of its own, on disk before anything is said.
+            restored.own.run += 1;
+            store.commit([&Row::Own(restored.own.clone())])?;
+        }
+        (reach.sync)(folder).wrap_err_with(step)?;
+        Ok(Opened { store, restored, lost })
+    }
+
+    fn clear(&mut self) -> eyre::Result<()> {
+        let step = "disk: clearing";
+        let transaction = self.connection.transaction().wrap_err(step)?;
+        for table in rows::TABLES {
+            transaction.execute(&format!("DELETE FROM {table}"), []).wrap_err(step)?;
+        }
+        transaction.commit().wrap_err(step)
+    }
+
+    /// Writes rows, in order, in one commit. They are on disk once this returns.
+    ///
+    /// # Errors
+    /// The disk does not write. Nothing of it is there then, or it is there in full.
+    pub fn commit<'a>(&mut self, all: impl IntoIterator<Item = &'a Row>) -> eyre::Result<()> {
+        let transaction = self.connection.transaction().wrap_err("disk: beginning")?;
+        for row in all {
+            rows::put(&transaction, row)?;
+        }
+        transaction.commit().wrap_err("disk: committing")
+    }
+}
--- /dev/null
+++ b/headworks/src/disk/queue.rs
@@ -0,0 +1,134 @@
+//! The queue of writes, and the thread that works through it. A disk that refuses a write is tried again with all that
+//! waits: nothing of it is given up, and the loop hears when it begins and when it is over.
+
+use std::collections::BTreeMap;
+use std::sync::mpsc::{self, Receiver, RecvTimeoutError, Sender};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use eyre::WrapErr;
+use mains::items::Name;
+
+use super::{Store, harmed};
+use crate::core::Row;
+use crate::limits;
+
+/// Most writes that go into one commit.
+const GROUP: usize = 64;
+/// Stack of the thread, in bytes.
+const STACK: usize = 512 * 1024;
+
+/// What is to be written, under a number.
+pub type Order = (u64, Vec<Row>);
+
+/// What the loop hears of the disk.
+#[derive(Debug)]
+pub enum Heard {
+    /// What was ordered under this number is on disk. Numbers come in their order.
+    Written(u64),
+    /// The disk refuses writes, and why. What was ordered waits.
+    Refused(eyre::Report),
+    /// It takes writes again.
+    Taken,
+    /// It can't be used any more.
+    Failed(eyre::Report),
+}
+
+/// What row it is: a later one of the same takes its place.
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+enum Place {
+    Own,
+    Register(Name),
+    Chosen(Name),
+}
+
+fn place(row: &Row) -> Place {
+    match row {
+        Row::Own(_) => Place::Own,
+        Row::Register(name, _) => Place::Register(name.clone()),
+        Row::Chosen(_, item) => Place::Chosen(item.name.clone()),
+    }
+}
+
+/// A store and what waits for it.
+pub(super) struct Desk {
+    store: Store,
+    numbers: Vec<u64>,
+    /// Only the newest of each row: a disk that is full for long must not fill the memory.
+    rows: BTreeMap<Place, Row>,
+    refused: bool,
+}
+
+impl Desk {
+    pub(super) fn new(store: Store) -> Desk {
+        Desk { store, numbers: Vec::new(), rows: BTreeMap::new(), refused: false }
+    }
+
+    pub(super) fn order(&mut self, (number, rows): Order) {
+        self.numbers.push(number);
+        self.rows.extend(rows.into_iter().map(|row| (place(&row), row)));
+    }
+
+    /// Rows that wait.
+    #[cfg(test)]
+    pub(super) fn waiting(&self) -> usize {
+        self.rows.len()
+    }
+
+    /// Tries to write all that waits, in one commit.
+    pub(super) fn write(&mut self) -> Vec<Heard> {
+        match self.store.commit(self.rows.values()) {
+            Ok(()) => {
+                self.rows.clear();
+                let again = std::mem::take(&mut self.refused).then_some(Heard::Taken);
+                again.into_iter().chain(self.numbers.drain(..).map(Heard::Written)).collect()
+            }
+            Err(error) if harmed(&error) => vec![Heard::Failed(error)],
+            Err(_) if self.refused => Vec::new(),
+            Err(error) => {
+                self.refused = true;
+                vec![Heard::Refused(error)]
+            }
+        }
+    }
+}
+
+/// Starts the thread that owns the store. `done` hears of each number that is on disk, in order, and of a disk that
+/// refuses.
+///
+/// # Errors
+/// No thread can be started.
+pub fn spawn(store: Store, done: calloop::channel::Sender<Heard>) -> eyre::Result<Sender<Order>> {
+    let (orders, queue) = mpsc::channel();
+    let thread = thread::Builder::new().name("disk".to_string()).stack_size(STACK);
+    thread.spawn(move || serve(Desk::new(store), &queue, &done)).wrap_err("disk: starting its thread")?;
+    Ok(orders)
+}
+
+fn serve(mut desk: Desk, queue: &Receiver<Order>, done: &calloop::channel::Sender<Heard>) {
+    loop {
+        let mut most = GROUP;
+        if desk.refused {
+            // What is ordered meanwhile is taken in, and written with the next try.
+            let next = Instant::now() + Duration::from_micros(limits::DISK_AGAIN as u64);
+            loop {
+                match queue.recv_timeout(next.saturating_duration_since(Instant::now())) {
+                    Ok(order) => desk.order(order),
+                    Err(RecvTimeoutError::Timeout) => break,
+                    Err(RecvTimeoutError::Disconnected) => return,
+                }
+            }
+        } else {
+            let Ok(first) = queue.recv() else { return };
+            desk.order(first);
+            most -= 1;
+        }
+        queue.try_iter().take(most).for_each(|order| desk.order(order));
+        for report in desk.write() {
+            let last = matches!(report, Heard::Failed(_));
+            if done.send(report).is_err() || last {
+                return;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/headworks/src/disk/rows.rs
@@ -0,0 +1,201 @@
+//! Rows as bytes: how each is written, summed up, read and checked.
+
+use std::fmt;
+
+use eyre::WrapErr;
+use mains::items::{Item, Name};
+use rusqlite::types::ValueRef;
+use rusqlite::{Connection, OptionalExtension, Transaction, params};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::core::letters::Ballot;
+use crate::core::registers::Register;
+use crate::core::{Own, Restored, Row};
+
+/// The tables of rows.
+pub(super) const TABLES: [&str; 3] = ["own", "registers", "chosen"];
+
+/// What is wrong with one row, or with the file.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Fault {
+    /// The table; empty where it is not one row.
+    pub table: String,
+    /// The name of the row, as far as it can be read.
+    pub name: String,
+    /// What is wrong.
+    pub what: String,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.table.as_str() {
+            "" => write!(f, "{}", self.what),
+            table => write!(f, "{table} {}: {}", self.name, self.what),
+        }
+    }
+}
+
+/// The files hold what was never written, or not all that was.
+#[derive(Clone, Debug)]
+pub struct Harm(pub Vec<Fault>);
+
+impl Harm {
+    pub(super) fn of(what: impl Into<String>) -> Harm {
+        Harm(vec![Fault { table: String::new(), name: String::new(), what: what.into() }])
+    }
+}
+
+/// Most faults that one line of the log names.
+const NAMED: usize = 16;
+
+impl fmt::Display for Harm {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let named: Vec<String> = self.0.iter().take(NAMED).map(Fault::to_string).collect();
+        write!(f, "{}", named.join("; "))?;
+        match self.0.len().saturating_sub(NAMED) {
+            0 => Ok(()),
+            more => write!(f, "; and {more} more"),
+        }
+    }
+}
+
+impl std::error::Error for Harm {}
+
+/// The checksum of a row. It is over the table and the name as well: a row in another's place is noticed.
+pub(super) fn sum(table: &str, name: &[u8], value: &[u8]) -> u32 {
+    let mut hasher = crc32fast::Hasher::new();
+    hasher.update(table.as_bytes());
+    hasher.update(&(name.len() as u64).to_le_bytes());
+    hasher.update(name);
+    hasher.update(value);
+    hasher.finalize()
+}
+
+fn encode<T: Serialize>(value: &T) -> eyre::Result<Vec<u8>> {
+    postcard::to_allocvec(value).wrap_err("disk: encoding a row")
+}
+
+fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, String> {
+    postcard::from_bytes(bytes).map_err(|error| format!("does not decode: {error}"))
+}
+
+/// How a name is shown that may be harmed itself.
+fn shown(name: &[u8]) -> String {
+    match decode::<Name>(name) {
+        Ok(name) => name.to_string(),
+        Err(_) => name.iter().take(24).map(|byte| format!("{byte:02x}")).collect(),
+    }
+}
+
+/// Writes a row.
+pub(super) fn put(transaction: &Transaction<'_>, row: &Row) -> eyre::Result<()> {
+    let (table, name, value) = match row {
+        Row::Own(own) => ("own", None, encode(own)?),
+        Row::Register(name, register) => ("registers", Some(encode(name)?), encode(register)?),
+        Row::Chosen(ballot, item) => ("chosen", Some(encode(&item.name)?), encode(&(ballot, item))?),
+    };
+    let sum = sum(table, name.as_deref().unwrap_or_default(), &value);
+    let step = || format!("disk: writing {table}");
+    let text = format!("INSERT OR REPLACE INTO {table} VALUES (?1, ?2, ?3)");
+    let mut statement = transaction.prepare_cached(&text).wrap_err_with(step)?;
+    let written = match name {
+        None => statement.execute(params![1, value, sum]),
+        Some(name) => statement.execute(params![name, value, sum]),
+    };
+    written.map(|_| ()).wrap_err_with(step)
+}
+
+fn bytes(value: ValueRef<'_>) -> Result<&[u8], String> {
+    value.as_blob().map_err(|_| "is no bytes".to_string())
+}
+
+/// Hands all rows of a table to `one`, and notes what it finds wrong. `sums`: there are checksums, and they are checked.
+fn each(
+    connection: &Connection,
+    table: &str,
+    sums: bool,
+    faults: &mut Vec<Fault>,
+    mut one: impl FnMut(&[u8], &[u8]) -> Result<(), String>,
+) -> eyre::Result<()> {
+    let step = || format!("disk: reading {table}");
+    let columns = match (table, sums) {
+        ("own", true) => "x'', value, sum",
+        ("own", false) => "x'', value",
+        (_, true) => "name, value, sum",
+        (_, false) => "name, value",
+    };
+    let mut statement = connection.prepare(&format!("SELECT {columns} FROM {table}")).wrap_err_with(step)?;
+    let mut rows = statement.query([]).wrap_err_with(step)?;
+    while let Some(row) = rows.next().wrap_err_with(step)? {
+        let named = row.get_ref(0).wrap_err_with(step)?;
+        let value = row.get_ref(1).wrap_err_with(step)?;
+        let told = if sums { Some(row.get_ref(2).wrap_err_with(step)?) } else { None };
+        let checked = || {
+            let (name, value) = (bytes(named)?, bytes(value)?);
+            match told {
+                Some(told) if told != ValueRef::Integer(i64::from(sum(table, name, value))) => {
+                    Err("does not match its checksum".to_string())
+                }
+                _ => Ok((name, value)),
+            }
+        };
+        if let Err(what) = checked().and_then(|(name, value)| one(name, value)) {
+            let name = named.as_blob().map(shown).unwrap_or_default();
+            faults.push(Fault { table: table.to_string(), name, what });
+        }
+    }
+    Ok(())
+}
+
+/// All that a database holds, and what is wrong with it.
+pub(super) fn all(connection: &Connection, sums: bool) -> eyre::Result<(Restored, Vec<Fault>)> {
+    let (mut restored, mut faults) = (Restored::default(), Vec::new());
+    let other = || "is of another name".to_string();
+    each(connection, "own", sums, &mut faults, |_, value| {
+        restored.own = decode::<Own>(value)?;
+        Ok(())
+    })?;
+    each(connection, "registers", sums, &mut faults, |name, value| {
+        let (name, register) = (decode::<Name>(name)?, decode::<Register>(value)?);
+        if register.accepted.as_ref().is_some_and(|(_, item)| item.name != name) {
+            return Err(other());
+        }
+        restored.registers.push((name, register));
+        Ok(())
+    })?;
+    each(connection, "chosen", sums, &mut faults, |name, value| {
+        let (name, (ballot, item)) = (decode::<Name>(name)?, decode::<(Ballot, Item)>(value)?);
+        if item.name != name {
+            return Err(other());
+        }
+        restored.chosen.push((ballot, item));
+        Ok(())
+    })?;
+    Ok((restored, faults))
+}
+
+/// Writes the checksum of each row of a table that has none yet.
+pub(super) fn sum_up(transaction: &Transaction<'_>, table: &str) -> eyre::Result<()> {
+    let step = || format!("disk: summing up {table}");
+    let key = if table == "own" { "one" } else { "name" };
+    let next =
+        format!("SELECT {key}, value FROM {table} WHERE ?1 IS NULL OR {key} > ?1 ORDER BY {key} LIMIT 1");
+    let text = format!("UPDATE {table} SET sum = ?1 WHERE {key} = ?2");
+    let mut update = transaction.prepare(&text).wrap_err_with(step)?;
+    let mut next = transaction.prepare(&next).wrap_err_with(step)?;
+    let mut at = rusqlite::types::Value::Null;
+    loop {
+        let read = |row: &rusqlite::Row<'_>| {
+            Ok((row.get::<_, rusqlite::types::Value>(0)?, row.get::<_, Vec<u8>>(1)?))
+        };
+        let found = next.query_row([&at], read).optional().wrap_err_with(step)?;
+        let Some((name, value)) = found else { return Ok(()) };
+        let bytes = match &name {
+            rusqlite::types::Value::Blob(name) => name.as_slice(),
+            _ => &[],
+        };
+        update.execute(params![sum(table, bytes, &value), name]).wrap_err_with(step)?;
+        at = name;
+    }
+}
--- /dev/null
+++ b/headworks/src/disk/schema.rs
@@ -0,0 +1,106 @@
+//! The schema's versions, and how a file of an older one becomes one of the newest.
+//!
+//! The version stands in `PRAGMA user_version` and again, with a checksum, in the table `schema`; every version to come
+//! keeps that table as it is. So a newer file is told from a harmed one: both must name the same version.
+//!
+//! | version | what |
+//! | --- | --- |
+//! | 0 | none stated: no tables yet, or those of the first builds, without `schema` and without checksums |
+//! | 1 | the table `schema`; each row of `own`, `registers` and `chosen` with its checksum in `sum` |
+
+use eyre::{WrapErr, eyre};
+use rusqlite::{Connection, OptionalExtension, params};
+
+use super::rows::{self, Harm};
+
+/// The newest version, which this program writes.
+pub const NEWEST: u32 = 1;
+
+const FIRST: &str =
+    "CREATE TABLE own (one INTEGER PRIMARY KEY CHECK (one = 1), value BLOB NOT NULL, sum INTEGER NOT NULL);
+    CREATE TABLE registers (name BLOB PRIMARY KEY, value BLOB NOT NULL, sum INTEGER NOT NULL) WITHOUT ROWID;
+    CREATE TABLE chosen (name BLOB PRIMARY KEY, value BLOB NOT NULL, sum INTEGER NOT NULL) WITHOUT ROWID;";
+const STATED: &str = "CREATE TABLE schema (one INTEGER PRIMARY KEY CHECK (one = 1), version INTEGER NOT NULL, sum INTEGER NOT NULL);";
+
+/// What a file is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Found {
+    /// There is nothing in it yet.
+    Empty,
+    /// It is of this version.
+    Version(u32),
+}
+
+fn stated_sum(version: i64) -> u32 {
+    rows::sum("schema", &[], &version.to_le_bytes())
+}
+
+fn has(connection: &Connection, table: &str) -> eyre::Result<bool> {
+    let text = "SELECT 1 FROM sqlite_schema WHERE type = 'table' AND name = ?1";
+    let found = connection.query_row(text, [table], |_| Ok(())).optional();
+    found.map(|found| found.is_some()).wrap_err("disk: reading the schema")
+}
+
+/// The version of a database.
+///
+/// # Errors
+/// It is harmed, or newer than this program knows.
+pub(super) fn found(connection: &Connection) -> eyre::Result<Found> {
+    let step = "disk: reading the schema's version";
+    let head = connection.query_row("PRAGMA user_version", [], |row| row.get::<_, i64>(0)).wrap_err(step)?;
+    let stated = if has(connection, "schema")? {
+        let read = |row: &rusqlite::Row<'_>| Ok((row.get::<_, i64>(0)?, row.get::<_, i64>(1)?));
+        let stated = connection.query_row("SELECT version, sum FROM schema", [], read).wrap_err(step)?;
+        Some(stated)
+            .filter(|(version, sum)| *sum == i64::from(stated_sum(*version)))
+            .map(|(version, _)| version)
+    } else {
+        Some(0)
+    };
+    if stated != Some(head) {
+        let what = match stated {
+            Some(stated) => format!("the head names schema version {head}, its table {stated}"),
+            None => "the schema's version does not match its checksum".to_string(),
+        };
+        return Err(Harm::of(what).into());
+    }
+    match u32::try_from(head) {
+        Ok(0) if !has(connection, "own")? => Ok(Found::Empty),
+        Ok(version) if version <= NEWEST => Ok(Found::Version(version)),
+        _ => Err(eyre!(
+            "disk: the file is of schema version {head}, this program knows versions up to {NEWEST}: it is left as it is"
+        )),
+    }
+}
+
+/// Makes a file one of the newest version, in one transaction.
+///
+/// # Errors
+/// It is harmed, or the disk does not write.
+pub(super) fn migrate(connection: &mut Connection, found: Found) -> eyre::Result<()> {
+    if found == Found::Version(NEWEST) {
+        return Ok(());
+    }
+    let step = || format!("disk: to schema version {NEWEST}");
+    let transaction = connection.transaction().wrap_err_with(step)?;
+    if found == Found::Empty {
+        transaction.execute_batch(FIRST).wrap_err_with(step)?;
+    } else {
+        // What does not decode must not get a checksum that says that it is right.
+        let (_, faults) = rows::all(&transaction, false)?;
+        if !faults.is_empty() {
+            return Err(Harm(faults).into());
+        }
+        for table in rows::TABLES {
+            let text = format!("ALTER TABLE {table} ADD COLUMN sum INTEGER NOT NULL DEFAULT 0");
+            transaction.execute_batch(&text).wrap_err_with(step)?;
+            rows::sum_up(&transaction, table)?;
+        }
+    }
+    let version = i64::from(NEWEST);
+    transaction.execute_batch(STATED).wrap_err_with(step)?;
+    let text = "INSERT INTO schema VALUES (1, ?1, ?2)";
+    transaction.execute(text, params![version, stated_sum(version)]).wrap_err_with(step)?;
+    transaction.pragma_update(None, "user_version", version).wrap_err_with(step)?;
+    transaction.commit().wrap_err_with(step)
+}
--- /dev/null
+++ b/headworks/src/disk/trials/full.rs
@@ -0,0 +1,88 @@
+//! A disk that is full, or that fails for a while: refused, kept, written once it is taken again.
+
+use test_case::test_case;
+
+use super::*;
+use crate::disk::queue::{Desk, Heard};
+
+fn said(heard: Vec<Heard>) -> Vec<String> {
+    let said = heard.into_iter().map(|heard| match heard {
+        Heard::Written(number) => number.to_string(),
+        Heard::Refused(why) => format!("refused: {why:#}"),
+        Heard::Taken => "taken".to_string(),
+        Heard::Failed(why) => panic!("{why:#}"),
+    });
+    said.collect()
+}
+
+fn fail(folder: &Path, fails: Option<(usize, ErrorKind)>) {
+    tapes().get_mut(folder).unwrap().fails = fails;
+}
+
+#[test_case(ErrorKind::StorageFull; "no room")]
+#[test_case(ErrorKind::Other; "a fault")]
+fn what_is_refused_at_any_write_waits_and_is_whole_later(kind: ErrorKind) {
+    for left in 0.. {
+        let folder = tempfile::tempdir().unwrap();
+        let mut opened = open(folder.path(), true).unwrap();
+        let first = [rows("s", 1), rows("t", 1)].concat();
+        opened.store.commit(&first).unwrap();
+        watch(folder.path());
+        fail(folder.path(), Some((left, kind)));
+        let mut desk = Desk::new(opened.store);
+        desk.order((1, rows("s", 2)));
+        desk.order((2, rows("u", 1)));
+        let heard = said(desk.write());
+        if heard == ["1", "2"] {
+            assert!(left >= 5, "{left}");
+            return;
+        }
+        assert!(heard.len() == 1 && heard[0].contains("refused: disk: "), "{heard:?}");
+        // Power is lost now: all of it is there, or nothing.
+        let whole = [first.clone(), rows("s", 2), rows("u", 1)];
+        let lost = open(lay(&files(folder.path())).path(), false).unwrap();
+        assert!(lost.lost.is_none() && [after(&whole[..1]), after(&whole)].contains(&held(&lost)), "{left}");
+        // Told once; what is ordered meanwhile waits too.
+        desk.order((3, rows("s", 3)));
+        assert_eq!(said(desk.write()), [""; 0]);
+        fail(folder.path(), None);
+        assert_eq!(said(desk.write()), ["taken", "1", "2", "3"]);
+        desk.order((4, rows("v", 1)));
+        assert_eq!(said(desk.write()), ["4"]);
+        drop(desk);
+        let opened = open(folder.path(), false).unwrap();
+        assert_eq!(opened.lost, None);
+        assert_eq!(held(&opened), after(&[whole.concat(), rows("s", 3), rows("v", 1)]));
+    }
+}
+
+#[test]
+fn what_waits_for_room_does_not_grow_with_time() {
+    let folder = tempfile::tempdir().unwrap();
+    let opened = open(folder.path(), true).unwrap();
+    watch(folder.path());
+    fail(folder.path(), Some((0, ErrorKind::StorageFull)));
+    let mut desk = Desk::new(opened.store);
+    for ver in 1..=300 {
+        desk.order((ver, rows("s", ver)));
+        desk.write();
+    }
+    assert_eq!(desk.waiting(), 2);
+    fail(folder.path(), None);
+    assert_eq!(desk.write().len(), 301);
+    drop(desk);
+    assert_eq!(held(&open(folder.path(), false).unwrap()), after(&[rows("s", 300)]));
+}
+
+#[test]
+fn a_start_on_a_full_disk_ends_and_harms_nothing() {
+    let folder = tempfile::tempdir().unwrap();
+    open(folder.path(), true).unwrap().store.commit(&rows("s", 1)).unwrap();
+    watch(folder.path());
+    fail(folder.path(), Some((0, ErrorKind::StorageFull)));
+    let why = open(folder.path(), false).err().unwrap();
+    assert!(format!("{why:#}").contains("disk: "), "{why:#}");
+    fail(folder.path(), None);
+    let opened = open(folder.path(), false).unwrap();
+    assert!(opened.lost.is_none() && held(&opened) == after(&[rows("s", 1)]));
+}
--- /dev/null
+++ b/headworks/src/disk/trials/harm.rs
@@ -0,0 +1,278 @@
+//! Harm to what was synced: seen, named, put aside; never shown as true.
+
+use std::collections::BTreeMap;
+
+use rusqlite::Connection;
+use test_case::test_case;
+
+use super::*;
+use crate::core::Restored;
+use crate::core::letters::Life;
+use crate::disk::{FILE, verify, verify_file};
+
+const LOG: &str = "headworks.db-wal";
+
+fn many() -> Vec<Row> {
+    (0..40).flat_map(|n| rows(&format!("s{n}"), 100 + n)).collect()
+}
+
+/// A folder whose file holds `many`, and whose program has ended.
+fn closed() -> tempfile::TempDir {
+    let folder = tempfile::tempdir().unwrap();
+    open(folder.path(), true).unwrap().store.commit(&many()).unwrap();
+    folder
+}
+
+fn plain(folder: &Path) -> Connection {
+    Connection::open(folder.join(FILE)).unwrap()
+}
+
+#[test]
+fn what_is_committed_is_there_after_a_restart_under_a_new_run() {
+    let folder = tempfile::tempdir().unwrap();
+    // On the machine's own files.
+    let mut opened = Store::open(folder.path(), true).unwrap();
+    assert_eq!((opened.restored.own.life, opened.restored.own.run), (Life::FIRST, 1));
+    opened.store.commit(&[rows("s", 7), rows("s", 8), rows("t", 1)].concat()).unwrap();
+    drop(opened);
+    let opened = Store::open(folder.path(), false).unwrap();
+    assert_eq!((opened.restored.own.life, opened.restored.own.run), (Life::FIRST, 2));
+    assert_eq!(held(&opened), after(&[rows("s", 8), rows("t", 1)]));
+    assert_eq!(opened.lost, None);
+}
+
+#[test]
+fn an_empty_disk_has_no_life_and_half_a_rebuilding_counts_for_nothing() {
+    let folder = tempfile::tempdir().unwrap();
+    let mut opened = open(folder.path(), false).unwrap();
+    assert_eq!(opened.restored, Restored::default());
+    opened.store.commit(&rows("s", 7)).unwrap();
+    drop(opened);
+    assert_eq!(open(folder.path(), false).unwrap().restored, Restored::default());
+}
+
+/// Does harm to a folder with `many`.
+fn harm(folder: &Path, how: &str) {
+    let path = folder.join(FILE);
+    let mut bytes = std::fs::read(&path).unwrap();
+    match how {
+        "head" => bytes[..100].fill(7),
+        "formats" => bytes[18] ^= 1,
+        "version" => bytes[63] ^= 2,
+        "short" => bytes.truncate(bytes.len() / 2),
+        "empty" => bytes.clear(),
+        "bit" => {
+            let text = br#"{"ver":103,"text":"xxx"#;
+            let at = bytes.windows(text.len()).rposition(|window| window == text).unwrap();
+            bytes[at + 20] ^= 4;
+        }
+        sql => return plain(folder).execute_batch(sql).unwrap(),
+    }
+    std::fs::write(&path, bytes).unwrap();
+    if how == "empty" {
+        std::fs::write(folder.join(LOG), [0; 64]).unwrap();
+    }
+}
+
+const OTHER: &str = "UPDATE registers SET (value, sum) =
+    (SELECT value, sum FROM registers WHERE name = x'02027333') WHERE name = x'02027334'";
+
+#[test_case("head", "the file is no database"; "head overwritten")]
+#[test_case("formats", "formats that are none"; "a bit of the head that makes the file one to be read only")]
+#[test_case("version", "the head names schema version 3, its table 1"; "a bit of the version")]
+#[test_case("short", "disk"; "cut short")]
+#[test_case("empty", "the log stands without its file"; "emptied")]
+#[test_case("bit", "svcs/s3: does not match its checksum"; "a bit of a row")]
+#[test_case(OTHER, "registers svcs/s4: does not match its checksum"; "a row in another's place")]
+#[test_case("UPDATE chosen SET value = 7 WHERE name = x'02027334'", "chosen svcs/s4: is no bytes"; "a row of a type")]
+#[test_case("UPDATE own SET value = x'00'", "own : does not match its checksum"; "the seat's own row")]
+#[test_case("UPDATE schema SET sum = 1", "version does not match its checksum"; "the stated version")]
+#[test_case("DROP TABLE chosen", "no such table: chosen"; "a table gone")]
+fn what_cant_be_trusted_is_named_put_aside_and_no_first_start(how: &str, named: &str) {
+    let folder = closed();
+    harm(folder.path(), how);
+    let harmed = files(folder.path());
+    let report = verify(folder.path()).unwrap();
+    assert!(!report.faults.is_empty(), "{report}");
+    assert_eq!(files(folder.path()), harmed, "verify changes nothing");
+
+    // The operators' settings may still say that the system starts for the first time.
+    let opened = open(folder.path(), true).unwrap();
+    let lost = opened.lost.unwrap();
+    assert!(lost.contains(named) && lost.contains("aside-1-headworks.db"), "{lost}");
+    assert_eq!(opened.restored, Restored::default());
+    drop(opened.store);
+    assert_eq!(files(folder.path())["aside-1-headworks.db"], harmed[FILE]);
+    assert!(!verify_file(&folder.path().join("aside-1-headworks.db")).unwrap().faults.is_empty());
+    let opened = open(folder.path(), true).unwrap();
+    assert_eq!((opened.lost, opened.restored), (None, Restored::default()), "nor at the next start");
+}
+
+#[test]
+fn a_bit_of_a_row_is_not_seen_by_the_databases_own_check() {
+    let folder = closed();
+    harm(folder.path(), "bit");
+    assert_eq!(crate::disk::pragma(&plain(folder.path()), "PRAGMA quick_check").unwrap(), "ok");
+}
+
+#[test]
+fn so_many_files_are_kept_and_the_oldest_go() {
+    let folder = closed();
+    for _ in 0..5 {
+        harm(folder.path(), "head");
+        assert!(open(folder.path(), false).unwrap().lost.is_some());
+    }
+    let files = files(folder.path());
+    let kept: Vec<&String> = files.keys().filter(|name| name.starts_with("aside")).collect();
+    assert_eq!(kept, ["aside-3-headworks.db", "aside-4-headworks.db", "aside-5-headworks.db"]);
+}
+
+/// After so many syncs of the folder the power is lost; renames after the last one may have got there or not.
+#[test_case(0)]
+#[test_case(1)]
+fn putting_aside_cut_anywhere_never_leaves_a_file_without_its_log(syncs: usize) {
+    let folder = tempfile::tempdir().unwrap();
+    let mut opened = open(folder.path(), true).unwrap();
+    opened.store.commit(&many()).unwrap();
+    let mut base = files(folder.path());
+    base.get_mut(LOG).unwrap()[5_000] ^= 1;
+    for renamed in [false, true] {
+        let folder = lay(&base);
+        watch(folder.path());
+        tapes().get_mut(folder.path()).unwrap().fails = Some((syncs, ErrorKind::Other));
+        assert!(open(folder.path(), false).is_err());
+        steps(folder.path());
+        if !renamed && syncs == 0 {
+            std::fs::rename(folder.path().join("aside-1-headworks.db"), folder.path().join(FILE)).unwrap();
+        } else if !renamed {
+            std::fs::rename(folder.path().join("aside-1-headworks.db-wal"), folder.path().join(LOG)).unwrap();
+        }
+        let opened = open(folder.path(), true).unwrap();
+        assert_eq!(opened.restored, Restored::default(), "{renamed}");
+    }
+}
+
+#[test_case(false; "closed")]
+#[test_case(true; "with its log")]
+fn a_file_of_a_newer_version_is_refused_and_left_as_it_is(logged: bool) {
+    let folder = closed();
+    let connection = plain(folder.path());
+    let sum = crate::disk::rows::sum("schema", &[], &7_i64.to_le_bytes());
+    let newer =
+        format!("PRAGMA user_version = 7; UPDATE schema SET version = 7, sum = {sum}; DROP TABLE chosen");
+    connection.execute_batch(&newer).unwrap();
+    let before = if logged {
+        files(folder.path())
+    } else {
+        drop(connection);
+        files(folder.path())
+    };
+    assert_eq!(before.contains_key(LOG), logged);
+    let folder = lay(&before);
+    std::fs::remove_file(folder.path().join("headworks.db-shm")).ok();
+    let before = files(folder.path());
+    for error in [Store::open(folder.path(), true).err(), verify(folder.path()).err()] {
+        let error = format!("{:#}", error.unwrap());
+        assert!(error.contains("schema version 7") && error.contains("up to 1"), "{error}");
+    }
+    assert!(files(folder.path()) == before);
+}
+
+#[test]
+fn an_unversioned_file_with_a_row_that_does_not_decode_gets_no_checksum() {
+    let own = crate::core::Own { life: Life::FIRST, run: 3, ..Default::default() };
+    let folder = unversioned(&[many()], &own);
+    plain(folder.path())
+        .execute_batch("UPDATE registers SET value = x'ff' WHERE name = x'02027334'")
+        .unwrap();
+    let lost = open(folder.path(), false).unwrap().lost.unwrap();
+    assert!(lost.contains("registers svcs/s4: does not decode"), "{lost}");
+}
+
+#[test]
+fn a_report_tells_what_there_is_in_file_and_log_and_changes_nothing() {
+    let folder = tempfile::tempdir().unwrap();
+    assert!(verify(folder.path()).is_err());
+    let mut opened = open(folder.path(), true).unwrap();
+    opened.store.commit(&many()).unwrap();
+    opened.store.commit(&rows("s3", 2_000)).unwrap();
+    let before = files(folder.path());
+    let report = verify(folder.path()).unwrap();
+    assert_eq!((report.schema, report.life, report.run), (1, 1, 1));
+    assert_eq!((report.registers, report.chosen, report.commits), (40, 40, 4));
+    assert_eq!((report.highest, report.faults), (BTreeMap::from([("svcs", 2_000)]), vec![]));
+    assert_eq!(files(folder.path()), before);
+    drop(opened);
+    let report = verify(folder.path()).unwrap();
+    assert_eq!((report.registers, report.commits), (40, 0));
+    assert!(report.to_string().contains("highest version 2000 of svcs\n"), "{report}");
+}
+
+/// What one harm did to a start.
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Seen {
+    Nothing,
+    PutAside,
+    /// The last commit is missing.
+    Before,
+}
+
+/// Files with some of what they hold in the file, and some in the log: and where the last commit begins in that.
+fn half_logged() -> (Files, usize, [Held; 2]) {
+    let folder = tempfile::tempdir().unwrap();
+    let mut opened = open(folder.path(), true).unwrap();
+    let mut commits = vec![many(), rows("s3", 2_000), rows("s17", 2_001), rows("new", 1), rows("s4", 2_002)];
+    for (number, commit) in commits.iter().enumerate() {
+        opened.store.commit(commit).unwrap();
+        if number == 0 {
+            opened.store.connection.query_row("PRAGMA wal_checkpoint(PASSIVE)", [], |_| Ok(())).unwrap();
+        }
+    }
+    let before = after(&commits);
+    commits.push(rows("s5", 2_003));
+    // The log goes on from where its head says; what stands behind is of the time before.
+    let log = files(folder.path()).remove(LOG).unwrap();
+    let begins = 32 + 4_120 * super::super::log::read(&log, 4_096, |_, _| true).frames;
+    opened.store.commit(&commits[5]).unwrap();
+    (files(folder.path()), begins, [before, after(&commits)])
+}
+
+#[test]
+fn flipped_bits_and_torn_sectors_are_never_shown_as_true() {
+    let (base, last, [before, all]) = half_logged();
+    let ends = last + 4_120 * 2;
+    let mut chance = Chance(29);
+    let mut seen = BTreeMap::new();
+    for trial in 0..1_500 {
+        let mut files = base.clone();
+        let logged = trial % 2 == 0;
+        let bytes = files.get_mut(if logged { LOG } else { FILE }).unwrap();
+        // What stands in the log behind its end is of no meaning.
+        let at = chance.below(if logged { ends } else { bytes.len() });
+        if trial % 3 == 0 {
+            let sector = at / 512 * 512;
+            let sector = sector..(sector + 512).min(bytes.len());
+            let other = chance.below(bytes.len() / 512 - 1) * 512;
+            let other = bytes[other..other + sector.len()].to_vec();
+            let zeros = vec![0; sector.len()];
+            bytes[sector].copy_from_slice(if trial % 2 == 0 { &zeros } else { &other });
+        } else {
+            bytes[at] ^= 1 << chance.below(8);
+        }
+        let folder = lay(&files);
+        let report = verify(folder.path()).unwrap_or_else(|error| panic!("{trial}: {error:#}"));
+        let opened = open(folder.path(), true).unwrap_or_else(|error| panic!("{trial}: {error:#}"));
+        let found = match &opened.lost {
+            Some(_) if opened.restored == Restored::default() => Seen::PutAside,
+            None if held(&opened) == all => Seen::Nothing,
+            None if held(&opened) == before && logged && at >= last - 512 => Seen::Before,
+            lost => panic!("{trial}: {at} of {}: {lost:?}", if logged { LOG } else { FILE }),
+        };
+        assert_eq!(report.faults.is_empty(), found != Seen::PutAside, "{trial}: {report}");
+        *seen.entry((logged, found)).or_insert(0) += 1;
+    }
+    // Most of the file's bytes are free, or stand anew in the log.
+    let seen: Vec<_> = seen.into_iter().filter(|(_, count)| *count >= 100).map(|(what, _)| what).collect();
+    let all = [(false, Seen::Nothing), (false, Seen::PutAside), (true, Seen::PutAside), (true, Seen::Before)];
+    assert!(seen == all, "{seen:?}");
+}
--- /dev/null
+++ b/headworks/src/disk/verify.rs
@@ -0,0 +1,155 @@
+//! A look at a seat's files that changes none of their bytes: file and log are read into memory and put together there.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::path::Path;
+
+use eyre::{WrapErr, eyre};
+use rusqlite::{Connection, MAIN_DB};
+use serde::Serialize;
+
+use super::rows::{Fault, Harm};
+use super::{FILE, check, harmed, head_harm, log, page_size, rows, schema};
+use crate::core::Restored;
+
+/// What a seat's files hold.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Report {
+    /// Version of the schema; 0 where none is stated.
+    pub schema: u32,
+    /// Number of the seat's life; 0 while it has not rebuilt.
+    pub life: u32,
+    /// Starts of its process in this life.
+    pub run: u32,
+    /// Registers.
+    pub registers: usize,
+    /// Items known to be chosen.
+    pub chosen: usize,
+    /// Highest version by kind, of what is accepted or chosen.
+    pub highest: BTreeMap<&'static str, u64>,
+    /// Commits that stand in the log.
+    pub commits: usize,
+    /// What is wrong; a start with these files would put them aside.
+    pub faults: Vec<Fault>,
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "schema version  {}", self.schema)?;
+        writeln!(f, "life, run       {}, {}", self.life, self.run)?;
+        writeln!(f, "registers       {}", self.registers)?;
+        writeln!(f, "chosen items    {}", self.chosen)?;
+        for (kind, ver) in &self.highest {
+            writeln!(f, "highest version {ver} of {kind}")?;
+        }
+        writeln!(f, "commits in log  {}", self.commits)?;
+        if self.faults.is_empty() {
+            return write!(f, "no faults");
+        }
+        let faults: Vec<String> = self.faults.iter().map(|fault| format!("FAULT {fault}")).collect();
+        write!(f, "{}", faults.join("\n"))
+    }
+}
+
+/// Reads the files of a seat's folder while its program does not run.
+///
+/// # Errors
+/// There are none, they can't be read, or they are of a newer schema version.
+pub fn verify(folder: &Path) -> eyre::Result<Report> {
+    verify_file(&folder.join(FILE))
+}
+
+/// The same of a file by its own name, such as one that was put aside; its log has the same name and `-wal`.
+///
+/// # Errors
+/// As [`verify`].
+pub fn verify_file(file: &Path) -> eyre::Result<Report> {
+    let step = || format!("disk: reading {}", file.display());
+    let bytes = std::fs::read(file).wrap_err_with(step)?;
+    let mut beside = file.as_os_str().to_os_string();
+    beside.push("-wal");
+    let log = match std::fs::read(&beside) {
+        Ok(log) => log,
+        Err(error) if error.kind() == std::io::ErrorKind::NotFound => Vec::new(),
+        Err(error) => return Err(error).wrap_err_with(step),
+    };
+    if bytes.is_empty() && log.is_empty() {
+        return Err(eyre!("disk: {} is empty: its program has not come to write anything", file.display()));
+    }
+    let mut found = Report {
+        schema: 0,
+        life: 0,
+        run: 0,
+        registers: 0,
+        chosen: 0,
+        highest: BTreeMap::new(),
+        commits: 0,
+        faults: Vec::new(),
+    };
+    let read = match together(bytes, &log, &mut found) {
+        Ok(image) => rows_of(&image, &mut found),
+        Err(harm) => Err(harm.into()),
+    };
+    match read {
+        Ok(restored) => sum_up(&restored, &mut found),
+        Err(error) if harmed(&error) => match error.downcast::<Harm>() {
+            Ok(Harm(faults)) => found.faults.extend(faults),
+            Err(error) => found.faults.extend(Harm::of(format!("{error:#}")).0),
+        },
+        Err(error) => return Err(error),
+    }
+    Ok(found)
+}
+
+/// The file as it reads with its log.
+fn together(mut bytes: Vec<u8>, log: &[u8], found: &mut Report) -> Result<Vec<u8>, Harm> {
+    if bytes.is_empty() {
+        return Err(Harm::of("the log stands without its file"));
+    }
+    if let Some(harm) = head_harm(&bytes) {
+        return Err(Harm::of(harm));
+    }
+    let page = page_size(&bytes);
+    let place = |number: u32| (number as usize).saturating_sub(1) * page;
+    let read = log::read(log, page, |number, content| {
+        bytes.get(place(number)..).is_some_and(|there| there.starts_with(content))
+    });
+    found.commits = read.commits;
+    found.faults.extend(read.harm.into_iter().flat_map(|harm| Harm::of(harm).0));
+    if let Some(size) = read.size {
+        // A page of a size that no log can have filled is harm; it must not take all memory.
+        if size as usize > bytes.len() / page + read.pages.len() {
+            return Err(Harm::of("the log names more pages than there are"));
+        }
+        bytes.resize(size as usize * page, 0);
+        for (number, at) in read.pages.into_iter().filter(|(number, _)| *number <= size) {
+            bytes[place(number)..place(number) + page].copy_from_slice(log::content(log, at, page));
+        }
+    }
+    // In memory there is no log; without this SQLite would look for one.
+    bytes[18..20].fill(1);
+    Ok(bytes)
+}
+
+fn rows_of(image: &[u8], found: &mut Report) -> eyre::Result<Restored> {
+    let mut connection = Connection::open_in_memory().wrap_err("disk: opening a copy")?;
+    let length = image.len();
+    connection.deserialize_read_exact(MAIN_DB, image, length, true).wrap_err("disk: opening a copy")?;
+    let version = schema::found(&connection)?;
+    check(&connection)?;
+    let schema::Found::Version(version) = version else { return Ok(Restored::default()) };
+    found.schema = version;
+    let (restored, faults) = rows::all(&connection, version > 0)?;
+    found.faults.extend(faults);
+    Ok(restored)
+}
+
+fn sum_up(restored: &Restored, found: &mut Report) {
+    (found.life, found.run) = (restored.own.life.number, restored.own.run);
+    (found.registers, found.chosen) = (restored.registers.len(), restored.chosen.len());
+    let accepted = restored.registers.iter().filter_map(|(_, register)| register.accepted.as_ref());
+    for (_, item) in accepted.chain(&restored.chosen) {
+        let highest = found.highest.entry(item.name.kind.word()).or_default();
+        *highest = (*highest).max(item.ver);
+    }
+}
--- a/headworks/src/host/mod.rs
+++ b/headworks/src/host/mod.rs
@@ -27,7 +27,7 @@
 use self::poller::Poller;
 use crate::core::letters::{Duty, Letter, Said};
 use crate::core::{Core, Input, Output, Setup};
-use crate::disk::{self, Order, Store};
+use crate::disk::{self, Heard, Order, Store};
 use crate::limits;
 use crate::shared::{ConnectionKey, FrameLimits, SlotMap};
 
@@ -100,7 +100,7 @@
     let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP]).wrap_err("signals")?;
     let opened = Store::open(&places.folder, settings.bootstrap)?;
     if let Some(why) = &opened.lost {
-        error!(log, "the disk can't be read and counts as empty"; "why" => why);
+        error!(log, "the disk can't be trusted and counts as empty"; "why" => why);
     }
     let mut events: EventLoop<'static, Host> = EventLoop::try_new().wrap_err("event loop")?;
     let (done, written) = channel::channel();
@@ -145,9 +145,14 @@
         _ => host.stop(),
     };
     handle.insert_source(signals, signalled).map_err(|e| e.error).wrap_err("signals")?;
-    let reported = |event: Event<eyre::Result<u64>>, _: &mut _, host: &mut Host| match event {
-        Event::Msg(Ok(number)) => host.feed(Input::Written(number)),
-        Event::Msg(Err(error)) => host.failed = Some(error),
+    let reported = |event: Event<Heard>, _: &mut _, host: &mut Host| match event {
+        Event::Msg(Heard::Written(number)) => host.feed(Input::Written(number)),
+        Event::Msg(Heard::Refused(why)) => {
+            error!(host.log, "the disk refuses writes, and is tried again"; "why" => format!("{why:#}"));
+            host.feed(Input::Full(true));
+        }
+        Event::Msg(Heard::Taken) => host.feed(Input::Full(false)),
+        Event::Msg(Heard::Failed(error)) => host.failed = Some(error),
         Event::Closed => {}
     };
     handle.insert_source(written, reported).map_err(|e| e.error).wrap_err("disk: its reports")?;
--- a/headworks/src/limits.rs
+++ b/headworks/src/limits.rs
@@ -54,6 +54,8 @@
 /// Names of the count whose time is over are dropped this often.
 pub const SWEEP: i64 = 1_000 * MS;
 
+/// A disk that refuses writes is tried again after this.
+pub const DISK_AGAIN: i64 = 250 * MS;
 /// A connection must come up within this.
 pub const CONNECT: i64 = 1_000 * MS;
 /// A link between seats on which nothing came for this long is closed.
--- a/headworks/tests/core.rs
+++ b/headworks/tests/core.rs
@@ -118,6 +118,46 @@
     );
 }
 
+#[test]
+fn a_seat_with_a_full_disk_keeps_its_duty_and_what_is_in_force_and_takes_changes_later() {
+    let mut cluster = started(5);
+    assert_eq!(cluster.ask(0, service("s", 7, 1)), Some(Reply::Done));
+    // The one that polls, while a change of its operator is under way.
+    cluster.fill(0, true);
+    let mut lines = vec![cluster.line(&["s"])];
+    let refused = cluster.ask(0, service("s", 8, 1));
+    assert!(
+        matches!(refused, Some(Reply::Unavailable(why)) if why.contains("disk of this seat")),
+        "{refused:?}"
+    );
+    assert!(read_back(&mut cluster, 0).contains(r#""ver":7"#));
+    // The others are enough without it, and it learns what they decide.
+    assert_eq!(cluster.ask(4, service("s", 9, 1)), Some(Reply::Done));
+    cluster.run(4 * SECOND);
+    lines.push(cluster.line(&["s"]));
+    // With two more gone it is wanted again. A change that was under way when the disk filled up says so as well.
+    cluster.fill(0, false);
+    [1, 2].map(|seat| cluster.kill(seat));
+    let open = cluster.call(0, service("s", 10, 1));
+    cluster.fill(0, true);
+    cluster.run(SECOND);
+    assert!(
+        matches!(cluster.reply(open), Some(Reply::Unavailable(why)) if why.contains("disk of this seat"))
+    );
+    cluster.fill(0, false);
+    assert_eq!(cluster.ask(0, service("s", 11, 1)), Some(Reply::Done));
+    cluster.run(SECOND);
+    lines.push(cluster.line(&["s"]));
+    assert_timeline(
+        &lines,
+        "       a    b    c    d    e    f
+        3.2s  oP7  o_   o_   oC_  o_   o_
+        7.6s  oP9  o9   o9   oC9  o9   o9
+        9.8s  oP11 .    .    oC11 o11  o11",
+    );
+    assert!(cluster.faults.is_empty(), "{:?}", cluster.faults);
+}
+
 #[test]
 fn a_replaced_seat_counts_anew_and_its_former_holder_for_nothing() {
     let mut cluster = started(4);
