--- a/headworks/src/core/post.rs
+++ b/headworks/src/core/post.rs
@@ -64,8 +64,7 @@
     /// The disk takes nothing more, or takes it again. Until it does, this seat promises, accepts and grants nothing new.
     pub(super) fn disk_full(&mut self, full: bool, out: &mut Vec<Output>) {
         if std::mem::replace(&mut self.full, full) != full {
-            let text =
-                if full { "the disk takes no writes: they wait" } else { "the disk takes writes again" };
+            let text = if full { "votes on nothing new: the disk refuses it" } else { "votes again" };
             out.push(Output::Note(text.to_string()));
         }
     }
--- a/headworks/src/host/mod.rs
+++ b/headworks/src/host/mod.rs
@@ -151,7 +151,11 @@
             error!(host.log, "the disk refuses writes, and is tried again"; "why" => format!("{why:#}"));
             host.feed(Input::Full(true));
         }
-        Event::Msg(Heard::Taken) => host.feed(Input::Full(false)),
+        Event::Msg(Heard::Taken) => {
+            // As loud as its beginning: it would stay in the ring otherwise.
+            error!(host.log, "the disk takes writes again");
+            host.feed(Input::Full(false));
+        }
         Event::Msg(Heard::Failed(error)) => host.failed = Some(error),
         Event::Closed => {}
     };
