Headworks: what can't be read at the moment is not put aside

Cause: a read fault (SQLITE_IOERR_READ) counted as harm. One that comes and goes, or that several seats share, would have made them all count as empty at once. The program ends with the error and is started again; the files stay.

--- a/headworks/src/disk/mod.rs
+++ b/headworks/src/disk/mod.rs
@@ -71,10 +71,10 @@
     use rusqlite::Error;
     error.chain().any(|cause| match cause.downcast_ref::<Error>() {
         None => cause.is::<Harm>(),
-        // A place that can't be read any more is lost, as one that reads wrongly.
         Some(Error::SqliteFailure(error, _)) => match error.code {
             ErrorCode::DatabaseCorrupt | ErrorCode::NotADatabase | ErrorCode::TypeMismatch => true,
-            _ => matches!(error.extended_code, ffi::SQLITE_IOERR_READ | ffi::SQLITE_ERROR),
+            // Not what can't be read at all: it may be read the next time, also at all seats that share a fault.
+            _ => error.extended_code == ffi::SQLITE_ERROR,
         },
         Some(Error::SqlInputError { .. } | Error::QueryReturnedNoRows) => true,
         Some(Error::InvalidColumnType(..) | Error::IntegralValueOutOfRange(..)) => true,
