--- a/limiter/src/config/file.rs
+++ b/limiter/src/config/file.rs
@@ -316,6 +316,7 @@
             retry_after: allow.retry_after.0,
             may_tell: allow.peer_messages.0,
             max_retry_after: allow.max_retry_after_us.micros(),
+            least_away: 0,
             cold_from: rules.cold_from.0,
             cold_for: rules.cold_us.micros(),
             fall_multiple: rules.fall_multiple.0,
