--- a/headworks/src/core/agents.rs
+++ b/headworks/src/core/agents.rs
@@ -89,13 +89,11 @@
             limiters += 1;
             in_zone += u32::from(told.edge.zone == zone);
         }
-        let lately = limiters.max(self.members.lately() as u32);
         Who {
             seats: self.seats.for_agents(&self.zones),
             holder: holder.and_then(address),
             in_touch: self.seats.in_touch(now) && !self.stopping,
-            limiters: lately,
-            silent: lately - limiters,
+            limiters: limiters.max(self.members.lately() as u32),
             in_zone,
         }
     }
--- a/mains/src/messages.rs
+++ b/mains/src/messages.rs
@@ -78,8 +78,6 @@
     pub in_touch: bool,
     /// Limiters with a lease, those that had one lately included.
     pub limiters: u32,
-    /// Of them, those that are silent. They may be cut off and go on using their slices of quotas.
-    pub silent: u32,
     /// Of them, those in the zone of the agent spoken to.
     pub in_zone: u32,
 }
--- a/penstock/src/known.rs
+++ b/penstock/src/known.rs
@@ -28,9 +28,10 @@
     pub fn take(&mut self, now: i64, message: Down) -> Option<Down> {
         match message {
             Down::Who(who) => {
-                let same = self.who.as_ref().is_some_and(|held| {
-                    held.limiters == who.limiters && held.silent == who.silent && held.holder == who.holder
-                });
+                let same = self
+                    .who
+                    .as_ref()
+                    .is_some_and(|held| held.limiters == who.limiters && held.holder == who.holder);
                 self.who = Some(who.clone());
                 (!same).then_some(Down::Who(who))
             }
--- a/sluice/src/host/feeding.rs
+++ b/sluice/src/host/feeding.rs
@@ -85,8 +85,8 @@
 
     fn heard(&mut self, now: Micros, message: Down) {
         match message {
-            Down::Who(Who { limiters, silent, holder, .. }) => {
-                self.manifold.limiters(now, limiters, silent);
+            Down::Who(Who { limiters, holder, .. }) => {
+                self.manifold.limiters(now, limiters);
                 self.manifold.count_held(holder.map(|(_, term)| term));
             }
             Down::Items(items) => {
