Drill: one content for one version at edges too, what was acknowledged stays, first write after trouble

Checked all along, not only in histories: an agent holds no other content of a chosen version; what was acknowledged while no higher version had been asked for is what stands at its version.

--- a/drill/src/cluster.rs
+++ b/drill/src/cluster.rs
@@ -715,6 +715,17 @@
                 *shown = item.ver;
             }
         }
+        for (at, edge) in self.edges.iter().enumerate() {
+            for item in edge.known_items() {
+                let chosen = self.contents.get(&(item.name.clone(), item.ver));
+                if chosen.is_some_and(|spec| *spec != item.spec) {
+                    faults.push((
+                        "content",
+                        format!("edge {at}: another content of {} {}", item.name, item.ver),
+                    ));
+                }
+            }
+        }
         faults.into_iter().for_each(|(rule, text)| self.fault(rule, text));
     }
 
--- a/drill/src/edges.rs
+++ b/drill/src/edges.rs
@@ -8,7 +8,7 @@
 use culvert::engine::Ending;
 use headworks::core::Input;
 use headworks::limits::AGENT_SILENT;
-use mains::items::{Kind, Name};
+use mains::items::{Item, Kind, Name};
 use mains::messages::{Add, Down, Edge as Told, Standing, Up};
 use mains::settings::Bounds;
 use penstock::known::Known;
@@ -195,6 +195,11 @@
         Some(text)
     }
 
+    /// What its agent was told.
+    pub(crate) fn known_items(&self) -> impl Iterator<Item = &Item> {
+        self.agent.known.items()
+    }
+
     /// It evacuates this zone.
     pub fn evacuates(&self, zone: &str) -> bool {
         self.proxy.book.evacuated().contains(zone)
--- a/drill/src/main.rs
+++ b/drill/src/main.rs
@@ -103,6 +103,7 @@
     all.skipped += one.skipped;
     all.most = all.most.max(one.most);
     all.taken = all.taken.max(one.taken);
+    all.recovered = all.recovered.max(one.recovered);
     all.vacant = all.vacant.max(one.vacant);
     all.held = all.held.max(one.held);
     all.worst = all.worst.max(one.worst);
@@ -155,7 +156,8 @@
         all.acknowledged, all.refused, all.unclear, all.read, all.terms, all.skipped
     );
     println!(
-        "longest: a settled core's write {} ms, a duty done by nobody {} ms",
+        "longest: first write after trouble {} ms, a settled core's write {} ms, a duty done by nobody {} ms",
+        all.recovered / 1_000,
         all.taken / 1_000,
         all.vacant / 1_000
     );
--- a/drill/src/play.rs
+++ b/drill/src/play.rs
@@ -25,6 +25,8 @@
 pub const SETTLED: i64 = 4 * SECOND;
 /// ...within this, re-sends included...
 pub const TAKEN: i64 = 2 * SECOND;
+/// ...and the first one after trouble this long after they do...
+pub const RECOVERED: i64 = 8 * SECOND;
 /// ...and each duty is done, but for spells of at most this.
 pub const VACANT: i64 = 6 * SECOND;
 /// Stated: an edge that was heard nowhere for this long is a member nowhere.
@@ -61,6 +63,8 @@
     pub most: u32,
     /// Longest time from a settled core to a write that was taken, and of a duty done by nobody.
     pub taken: i64,
+    /// Longest time from the instant at which more than half run and reach each other to the first write taken.
+    pub recovered: i64,
     /// A duty done by nobody.
     pub vacant: i64,
     /// Most that a seat held.
@@ -91,6 +95,10 @@
     history: BTreeMap<String, Vec<Op>>,
     /// Versions that were acknowledged, by item, and when.
     acked: BTreeMap<Name, Vec<(i64, u64)>>,
+    /// Newest version that was asked for.
+    asked: BTreeMap<Name, u64>,
+    /// What was acknowledged at each version while no higher one had been asked for.
+    contents: BTreeMap<(Name, u64), u64>,
     drained: Vec<(i64, bool, bool)>,
     /// More than half of the seats that run and reach each other, and since when.
     clique: Option<(BTreeSet<(usize, u64)>, i64)>,
@@ -99,6 +107,8 @@
     ready_since: Vec<i64>,
     cut_off: Vec<bool>,
     vacant: [i64; 2],
+    /// A write was taken since more than half were together from then on.
+    recovered: Option<i64>,
     probing: bool,
     probe: u64,
     next_probe: i64,
@@ -209,6 +219,8 @@
         pending: Vec::new(),
         history: BTreeMap::new(),
         acked: BTreeMap::new(),
+        asked: BTreeMap::new(),
+        contents: BTreeMap::new(),
         drained: Vec::new(),
         clique: None,
         core_since: 0,
@@ -216,6 +228,7 @@
         ready_since: vec![0; edges],
         cut_off: vec![false; edges],
         vacant: [0; 2],
+        recovered: None,
         probing: true,
         probe: 1,
         next_probe: 0,
@@ -478,6 +491,10 @@
 
     fn ask(&mut self, ask: Ask, seat: usize, probe: bool) {
         let now = self.cluster.now;
+        for (name, ver, _) in ask.writes() {
+            let newest = self.asked.entry(name).or_default();
+            *newest = ver.max(*newest);
+        }
         let at = seat % self.cluster.zones.len();
         self.pending.push(Pending { ask, at, begun: now, call: None, next: now, tries: 0, probe });
         self.operators();
@@ -535,6 +552,10 @@
             };
             self.history.entry(name.to_string()).or_default().push(Op { from: since, to, did });
             if reply == Some(Reply::Done) {
+                // One that a higher version has overtaken is acknowledged as well, and has no effect.
+                if self.asked.get(&name).is_none_or(|newest| *newest <= ver) {
+                    self.contents.insert((name.clone(), ver), content);
+                }
                 self.acked.entry(name).or_default().push((to, ver));
             }
         }
@@ -558,7 +579,15 @@
             }
             (_, Some(Reply::Done)) => {
                 if pending.probe {
-                    self.outcome.taken = self.outcome.taken.max(to - pending.begun);
+                    let since =
+                        self.clique.as_ref().map(|(_, since)| *since).filter(|at| pending.begun >= *at);
+                    if let Some(since) = since.filter(|since| self.recovered != Some(*since)) {
+                        self.recovered = Some(since);
+                        self.outcome.recovered = self.outcome.recovered.max(to - since);
+                    }
+                    if self.clique.as_ref().is_some_and(|(_, since)| pending.begun - since >= SETTLED) {
+                        self.outcome.taken = self.outcome.taken.max(to - pending.begun);
+                    }
                 } else {
                     self.outcome.acknowledged += 1;
                 }
@@ -676,6 +705,7 @@
         self.platform();
         self.settle();
         self.cluster.check_contents();
+        self.check_acknowledged();
         self.check_bad();
         self.probes();
         self.check_duties();
@@ -700,6 +730,24 @@
         }
     }
 
+    /// What was acknowledged at a version is what stands at it, wherever that version is known.
+    fn check_acknowledged(&mut self) {
+        let mut faults = Vec::new();
+        for ((name, ver), content) in &self.contents {
+            let Some(spec) = self.cluster.contents.get(&(name.clone(), *ver)) else { continue };
+            let same = match spec {
+                None => *content == DROPPED,
+                Some(spec) => {
+                    spec.contains(&format!("\"/{content}\"")) || spec.contains(&format!("\"{content}ms\""))
+                }
+            };
+            if !same {
+                faults.push(format!("{name} {ver} was acknowledged with {content}, and stands as {spec:?}"));
+            }
+        }
+        faults.into_iter().for_each(|text| self.fault("changed", text));
+    }
+
     /// Nothing of an invalid call is in force at a seat.
     fn check_bad(&mut self) {
         let bad: Vec<String> = self
@@ -750,9 +798,10 @@
             self.pending.retain(|pending| !pending.probe);
             return;
         };
-        if now - since < SETTLED {
-            self.pending.retain(|pending| !pending.probe || pending.begun >= since);
-            return;
+        self.pending.retain(|pending| !pending.probe || pending.begun >= since);
+        if self.recovered != Some(since) && now - since > RECOVERED {
+            return self
+                .fault("recover", format!("no write was taken {} ms after trouble", (now - since) / MS));
         }
         let late =
             self.pending.iter().find(|p| p.probe && p.begun - since >= SETTLED && now - p.begun > TAKEN);
--- a/penstock/src/known.rs
+++ b/penstock/src/known.rs
@@ -77,6 +77,11 @@
         }
     }
 
+    /// The items, each at the newest version that was told.
+    pub fn items(&self) -> impl Iterator<Item = &Item> {
+        self.items.values()
+    }
+
     /// Looks whether this limiter is alone by now; if so, what its proxy is told, once.
     pub fn look(&mut self, now: i64) -> Option<Down> {
         let who = self.who.as_mut()?;
