Core: after a restart of all the list of servers is asked for before anybody has the duty

Cause: once all had lost power proxies had their items after 0.3 to 0.9 s, and no server for 0.6 s more: links, beats both ways and a round of ballots came before the first question to the platform.

Change: the two seats on which duties land first ask as they start, if they were here before and know no list; what they read goes behind any list of a poller.

--- a/headworks/src/core/duties.rs
+++ b/headworks/src/core/duties.rs
@@ -105,6 +105,11 @@
         }
     }
 
+    /// This seat bids before all others.
+    pub fn ranks_first(&self) -> bool {
+        self.rank == 0
+    }
+
     /// Newest term that was granted.
     pub fn term(&self) -> Term {
         self.term
--- a/headworks/src/core/servers.rs
+++ b/headworks/src/core/servers.rs
@@ -3,6 +3,8 @@
 
 use mains::platform::Server;
 
+/// The version of a list that was read by a seat without the duty: any list of a poller goes before it.
+pub const FIRST: (u64, u64) = (0, 1);
 /// A moment of being warm that moved by more than this is a change, in microseconds.
 const MOVED: i64 = 400_000;
 
--- a/headworks/src/core/standing.rs
+++ b/headworks/src/core/standing.rs
@@ -8,6 +8,7 @@
 use super::duties::{Ballots, Lost, Verdict};
 use super::letters::{Ballot, Beat, Body, Duty, Life, Seat, Speaker, Term, Told};
 use super::post::After;
+use super::servers;
 use super::{Core, Output, Row};
 use crate::limits;
 
@@ -232,16 +233,31 @@
 
     /// The platform's list was read here.
     pub(super) fn platform_read(&mut self, now: i64, servers: Vec<Server>, out: &mut Vec<Output>) {
-        let Some(term) = self.holds(now, Duty::Poll).filter(|term| *term >= self.listed.version().0) else {
-            return;
+        let held = self.holds(now, Duty::Poll).filter(|term| *term >= self.listed.version().0);
+        let news = match held {
+            Some(term) => self.listed.read(now, term, servers),
+            None => self.asks_first() && self.listed.told(now, servers::FIRST, servers),
         };
-        if self.listed.read(now, term, servers) {
+        if news {
             let body = Body::Servers { version: self.listed.version(), servers: self.listed.list(now) };
             self.spread(body, out);
             self.tell_servers(now, out);
         }
     }
 
+    /// This seat is one of the two on which duties land first, has been here before, and knows no list. After all have lost
+    /// power proxies can serve nothing until they have one: it is asked for before anybody has the duty.
+    fn asks_first(&self) -> bool {
+        let early = self.duties.iter().any(Ballots::ranks_first);
+        let before = self.duties.iter().any(|duty| duty.term().number > 0);
+        early && before && !self.listed.known() && self.seats.takes_part() && !self.stopping
+    }
+
+    /// This seat asks the platform for its list.
+    pub fn polls(&self, now: i64) -> bool {
+        self.holds(now, Duty::Poll).is_some() || self.asks_first()
+    }
+
     /// Bids, renewals, and what is given back.
     pub(super) fn duties_turn(&mut self, now: i64, out: &mut Vec<Output>) {
         let may = self.touch && self.seats.takes_part() && !self.stopping && !self.full;
--- a/headworks/src/host/callers.rs
+++ b/headworks/src/host/callers.rs
@@ -103,7 +103,7 @@
 
     /// Asks the platform for its list, while this seat has that duty.
     pub(super) fn poll(&mut self, now: i64) {
-        let holds = self.core.holds(now, Duty::Poll).is_some();
+        let holds = self.core.polls(now);
         let Some(poller) = &mut self.poller else { return };
         if poller.late(now) {
             warn!(self.log, "the platform does not answer"; "peer" => poller.address.to_string());
--- a/headworks/src/host/mod.rs
+++ b/headworks/src/host/mod.rs
@@ -25,7 +25,7 @@
 
 use self::connections::{Connection, Role};
 use self::poller::Poller;
-use crate::core::letters::{Duty, Letter, Said};
+use crate::core::letters::{Letter, Said};
 use crate::core::{Core, Input, Output, Setup};
 use crate::disk::{self, Heard, Order, Store};
 use crate::limits;
@@ -195,7 +195,7 @@
     }
 
     fn next(&self) -> i64 {
-        let poller = self.poller.as_ref().filter(|_| self.core.holds(self.now(), Duty::Poll).is_some());
+        let poller = self.poller.as_ref().filter(|_| self.core.polls(self.now()));
         let poller = poller.map_or(i64::MAX, Poller::wake);
         self.core.next().min(self.next_upkeep).min(poller)
     }
--- a/headworks/tests/core.rs
+++ b/headworks/tests/core.rs
@@ -301,6 +301,47 @@
     }
 }
 
+/// Proxies that have lost power serve nothing until they know servers: a seat asks for the list as it starts.
+#[test]
+fn after_all_were_killed_the_list_is_there_before_anybody_has_the_duty() {
+    let mut cluster = started(5);
+    let polls = |cluster: &Cluster, at: usize| {
+        cluster.nodes[at].core.as_ref().is_some_and(|core| core.polls(cluster.now))
+    };
+    ALL.iter().for_each(|at| cluster.kill(*at));
+    ALL.iter().for_each(|at| cluster.start(*at));
+    cluster.feed(2, Input::Agent(1, Up::Hello(edge("e1", "c"))));
+    // Two of six, so that a large core keeps to the platform's rate.
+    assert_eq!(ALL.iter().filter(|at| polls(&cluster, **at)).count(), 2);
+    cluster.run(500 * MS);
+    assert!(cluster.holders(Duty::Poll).is_empty());
+    cluster.feed(0, Input::Listed(vec![]));
+    cluster.run(100 * MS);
+    let told = |cluster: &Cluster| {
+        let told = cluster.nodes[2].told.iter().rev();
+        told.into_iter().find_map(|(_, down)| {
+            if let Down::Servers { version, .. } = down { Some(*version) } else { None }
+        })
+    };
+    assert_eq!(told(&cluster), Some((0, 1)));
+    assert!(ALL.iter().all(|at| !polls(&cluster, *at)), "a list is known");
+    // Any list of a poller goes before it.
+    cluster.run(2 * SECOND);
+    let (holder, term) = cluster.holders(Duty::Poll)[0];
+    let one = mains::platform::Server {
+        id: "i".into(),
+        svc: "s".into(),
+        addr: "10.9.0.1:80".parse().unwrap(),
+        zone: "a".into(),
+        slots: 2,
+        up: true,
+        cold: 0,
+    };
+    cluster.feed(holder, Input::Listed(vec![one]));
+    cluster.run(100 * MS);
+    assert_eq!(told(&cluster), Some((term, 1)));
+}
+
 #[test]
 fn a_late_older_change_and_a_repeated_one_have_no_effect() {
     let mut cluster = started(6);
