Agents try the next seat sooner

Cause: after all had lost power an agent knows three seeds, and waited 0.4 s for each that had no power yet, and 0.1 s after it.

--- a/penstock/src/host.rs
+++ b/penstock/src/host.rs
@@ -24,9 +24,9 @@
 /// Between two askings for the limiters' clock: steady clocks go apart a little.
 const ASK_TIME: i64 = 800 * MS;
 /// After a link that failed the next one is tried so much later.
-const AGAIN: i64 = 100 * MS;
+const AGAIN: i64 = 30 * MS;
 /// A connection must come up within this.
-const CONNECT: i64 = 400 * MS;
+const CONNECT: i64 = 250 * MS;
 /// What is left of the grace period at the end.
 const GRACE_LEFT: i64 = 200 * MS;
 
