--- a/headworks/src/limits.rs
+++ b/headworks/src/limits.rs
@@ -56,7 +56,7 @@
 /// The rules' window of quotas.
 pub const WINDOW: i64 = 5_000 * MS;
 /// An agent reaches the count if it was heard on its link for the count within this.
-pub const COUNTING: i64 = 2_000 * MS;
+pub const COUNTING: i64 = 1_400 * MS;
 /// The least share of the limiters that is taken to reach the count: more is left to slices by nobody.
 pub const LEAST_REACHED: f64 = 0.5;
 /// Names of the count whose time is over are dropped this often.
--- a/src/policy/requests.rs
+++ b/src/policy/requests.rs
@@ -88,10 +88,8 @@
         let chance = self.random();
         let Some(held) = self.held.get(&id) else { return };
         let may_run = held.ran.is_some() || !held.out.is_empty();
-        let harmless = match self.settings.classes.get(held.request.class).map(|c| c.repeat) {
-            None | Some(Repeat::Safe | Repeat::Keyed { group: Group::All, .. }) => true,
-            Some(Repeat::Keyed { .. } | Repeat::Unsafe) => !may_run,
-        };
+        let repeat = self.settings.classes.get(held.request.class).map(|c| c.repeat);
+        let safe = matches!(repeat, None | Some(Repeat::Safe | Repeat::Keyed { group: Group::All, .. }));
         let most = if self.settings.retry_after { self.settings.max_retry_after } else { 0 };
         let plan = self.settings.plans.get(held.request.plan).filter(|p| held.denied && p.rate > 0.0);
         let least = if self.counter_lost() { self.settings.least_away as f64 } else { 0.0 };
@@ -99,9 +97,9 @@
         // Danger: told the same time, all that were refused come back together. A place comes free in about
         // the time of an answer; later than the aim allows, a return is of no use.
         let time = plan.map_or(self.work_of(held.request.class), refill) * (0.5 + chance);
-        let shed =
-            Action::Shed { request: id, stay_away: (time as Micros).min(most), over_quota: held.denied };
-        self.actions.push(if harmless { shed } else { Action::Fail(id) });
+        let stay_away = (time as Micros).min(most);
+        let shed = Action::Shed { request: id, stay_away, over_quota: held.denied };
+        self.actions.push(if safe || !may_run { shed } else { Action::Fail(id) });
         self.close(id);
     }
 
