Drill: a command that plays many seats, limiters and items

drill scale plays the seats' cores and the agents on driven time, with links that have a width, and prints times for newcomers and for a change, and what each process says.

--- a/drill/src/lib.rs
+++ b/drill/src/lib.rs
@@ -10,5 +10,6 @@
 pub mod edges;
 pub mod history;
 pub mod play;
+pub mod scale;
 pub mod schedule;
 pub mod shrink;
--- a/drill/src/main.rs
+++ b/drill/src/main.rs
@@ -10,6 +10,7 @@
 use drill::cluster::Bug;
 use drill::draw::{Plan, draw};
 use drill::play::{Outcome, play};
+use drill::scale;
 use drill::schedule::Schedule;
 use drill::shrink::shrink;
 use eyre::{WrapErr, eyre};
@@ -28,6 +29,7 @@
     Run(Run),
     Replay(Replay),
     Shrink(Shrink),
+    Scale(Scale),
 }
 
 /// Draws schedules by chance and plays them; those that break a rule are written out.
@@ -81,6 +83,21 @@
     file: PathBuf,
 }
 
+/// Plays many seats, limiters and items without troubles, and prints times and what each process says.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "scale")]
+struct Scale {
+    /// seats of the core (9)
+    #[argh(option, default = "9")]
+    cores: usize,
+    /// limiters, each with its agent (100)
+    #[argh(option, default = "100")]
+    limiters: usize,
+    /// routes and tenants (1000)
+    #[argh(option, default = "1_000")]
+    items: usize,
+}
+
 fn read(file: &PathBuf) -> eyre::Result<Schedule> {
     let step = || format!("schedule {}", file.display());
     Schedule::read(&std::fs::read_to_string(file).wrap_err_with(step)?).wrap_err_with(step)
@@ -175,6 +192,12 @@
             println!("{outcome:?}");
             Ok(outcome.faults.is_empty())
         }
+        Sub::Scale(Scale { cores, limiters, items }) => {
+            eyre::ensure!((1..=128).contains(&cores), "--cores: 1 to 128");
+            eyre::ensure!((1..=20_000).contains(&limiters), "--limiters: 1 to 20000");
+            print!("{}", scale::run(scale::Size { cores, limiters, items }));
+            Ok(true)
+        }
         Sub::Shrink(arguments) => match shrink(&read(&arguments.file)?) {
             None => {
                 println!("# it breaks no rule");
--- /dev/null
+++ b/drill/src/scale/agent.rs
@@ -0,0 +1,90 @@
+//! An agent as the scale runs play it: where it is linked by [`Links`], what it knows by [`Known`], or by counting where
+//! thousands of copies of all items would only fill the memory.
+
+use std::net::SocketAddr;
+
+use mains::messages::{Down, Edge, Up};
+use penstock::known::Known;
+use penstock::links::Links;
+
+/// What an agent was told, as it travels.
+#[derive(Clone, Debug)]
+pub enum News {
+    /// The message itself.
+    Whole(std::rc::Rc<Down>),
+    /// So many items, for an agent that counts; the one that is watched is among them at this version.
+    Items(usize, Option<u64>),
+}
+
+/// An agent.
+pub struct Agent {
+    /// As it names itself.
+    pub edge: Edge,
+    /// Where to call.
+    pub links: Links,
+    /// What it knows; none for one that counts.
+    pub known: Option<Known>,
+    /// Number and peer of its link, while it has one or opens it.
+    pub link: Option<(u64, usize)>,
+    /// The same of that to the holder of the count.
+    pub count: Option<(u64, usize)>,
+    /// Items that were told on this link.
+    pub items: usize,
+    /// All was told.
+    pub whole: bool,
+    /// When it knew all.
+    pub done: Option<i64>,
+    /// When it knew the watched version.
+    pub seen: Option<i64>,
+    /// The holder of the count, as last told.
+    pub holder: Option<SocketAddr>,
+    /// The limiters' clock was asked for then.
+    pub asked: i64,
+}
+
+impl Agent {
+    /// What it says first on a link.
+    pub fn greeting(&self) -> [Up; 3] {
+        [Up::Hello(self.edge.clone()), Up::Clock(0), Up::Beat(mains::messages::Standing::Ready)]
+    }
+
+    /// Takes news in; `all` is how many items there are, `watched` the name and version that is waited for.
+    pub fn hear(&mut self, now: i64, news: News, all: usize, watched: (&mains::items::Name, u64)) {
+        match news {
+            News::Items(count, version) => {
+                self.items += count;
+                self.see(now, version, watched.1);
+            }
+            News::Whole(down) => {
+                match &*down {
+                    Down::Items(items) => {
+                        self.items += items.len();
+                        let found = items.iter().find(|item| item.name == *watched.0).map(|item| item.ver);
+                        self.see(now, found, watched.1);
+                    }
+                    Down::Who(who) => {
+                        if who.in_touch {
+                            self.links.told(&who.seats);
+                            self.links.settled();
+                        }
+                        self.holder = who.holder.map(|(at, _)| at);
+                    }
+                    Down::Whole => self.whole = true,
+                    _ => {}
+                }
+                if let Some(known) = &mut self.known {
+                    known.take(now, (*down).clone());
+                }
+            }
+        }
+        if self.whole && self.items >= all && self.done.is_none() {
+            self.done = Some(now);
+        }
+    }
+
+    fn see(&mut self, now: i64, found: Option<u64>, wanted: u64) {
+        if found.is_some_and(|found| found >= wanted) && self.seen.is_none() {
+            self.seen = Some(now);
+        }
+    }
+}
--- /dev/null
+++ b/drill/src/scale/world.rs
@@ -0,0 +1,553 @@
+//! Seats and agents on driven time, with all that they say counted: links with a way and a width, disks that take a
+//! while, no troubles.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use headworks::calls::{Command, Reply};
+use headworks::core::letters::{Ballot, Letter, Life};
+use headworks::core::registers::Register;
+use headworks::core::{Core, Input, Output, Own, Restored, Setup};
+use mains::items::{Item, Kind, Name};
+use mains::messages::{Down, Edge, Standing, Up};
+use penstock::known::Known;
+use penstock::links::{HOMEWARD, Links};
+use serde::Serialize;
+
+use super::agent::{Agent, News};
+use crate::cluster::{MS, SECOND};
+
+/// Bytes a microsecond that a machine sends, and as many that it takes in: a gigabit a second.
+const WIDTH: i64 = 125;
+/// A write is on disk after this.
+const SYNC: i64 = 2 * MS;
+/// An agent's beat, and its asking for the limiters' clock.
+const BEAT: i64 = 400 * MS;
+const ASK_TIME: i64 = 2 * SECOND;
+/// A lost link is opened anew after this.
+const AGAIN: i64 = 100 * MS;
+/// Above this many copies of items agents only count.
+const COPIES: usize = 200_000;
+
+/// What a process has sent and taken in.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Traffic {
+    /// Messages sent.
+    pub sent: u64,
+    /// Their bytes.
+    pub sent_bytes: u64,
+    /// Messages taken in.
+    pub got: u64,
+    /// Their bytes.
+    pub got_bytes: u64,
+}
+
+/// A seat.
+pub struct Seat {
+    /// The process, while it runs.
+    pub core: Option<Core>,
+    /// What it said and heard.
+    pub traffic: Traffic,
+    /// Time of this machine's processor that its core took.
+    pub spent: Duration,
+    /// The longest that one input took.
+    pub longest: Duration,
+    zone: usize,
+    address: SocketAddr,
+    offset: i64,
+    tick: i64,
+    peers: Vec<SocketAddr>,
+    ends: (i64, i64),
+}
+
+enum Event {
+    Letter(usize, usize, Rc<Letter>),
+    Written(usize, u64),
+    Tick(usize, i64),
+    Dial,
+    Open(usize),
+    Up(usize, u64, Up),
+    Down(usize, u64, News),
+    Gone(usize, u64),
+    Lost(usize, u64),
+    Beat(usize),
+    Home(usize),
+}
+
+/// How large it is.
+#[derive(Clone, Copy, Debug)]
+pub struct Size {
+    /// Seats.
+    pub cores: usize,
+    /// Limiters, each with its agent.
+    pub limiters: usize,
+    /// Routes and tenants.
+    pub items: usize,
+}
+
+/// All of it.
+pub struct World {
+    /// The instant, in microseconds.
+    pub now: i64,
+    /// The seats' machines.
+    pub seats: Vec<Seat>,
+    /// The agents.
+    pub agents: Vec<Agent>,
+    /// What agents said and heard.
+    pub told: Vec<Traffic>,
+    /// The item that is watched, and its version.
+    pub watched: (Name, u64),
+    /// Answers to calls, and when.
+    pub answers: BTreeMap<u64, (i64, Reply)>,
+    /// How large it is.
+    pub size: Size,
+    zones: Vec<String>,
+    events: BTreeMap<(i64, u64), Event>,
+    order: u64,
+    linked: BTreeSet<(usize, usize)>,
+    /// Links of agents that are up, by number: the agent and the seat.
+    conns: BTreeMap<u64, (usize, usize)>,
+    places: BTreeMap<SocketAddr, usize>,
+    number: u64,
+}
+
+fn bytes<T: Serialize>(message: &T) -> i64 {
+    // The length before it, and for a letter the kind of what is said.
+    let size = postcard::serialize_with_flavor(message, postcard::ser_flavors::Size::default());
+    5 + size.unwrap_or_default() as i64
+}
+
+/// The items of a configuration: one service, half routes, half tenants.
+fn items(count: usize) -> Vec<Item> {
+    let item =
+        |kind, name: String, spec: String| Item { name: Name { kind, name }, ver: 1, spec: Some(spec) };
+    let one = |at: usize| match at {
+        0 => item(Kind::Service, "svc".to_string(), r#"{"hcheck":"/h","maxconn":110}"#.to_string()),
+        at if at % 2 == 0 => item(
+            Kind::Tenant,
+            format!("tenant-{at:06}"),
+            format!(
+                r#"{{"apikeys":["key-{at:06}-aaaaaaaaaaaaaaaa"],"prio":1,"per_s":50,"burst":100,"pins":[]}}"#
+            ),
+        ),
+        at => item(
+            Kind::Route,
+            format!("route-{at:06}"),
+            format!(
+                r#"{{"host":"h{at}.example","prefix":"/p{at}/","kind":"idem","timeout":"3000ms","target_time":"500ms","prio":1,"svc":"svc","tries":3,"public":false,"pins":[]}}"#
+            ),
+        ),
+    };
+    (0..count.max(1)).map(one).collect()
+}
+
+impl World {
+    /// Seats that start with all on disk, and agents that start with them.
+    pub fn new(size: Size) -> World {
+        let zones: Vec<String> = (0..size.cores).map(|at| format!("z{at:03}")).collect();
+        let mut world = World {
+            now: 0,
+            seats: Vec::new(),
+            agents: Vec::new(),
+            told: Vec::new(),
+            watched: (Name { kind: Kind::Service, name: "svc".to_string() }, u64::MAX),
+            answers: BTreeMap::new(),
+            size,
+            zones,
+            events: BTreeMap::new(),
+            order: 0,
+            linked: BTreeSet::new(),
+            conns: BTreeMap::new(),
+            places: BTreeMap::new(),
+            number: 0,
+        };
+        let all = items(size.items);
+        let ballot = Ballot { round: 1, ..Ballot::default() };
+        for zone in 0..size.cores {
+            let register = |item: &Item| {
+                (item.name.clone(), Register { promised: ballot, accepted: Some((ballot, item.clone())) })
+            };
+            let restored = Restored {
+                own: Own {
+                    life: Life::FIRST,
+                    run: 1,
+                    lives: vec![Life::FIRST; size.cores],
+                    ..Own::default()
+                },
+                registers: all.iter().map(register).collect(),
+                chosen: all.iter().map(|item| (ballot, item.clone())).collect(),
+            };
+            world.seat(zone, restored);
+        }
+        for limiter in 0..size.limiters {
+            world.agent(limiter % size.cores, (limiter * 937) as i64 % SECOND);
+        }
+        world.enter(0, Event::Dial);
+        world
+    }
+
+    /// A machine at a seat; gives its number.
+    pub fn seat(&mut self, zone: usize, restored: Restored) -> usize {
+        let at = self.seats.len();
+        let address = SocketAddr::from(([10, 0, zone as u8, (at / 200) as u8], 7000 + at as u16));
+        let seeds = self.seeds();
+        let setup = Setup {
+            zones: self.zones.clone(),
+            zone: self.zones[zone].clone(),
+            address: Some(address),
+            seeds,
+            seed: 77 + at as u64,
+            restored,
+        };
+        let offset = 1_000 * SECOND + at as i64 * 7_919;
+        let core = Core::new(self.now + offset, setup);
+        let peers = core.peers();
+        self.places.insert(address, at);
+        self.seats.push(Seat {
+            core: Some(core),
+            traffic: Traffic::default(),
+            spent: Duration::ZERO,
+            longest: Duration::ZERO,
+            zone,
+            address,
+            offset,
+            tick: i64::MAX,
+            peers,
+            ends: (0, 0),
+        });
+        self.feed(at, Input::Tick);
+        at
+    }
+
+    fn seeds(&self) -> Vec<SocketAddr> {
+        let first = (0..self.size.cores.min(3))
+            .map(|zone| SocketAddr::from(([10, 0, zone as u8, 0], 7000 + zone as u16)));
+        first.collect()
+    }
+
+    /// An agent in a zone, that starts after so long; gives its number.
+    pub fn agent(&mut self, zone: usize, after: i64) -> usize {
+        let at = self.agents.len();
+        let region = |zone: usize| format!("r{:02}", zone / 2);
+        let edge = Edge {
+            node: format!("edge-{at:05}"),
+            zone: self.zones[zone].clone(),
+            region: region(zone),
+            http: SocketAddr::from(([10, 1 + (at >> 16) as u8, (at >> 8) as u8, at as u8], 8080)),
+        };
+        let regions = self.zones.iter().enumerate().map(|(at, zone)| (zone.clone(), region(at)));
+        let mut links = Links::new(&edge.zone, &edge.region, regions.collect(), at);
+        links.seeds(self.seeds());
+        let counts = self.size.items * self.size.limiters > COPIES;
+        self.agents.push(Agent {
+            edge,
+            links,
+            known: (!counts || at.is_multiple_of(50)).then(Known::default),
+            link: None,
+            count: None,
+            items: 0,
+            whole: false,
+            done: None,
+            seen: None,
+            holder: None,
+            asked: 0,
+        });
+        self.told.push(Traffic::default());
+        self.enter(self.now + after, Event::Open(at));
+        self.enter(self.now + after + BEAT, Event::Beat(at));
+        self.enter(self.now + after + HOMEWARD, Event::Home(at));
+        at
+    }
+
+    fn enter(&mut self, at: i64, event: Event) {
+        self.order += 1;
+        self.events.insert((at, self.order), event);
+    }
+
+    fn way(&self, one: usize, other: usize) -> i64 {
+        if one / 2 == other / 2 { 900 } else { 55 * MS }
+    }
+
+    /// When so many bytes have left a seat, and have come in at another one.
+    fn carried(&mut self, from: usize, to: usize, size: i64) -> i64 {
+        let way = self.way(self.seats[from].zone, self.seats[to].zone);
+        let left = self.seats[from].ends.0.max(self.now) + size / WIDTH;
+        self.seats[from].ends.0 = left;
+        let come = (left + way).max(self.seats[to].ends.1) + size / WIDTH;
+        self.seats[to].ends.1 = come;
+        come
+    }
+
+    /// Hands an input to a seat's core.
+    pub fn feed(&mut self, at: usize, input: Input) {
+        let now = self.now;
+        let seat = &mut self.seats[at];
+        let Some(core) = seat.core.as_mut() else { return };
+        let (mut out, start) = (Vec::new(), Instant::now());
+        core.take(now + seat.offset, input, &mut out);
+        let next = core.next() - seat.offset;
+        let spent = start.elapsed();
+        seat.spent += spent;
+        seat.longest = seat.longest.max(spent);
+        if seat.tick <= now || next < seat.tick {
+            seat.tick = next.max(now + 1);
+            let tick = seat.tick;
+            self.enter(tick, Event::Tick(at, tick));
+        }
+        for output in out {
+            match output {
+                Output::Send(to, letter) => self.send(at, to, letter),
+                Output::Peers(peers) => self.seats[at].peers = peers,
+                Output::Write(number, _) => self.enter(now + SYNC, Event::Written(at, number)),
+                Output::Answer(call, reply) => _ = self.answers.insert(call, (now, reply)),
+                Output::Tell(links, down) => self.tell(at, links, down),
+                Output::Note(_) => {}
+            }
+        }
+    }
+
+    fn send(&mut self, from: usize, to: Vec<SocketAddr>, letter: Letter) {
+        let (size, letter) = (bytes(&letter), Rc::new(letter));
+        for to in to.iter().filter_map(|to| self.places.get(to).copied()).collect::<Vec<_>>() {
+            if self.linked.contains(&(from, to)) {
+                let come = self.carried(from, to, size);
+                let traffic = &mut self.seats[from].traffic;
+                (traffic.sent, traffic.sent_bytes) = (traffic.sent + 1, traffic.sent_bytes + size as u64);
+                let traffic = &mut self.seats[to].traffic;
+                (traffic.got, traffic.got_bytes) = (traffic.got + 1, traffic.got_bytes + size as u64);
+                self.enter(come, Event::Letter(from, to, letter.clone()));
+            }
+        }
+    }
+
+    fn tell(&mut self, from: usize, links: Vec<u64>, down: Down) {
+        let size = bytes(&down) - 1;
+        let light = match &down {
+            Down::Items(items) => {
+                let found = items.iter().find(|item| item.name == self.watched.0).map(|item| item.ver);
+                Some(News::Items(items.len(), found))
+            }
+            _ => None,
+        };
+        let whole = News::Whole(Rc::new(down));
+        for link in links {
+            let Some((agent, _)) = self.conns.get(&link).copied() else { continue };
+            let traffic = &mut self.seats[from].traffic;
+            (traffic.sent, traffic.sent_bytes) = (traffic.sent + 1, traffic.sent_bytes + size as u64);
+            let traffic = &mut self.told[agent];
+            (traffic.got, traffic.got_bytes) = (traffic.got + 1, traffic.got_bytes + size as u64);
+            let left = self.seats[from].ends.0.max(self.now) + size / WIDTH;
+            self.seats[from].ends.0 = left;
+            let home = self.agent_zone(agent);
+            let come = left + self.way(self.seats[from].zone, home) + size / WIDTH;
+            let news = match &light {
+                Some(light) if self.agents[agent].known.is_none() => light.clone(),
+                _ => whole.clone(),
+            };
+            self.enter(come, Event::Down(agent, link, news));
+        }
+    }
+
+    fn agent_zone(&self, agent: usize) -> usize {
+        let zone = &self.agents[agent].edge.zone;
+        self.zones.binary_search(zone).unwrap_or_default()
+    }
+
+    fn say(&mut self, agent: usize, (link, seat): (u64, usize), up: Up) {
+        let size = bytes(&up) - 1;
+        let traffic = &mut self.told[agent];
+        (traffic.sent, traffic.sent_bytes) = (traffic.sent + 1, traffic.sent_bytes + size as u64);
+        let traffic = &mut self.seats[seat].traffic;
+        (traffic.got, traffic.got_bytes) = (traffic.got + 1, traffic.got_bytes + size as u64);
+        let way = self.way(self.agent_zone(agent), self.seats[seat].zone);
+        self.enter(self.now + way, Event::Up(seat, link, up));
+    }
+
+    /// Opens a link of an agent; gives it, once it is up, or nothing where nobody is there.
+    fn connect(&mut self, agent: usize, to: SocketAddr) -> Option<(u64, usize)> {
+        let seat = *self.places.get(&to)?;
+        self.seats[seat].core.as_ref()?;
+        self.number += 1;
+        self.conns.insert(self.number, (agent, seat));
+        Some((self.number, seat))
+    }
+
+    fn open(&mut self, agent: usize) {
+        if self.agents[agent].link.is_some() {
+            return;
+        }
+        let Some((to, _)) = self.agents[agent].links.advance() else {
+            return self.enter(self.now + AGAIN, Event::Open(agent));
+        };
+        let Some(link) = self.connect(agent, to) else {
+            self.agents[agent].links.left(to);
+            return self.enter(self.now + AGAIN, Event::Open(agent));
+        };
+        self.agents[agent].link = Some(link);
+        (self.agents[agent].items, self.agents[agent].whole) = (0, false);
+        for up in self.agents[agent].greeting() {
+            self.say(agent, link, up);
+        }
+    }
+
+    fn close(&mut self, agent: usize, (link, seat): (u64, usize)) {
+        self.conns.remove(&link);
+        let way = self.way(self.agent_zone(agent), self.seats[seat].zone);
+        self.enter(self.now + way, Event::Gone(seat, link));
+    }
+
+    fn down(&mut self, agent: usize, link: u64, news: News) {
+        if !self.conns.contains_key(&link) {
+            return;
+        }
+        let main = self.agents[agent].link.is_some_and(|(own, _)| own == link);
+        if main {
+            let watched = self.watched.clone();
+            self.agents[agent].hear(self.now, news, self.size.items.max(1), (&watched.0, watched.1));
+        }
+        let wanted = self.agents[agent].holder.and_then(|at| self.places.get(&at).copied());
+        let has = self.agents[agent].count;
+        if wanted.is_some() && has.map(|(_, seat)| seat) != wanted {
+            if let Some(old) = has {
+                self.close(agent, old);
+            }
+            let to = self.agents[agent].holder;
+            self.agents[agent].count = to.and_then(|to| self.connect(agent, to));
+            if let Some(link) = self.agents[agent].count {
+                self.say(agent, link, Up::Clock(0));
+            }
+        }
+    }
+
+    fn beat(&mut self, agent: usize) {
+        self.enter(self.now + BEAT, Event::Beat(agent));
+        if let Some(link) = self.agents[agent].link {
+            self.say(agent, link, Up::Beat(Standing::Ready));
+        }
+        if self.now - self.agents[agent].asked >= ASK_TIME {
+            self.agents[agent].asked = self.now;
+            let one = &self.agents[agent];
+            for link in [one.count, one.link].into_iter().flatten() {
+                self.say(agent, link, Up::Clock(0));
+            }
+        }
+    }
+
+    fn home(&mut self, agent: usize) {
+        self.enter(self.now + HOMEWARD, Event::Home(agent));
+        let home = self.agents[agent].links.home();
+        let Some((old, home)) = self.agents[agent].link.zip(home) else { return };
+        if self.seats[old.1].address == home {
+            return;
+        }
+        let Some(link) = self.connect(agent, home) else { return };
+        // The old link goes as the new one has told who is who: here, as it is up.
+        self.close(agent, old);
+        self.agents[agent].link = Some(link);
+        for up in self.agents[agent].greeting() {
+            self.say(agent, link, up);
+        }
+    }
+
+    /// Ends a seat's process; agents see their links go.
+    pub fn kill(&mut self, seat: usize) {
+        self.seats[seat].core = None;
+        self.linked.retain(|(one, other)| *one != seat && *other != seat);
+        let lost: Vec<(u64, usize)> = self
+            .conns
+            .iter()
+            .filter(|(_, (_, at))| *at == seat)
+            .map(|(link, (agent, _))| (*link, *agent))
+            .collect();
+        for (link, agent) in lost {
+            let way = self.way(self.agent_zone(agent), self.seats[seat].zone);
+            self.enter(self.now + way, Event::Lost(agent, link));
+        }
+    }
+
+    fn lost(&mut self, agent: usize, link: u64) {
+        self.conns.remove(&link);
+        let one = &mut self.agents[agent];
+        if one.count.is_some_and(|(own, _)| own == link) {
+            one.count = None;
+        }
+        if let Some((_, seat)) = one.link.filter(|(own, _)| *own == link) {
+            one.link = None;
+            let address = self.seats[seat].address;
+            one.links.left(address);
+            self.enter(self.now + AGAIN, Event::Open(agent));
+        }
+    }
+
+    fn dial(&mut self) {
+        let mut fresh = Vec::new();
+        for (at, seat) in self.seats.iter().enumerate().filter(|(_, seat)| seat.core.is_some()) {
+            let peers = seat.peers.iter().filter_map(|peer| self.places.get(peer).copied());
+            let up = peers.filter(|peer| *peer != at && self.seats[*peer].core.is_some());
+            fresh.extend(up.filter(|peer| !self.linked.contains(&(at, *peer))).map(|peer| (at, peer)));
+        }
+        for (at, peer) in fresh {
+            if self.linked.insert((at, peer)) {
+                self.linked.insert((peer, at));
+                for (one, other) in [(at, peer), (peer, at)] {
+                    let address = self.seats[other].address;
+                    self.feed(one, Input::LinkUp(address));
+                }
+            }
+        }
+        self.enter(self.now + 100 * MS, Event::Dial);
+    }
+
+    fn happen(&mut self, event: Event) {
+        match event {
+            Event::Letter(from, to, letter) => {
+                let address = self.seats[from].address;
+                self.feed(to, Input::Letter(address, Rc::unwrap_or_clone(letter)));
+            }
+            Event::Written(seat, number) => self.feed(seat, Input::Written(number)),
+            Event::Tick(seat, tick) if self.seats[seat].tick == tick => self.feed(seat, Input::Tick),
+            Event::Tick(..) => {}
+            Event::Dial => self.dial(),
+            Event::Open(agent) => self.open(agent),
+            Event::Up(seat, link, up) if self.conns.contains_key(&link) => {
+                self.feed(seat, Input::Agent(link, up))
+            }
+            Event::Up(..) => {}
+            Event::Down(agent, link, news) => self.down(agent, link, news),
+            Event::Gone(seat, link) => self.feed(seat, Input::AgentGone(link)),
+            Event::Lost(agent, link) => self.lost(agent, link),
+            Event::Beat(agent) => self.beat(agent),
+            Event::Home(agent) => self.home(agent),
+        }
+    }
+
+    /// Lets time pass until `done` or for `span`; gives when it was done.
+    pub fn until(&mut self, span: i64, done: impl Fn(&World) -> bool) -> Option<i64> {
+        let end = self.now + span;
+        let mut look = self.now;
+        while let Some(entry) = self.events.first_entry().filter(|entry| entry.key().0 <= end) {
+            let ((at, _), event) = entry.remove_entry();
+            if at >= look {
+                // Looked at each 5 ms: it is dear with thousands of agents.
+                look = at + 5 * MS;
+                if done(self) {
+                    return Some(self.now);
+                }
+            }
+            self.now = self.now.max(at);
+            self.happen(event);
+        }
+        self.now = end;
+        done(self).then_some(end)
+    }
+
+    /// An operators' call at a seat; gives its number.
+    pub fn call(&mut self, seat: usize, command: Command) -> u64 {
+        self.number += 1;
+        let (call, deadline) = (self.number, self.now + self.seats[seat].offset + headworks::limits::CALL);
+        self.feed(seat, Input::Call(call, command, deadline));
+        call
+    }
+}
