Core: what grew with the square of seats, limiters or items told in parts

Cause, by drill scale: each seat told all its leases to all at each change; each letter named all lives; each input counted all members anew; each seat told a rebuilt one all items; an agent that moved was told all items; agents stayed with the three seeds for 8 s; more than 64 seats had no bit in a beat.

--- a/drill/src/edges.rs
+++ b/drill/src/edges.rs
@@ -535,6 +535,10 @@
 
     fn agent_heard(&mut self, id: u64, message: Down) {
         let (at, now) = (self.conns[&id].edge, self.now);
+        // Whatever it is, it is a sign of life.
+        if let Some(link) = self.edges[at].agent.link.as_mut().filter(|link| link.conn == id) {
+            link.heard = now;
+        }
         match message {
             Down::Totals { batch, totals } => {
                 if let Some((life, batch)) = self.edges[at].agent.batches.remove(&batch) {
--- a/headworks/src/core/agents.rs
+++ b/headworks/src/core/agents.rs
@@ -1,12 +1,24 @@
 //! The agents linked to this seat: their leases, what they are told, and their adds to the count.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 
 use mains::items::Item;
-use mains::messages::{Down, Standing, Up, Who};
+use mains::messages::{Down, Up, Who};
 
-use super::letters::{Body, Duty};
+use super::letters::Duty;
+use super::news::pieces;
 use super::{Core, Output};
+use crate::limits;
+
+/// What has changed of who is who.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Change {
+    Nothing,
+    /// How many limiters there are, by little.
+    Little,
+    Much,
+}
 
 /// The links of agents.
 #[derive(Clone, Debug, Default)]
@@ -15,12 +27,23 @@
     zones: BTreeMap<u64, String>,
     /// What each zone was told last.
     told: BTreeMap<String, Who>,
+    /// What those know already that have not said yet who they are.
+    have: BTreeMap<u64, Vec<u64>>,
+    /// How many limiters there are is told again then at the earliest...
+    counts: i64,
+    /// ...and is owed.
+    owed: bool,
 }
 
 impl Agents {
     fn links(&self) -> Vec<u64> {
         self.zones.keys().copied().collect()
     }
+
+    /// When something is owed to them.
+    pub(super) fn wake(&self) -> Option<i64> {
+        self.owed.then_some(self.counts)
+    }
 }
 
 impl Core {
@@ -32,9 +55,14 @@
                 let changed = self.members.hello(now, link, edge);
                 self.agents.zones.insert(link, zone.clone());
                 let to = || vec![link];
-                out.push(Output::Tell(to(), Down::Who(self.who(now, &zone))));
-                let items = self.news.all().map(|(_, item)| item.clone()).collect();
-                out.push(Output::Tell(to(), Down::Items(items)));
+                // All of a zone stand on the same: what is news goes to all of them afterwards.
+                let who = self.agents.told.get(&zone).cloned().unwrap_or_else(|| self.who(now, &zone));
+                out.push(Output::Tell(to(), Down::Who(who.clone())));
+                self.agents.told.insert(zone, who);
+                let have = self.agents.have.remove(&link).unwrap_or_default();
+                for piece in pieces(self.news.lacking(&have), |item| item) {
+                    out.push(Output::Tell(to(), Down::Items(piece)));
+                }
                 if self.listed.known() {
                     let (version, servers) = (self.listed.version(), self.listed.list(now));
                     out.push(Output::Tell(to(), Down::Servers { version, servers }));
@@ -44,6 +72,10 @@
                 }
                 changed
             }
+            Up::Have(parts) => {
+                self.agents.have.insert(link, parts);
+                false
+            }
             Up::Beat(standing) => self.members.beat(now, link, standing),
             Up::Clock(time) => {
                 self.raise(now, time);
@@ -61,7 +93,7 @@
             }
         };
         if changed {
-            self.spread(Body::Members(self.members.list()), out);
+            self.spread_members(out);
         }
     }
 
@@ -74,46 +106,84 @@
     /// An agent's link is gone.
     pub(super) fn agent_gone(&mut self, _now: i64, link: u64, out: &mut Vec<Output>) {
         self.agents.zones.remove(&link);
+        self.agents.have.remove(&link);
         if self.members.gone(link) {
-            self.spread(Body::Members(self.members.list()), out);
+            self.spread_members(out);
         }
     }
 
-    fn who(&self, now: i64, zone: &str) -> Who {
+    /// The holder of the count, as far as known, and its term.
+    fn holder(&self, now: i64) -> Option<(SocketAddr, u64)> {
         let holder = self.duties[Duty::Count as usize].holder(now);
         let own = self.holds(now, Duty::Count).map(|term| (self.seats.me().seat, term));
-        let holder = own.or(holder.map(|term| (term.by.seat, term.number)));
-        let address = |(seat, term): (u8, u64)| Some((self.seats.address(seat)?, term));
-        let (mut limiters, mut in_zone) = (0, 0);
-        for told in self.members.all().into_iter().filter(|told| told.standing != Standing::Away) {
-            limiters += 1;
-            in_zone += u32::from(told.edge.zone == zone);
-        }
+        let (seat, term) = own.or(holder.map(|term| (term.by.seat, term.number)))?;
+        Some((self.seats.address(seat)?, term))
+    }
+
+    fn who(&self, now: i64, zone: &str) -> Who {
+        let (limiters, in_zone) = self.members.serving(zone);
         Who {
-            seats: self.seats.for_agents(&self.zones),
-            holder: holder.and_then(address),
+            seats: self.seats.for_agents(&self.zones).map(|(zone, at)| (zone.to_string(), at)).collect(),
+            holder: self.holder(now),
             in_touch: self.seats.in_touch(now) && !self.stopping,
             limiters: limiters.max(self.members.lately() as u32),
             in_zone,
         }
     }
 
+    /// What is news to agents of a zone that were told `before`; it is looked for after most inputs, and costs little
+    /// where it is nothing.
+    fn news_since(&self, now: i64, zone: &str, before: &Who) -> Change {
+        let (limiters, in_zone) = self.members.serving(zone);
+        let limiters = limiters.max(self.members.lately() as u32);
+        let in_touch = self.seats.in_touch(now) && !self.stopping;
+        let seats = before.seats.iter().map(|(zone, at)| (zone.as_str(), *at));
+        if before.holder != self.holder(now)
+            || before.in_touch != in_touch
+            || !seats.eq(self.seats.for_agents(&self.zones))
+        {
+            return Change::Much;
+        }
+        // Danger: limiters that each take an even slice must not stay with a count that is too low by much.
+        match before.limiters.abs_diff(limiters) {
+            0 if before.in_zone == in_zone => Change::Nothing,
+            changed if changed * limits::COUNTED > before.limiters => Change::Much,
+            _ => Change::Little,
+        }
+    }
+
     /// Tells the agents who is who, where that has changed or as a sign of life.
     pub(super) fn tell_who(&mut self, now: i64, beat: bool, out: &mut Vec<Output>) {
         if self.agents.zones.is_empty() {
+            self.agents.owed = false;
             return;
         }
         let mut zones: BTreeMap<&String, Vec<u64>> = BTreeMap::new();
         for (link, zone) in &self.agents.zones {
             zones.entry(zone).or_default().push(*link);
         }
-        let mut told = BTreeMap::new();
+        let (mut told, mut quiet, mut news) = (std::mem::take(&mut self.agents.told), Vec::new(), false);
+        told.retain(|zone, _| zones.contains_key(zone));
+        self.agents.owed = false;
         for (zone, links) in zones {
-            let who = self.who(now, zone);
-            if beat || self.agents.told.get(zone) != Some(&who) {
-                out.push(Output::Tell(links, Down::Who(who.clone())));
+            let change = told.get(zone).map_or(Change::Much, |before| self.news_since(now, zone, before));
+            // Danger: when many limiters start, each would be told of each by all.
+            let later = change == Change::Little && now < self.agents.counts;
+            self.agents.owed |= later;
+            if change == Change::Nothing || later {
+                quiet.extend(links.into_iter().filter(|_| beat));
+                continue;
             }
+            let who = self.who(now, zone);
+            out.push(Output::Tell(links, Down::Who(who.clone())));
             told.insert(zone.clone(), who);
+            news = true;
+        }
+        if news {
+            self.agents.counts = now + limits::COUNTS;
+        }
+        if !quiet.is_empty() {
+            out.push(Output::Tell(quiet, Down::Items(Vec::new())));
         }
         self.agents.told = told;
     }
--- a/headworks/src/core/letters.rs
+++ b/headworks/src/core/letters.rs
@@ -88,11 +88,24 @@
     pub linked: bool,
 }
 
+/// A change of the edges linked to a seat.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Moved {
+    /// Digest of those before...
+    pub before: u64,
+    /// ...and after it.
+    pub after: u64,
+    /// Those that came, or stand otherwise.
+    pub told: Vec<Told>,
+    /// Machines that are there no more.
+    pub gone: Vec<String>,
+}
+
 /// The sign of life of a seat, with what tells whether something was missed.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Beat {
     /// The seats that it hears, a bit each.
-    pub hears: u64,
+    pub hears: u128,
     /// Digest of what it knows to be chosen.
     pub chosen: u64,
     /// Version of its list of servers.
@@ -140,8 +153,8 @@
     },
     /// All that was accepted under this proposal is chosen.
     Chosen(Ballot),
-    /// What the speaker knows to be chosen; it wants what is newer.
-    Sync(Vec<(Name, u64, Ballot)>),
+    /// Digests of what the speaker knows to be chosen, by parts; it wants what is in those that differ.
+    Sync(Vec<u64>),
     /// Items that are chosen.
     Learn(Vec<(Ballot, Item)>),
     /// Asks for all that was accepted.
@@ -159,15 +172,20 @@
         all: Option<Vec<(Ballot, Item)>>,
     },
     /// A seat that has lost its disk begins this life: to be written down, and answered with all there is.
-    Record(Life),
+    Record {
+        /// The life.
+        life: Life,
+        /// Digest of what it has gathered so far.
+        digest: u64,
+    },
     /// The life is on disk here; this is all there is.
     Recorded {
         /// The life.
         life: Life,
         /// Highest proposal that was promised anything.
         floor: Ballot,
-        /// All that was accepted.
-        all: Vec<(Ballot, Item)>,
+        /// All that was accepted; none where that is what was gathered already.
+        all: Option<Vec<(Ballot, Item)>>,
         /// Newest term of each duty.
         terms: Vec<Term>,
     },
@@ -206,6 +224,8 @@
     },
     /// The edges linked to the speaker.
     Members(Vec<Told>),
+    /// What has changed of these since the last telling.
+    Moved(Moved),
     /// Asks for these.
     AskMembers,
     /// The platform's list.
@@ -225,11 +245,36 @@
     /// Who speaks.
     pub by: Speaker,
     /// The newest lives that it knows, by seat.
+    #[serde(with = "lives")]
     pub lives: Vec<Life>,
     /// What it says.
     pub body: Body,
 }
 
+/// The lives as they travel: their number, and those that are not the first. Most seats stay in theirs for long, so that
+/// a letter does not grow with the seats.
+mod lives {
+    use serde::{Deserialize, Deserializer, Serialize, Serializer, de::Error};
+
+    use super::{Life, Seat};
+
+    pub fn serialize<S: Serializer>(lives: &[Life], to: S) -> Result<S::Ok, S::Error> {
+        let later = lives.iter().enumerate().filter(|(_, life)| **life != Life::FIRST);
+        let later: Vec<(Seat, Life)> = later.map(|(at, life)| (at as Seat, *life)).collect();
+        (lives.len() as Seat, later).serialize(to)
+    }
+
+    pub fn deserialize<'a, D: Deserializer<'a>>(from: D) -> Result<Vec<Life>, D::Error> {
+        let (count, later) = <(Seat, Vec<(Seat, Life)>)>::deserialize(from)?;
+        let mut lives = vec![Life::FIRST; usize::from(count)];
+        for (seat, life) in later {
+            let place = lives.get_mut(usize::from(seat)).ok_or_else(|| D::Error::custom("no such seat"))?;
+            *place = life;
+        }
+        Ok(lives)
+    }
+}
+
 /// What is put on a link between seats.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Said {
--- a/headworks/src/core/members.rs
+++ b/headworks/src/core/members.rs
@@ -6,7 +6,7 @@
 
 use mains::messages::{Edge, Standing};
 
-use super::letters::{Seat, Told};
+use super::letters::{Moved, Seat, Told};
 use crate::limits;
 
 #[derive(Clone, Debug)]
@@ -18,7 +18,7 @@
 
 #[derive(Clone, Debug, Default)]
 struct Hearsay {
-    list: Vec<Told>,
+    list: BTreeMap<String, Told>,
     digest: u64,
     /// The list came then...
     changed: i64,
@@ -36,17 +36,51 @@
     links: BTreeMap<u64, Edge>,
     hearsay: BTreeMap<Seat, Hearsay>,
     digest: u64,
+    /// The own list as the others were told it last, and its digest.
+    spread: (BTreeMap<String, Told>, u64),
     /// Edges that served, and when that was last so.
     lately: BTreeMap<String, i64>,
+    serving: Serving,
 }
 
-fn digest(list: &[Told]) -> u64 {
+/// The machines that serve, with their zones, and how many in each: kept as it changes, as it is asked often.
+#[derive(Clone, Debug, Default)]
+struct Serving {
+    nodes: BTreeMap<String, String>,
+    zones: BTreeMap<String, u32>,
+}
+
+impl Serving {
+    /// A machine serves in a zone, or does not serve.
+    fn set(&mut self, node: &str, zone: Option<&str>) {
+        if self.nodes.get(node).map(String::as_str) == zone {
+            return;
+        }
+        let old = match zone {
+            Some(zone) => {
+                *self.zones.entry(zone.to_string()).or_default() += 1;
+                self.nodes.insert(node.to_string(), zone.to_string())
+            }
+            None => self.nodes.remove(node),
+        };
+        if let Some(count) = old.and_then(|old| self.zones.get_mut(&old)) {
+            *count -= 1;
+        }
+    }
+}
+
+fn one(told: &Told) -> u64 {
     let mut hasher = DefaultHasher::new();
-    // A list always has a form; without one, its digest would only be that of another list.
-    hasher.write(&postcard::to_allocvec(list).unwrap_or_default());
+    // One always has a form; without, its digest would only be that of another one.
+    hasher.write(&postcard::to_allocvec(told).unwrap_or_default());
     hasher.finish()
 }
 
+/// The digest of a list, whatever its order; of an empty one it is 0.
+fn digest<'a>(list: impl Iterator<Item = &'a Told>) -> u64 {
+    list.fold(0, |all, told| all ^ one(told))
+}
+
 impl Members {
     /// The edges linked here.
     pub fn list(&self) -> Vec<Told> {
@@ -58,38 +92,78 @@
         self.digest
     }
 
-    /// Gives whether the list is another one now.
-    fn settle(&mut self) -> bool {
-        let digest = digest(&self.list());
-        std::mem::replace(&mut self.digest, digest) != digest
+    /// Gives whether the list is another one than the others were told.
+    fn settle(&self) -> bool {
+        self.digest != self.spread.1
+    }
+
+    /// Takes a lease in, or out. The digest goes along: it is asked for with every change.
+    fn lease(&mut self, node: &str, lease: Option<Lease>) -> Option<Lease> {
+        let new = lease.as_ref().map_or(0, |lease| one(&lease.told));
+        let old = match lease {
+            Some(lease) => self.own.insert(node.to_string(), lease),
+            None => self.own.remove(node),
+        };
+        self.digest ^= new ^ old.as_ref().map_or(0, |old| one(&old.told));
+        old
+    }
+
+    /// What the other seats are to be told, if the own list is another one than they were told last.
+    pub fn news(&mut self) -> Option<Moved> {
+        let (last, before) = &mut self.spread;
+        if *before == self.digest {
+            return None;
+        }
+        let told = self.own.iter().filter(|(node, lease)| last.get(*node) != Some(&lease.told));
+        let told: Vec<Told> = told.map(|(_, lease)| lease.told.clone()).collect();
+        let gone: Vec<String> = last.keys().filter(|node| !self.own.contains_key(*node)).cloned().collect();
+        let moved = Moved { before: *before, after: self.digest, told, gone };
+        moved.gone.iter().for_each(|node| _ = last.remove(node));
+        last.extend(moved.told.iter().map(|told| (told.edge.node.clone(), told.clone())));
+        *before = self.digest;
+        Some(moved)
     }
 
     /// An agent has said who it is. Gives whether the list is another one.
     pub fn hello(&mut self, now: i64, link: u64, edge: Edge) -> bool {
         // An agent that comes from another seat stands as it stood there until it says more.
-        let known = self.all().into_iter().find(|told| told.edge == edge).map(|told| told.standing);
+        let known = self.known(&edge.node).filter(|told| told.edge == edge).map(|told| told.standing);
         let standing = known.unwrap_or_default();
         self.links.insert(link, edge.clone());
         let told = Told { edge, standing, linked: true };
-        self.own.insert(told.edge.node.clone(), Lease { told, link, heard: now });
+        let node = told.edge.node.clone();
+        self.lease(&node, Some(Lease { told, link, heard: now }));
+        self.look(&node);
         self.settle()
     }
 
     /// An agent has renewed its lease. Gives whether the list is another one.
     pub fn beat(&mut self, now: i64, link: u64, standing: Standing) -> bool {
         let Some(edge) = self.links.get(&link).cloned() else { return false };
-        let told = Told { edge, standing, linked: true };
-        let node = told.edge.node.clone();
         // The agent beats on the link that it keeps, whichever spoke last; and where it beats, it is.
-        let before = self.own.insert(node, Lease { told: told.clone(), link, heard: now });
-        before.is_none_or(|before| before.told != told) && self.settle()
+        let same = |lease: &&mut Lease| {
+            lease.told.linked && lease.told.standing == standing && lease.told.edge == edge
+        };
+        if let Some(lease) = self.own.get_mut(&edge.node).filter(same) {
+            (lease.link, lease.heard) = (link, now);
+            return false;
+        }
+        let node = edge.node.clone();
+        let told = Told { edge, standing, linked: true };
+        self.lease(&node, Some(Lease { told, link, heard: now }));
+        self.look(&node);
+        self.settle()
     }
 
     /// An agent's link is gone; its lease runs on. Gives whether the list is another one.
     pub fn gone(&mut self, link: u64) -> bool {
-        self.links.remove(&link);
-        let Some(lease) = self.own.values_mut().find(|lease| lease.link == link) else { return false };
+        let edge = self.links.remove(&link);
+        let held = edge.and_then(|edge| self.own.get(&edge.node)).filter(|lease| lease.link == link);
+        let Some(mut lease) = held.cloned() else { return false };
         lease.told.linked = false;
+        let node = lease.told.edge.node.clone();
+        self.lease(&node, Some(lease));
+        self.look(&node);
         self.settle()
     }
 
@@ -97,31 +171,77 @@
     pub fn expire(&mut self, now: i64, in_touch: bool) -> bool {
         let span = if in_touch { limits::LEASE } else { limits::LEASE_ALONE };
         self.hearsay.retain(|_, hearsay| now - hearsay.heard <= span);
-        self.own.retain(|_, lease| now - lease.heard <= limits::LEASE);
-        let served = self.all().into_iter().filter(|told| told.standing != Standing::Away);
-        let served: Vec<String> = served.map(|told| told.edge.node.clone()).collect();
-        self.lately.extend(served.into_iter().map(|node| (node, now)));
+        let over = self.own.iter().filter(|(_, lease)| now - lease.heard > limits::LEASE);
+        let over: Vec<String> = over.map(|(node, _)| node.clone()).collect();
+        over.iter().for_each(|node| _ = self.lease(node, None));
+        let mut serving = Serving::default();
+        for told in self.all().into_iter().filter(|told| told.standing != Standing::Away) {
+            serving.set(&told.edge.node, Some(&told.edge.zone));
+        }
+        self.serving = serving;
+        self.lately.extend(self.serving.nodes.keys().map(|node| (node.clone(), now)));
         self.lately.retain(|_, at| now - *at <= limits::LATELY);
         self.settle()
     }
 
     /// A seat has told whom it holds. Gives whether the own list is another one.
     pub fn told(&mut self, now: i64, seat: Seat, list: Vec<Told>) -> bool {
-        // Who is linked elsewhere by now is not held here.
-        let moved = |node: &str| list.iter().any(|told| told.linked && told.edge.node == node);
-        self.own.retain(|node, lease| lease.told.linked || !moved(node));
-        let digest = digest(&list);
-        self.hearsay.insert(seat, Hearsay { list, digest, changed: now, heard: now, asked: None });
+        self.moved_there(&list);
+        let digest = digest(list.iter());
+        let list: BTreeMap<String, Told> =
+            list.into_iter().map(|told| (told.edge.node.clone(), told)).collect();
+        let nodes: Vec<String> = list.keys().cloned().collect();
+        let new = Hearsay { list, digest, changed: now, heard: now, asked: None };
+        let old = self.hearsay.insert(seat, new).unwrap_or_default();
+        nodes.iter().chain(old.list.keys()).for_each(|node| self.look(node));
         self.settle()
     }
 
+    /// A seat has told what has changed of whom it holds. Gives whether the own list is another one; nothing where a
+    /// telling before it was missed, and the whole is to be asked for.
+    pub fn moved(&mut self, now: i64, seat: Seat, moved: Moved) -> Option<bool> {
+        let hearsay = self.hearsay.entry(seat).or_default();
+        if hearsay.digest == moved.after {
+            hearsay.heard = now;
+            return Some(false);
+        }
+        if hearsay.digest != moved.before {
+            return if self.ask(now, seat) { None } else { Some(false) };
+        }
+        let gone = moved.gone.iter().filter_map(|node| hearsay.list.remove(node));
+        let digest = gone.fold(hearsay.digest, |digest, told| digest ^ one(&told));
+        hearsay.digest = moved.told.iter().fold(digest, |digest, told| {
+            let old = hearsay.list.insert(told.edge.node.clone(), told.clone());
+            digest ^ one(told) ^ old.as_ref().map_or(0, one)
+        });
+        (hearsay.changed, hearsay.heard) = (now, now);
+        self.moved_there(&moved.told);
+        moved.told.iter().map(|told| &told.edge.node).chain(&moved.gone).for_each(|node| self.look(node));
+        Some(self.settle())
+    }
+
+    /// Who is linked elsewhere by now is not held here.
+    fn moved_there(&mut self, list: &[Told]) {
+        for told in list.iter().filter(|told| told.linked) {
+            if self.own.get(&told.edge.node).is_some_and(|lease| !lease.told.linked) {
+                self.lease(&told.edge.node, None);
+            }
+        }
+    }
+
     /// A seat's beat has come. Gives whether its list is to be asked for.
     pub fn confirmed(&mut self, now: i64, seat: Seat, digest: u64) -> bool {
         let hearsay = self.hearsay.entry(seat).or_default();
-        if hearsay.digest == digest || (digest == self::digest(&[]) && hearsay.list.is_empty()) {
+        if hearsay.digest == digest {
             hearsay.heard = now;
             return false;
         }
+        self.ask(now, seat)
+    }
+
+    /// A seat's list is another one than is known here. Gives whether to ask for it now.
+    fn ask(&mut self, now: i64, seat: Seat) -> bool {
+        let hearsay = self.hearsay.entry(seat).or_default();
         let ask = hearsay.asked.is_none_or(|asked| now - asked >= limits::ASK);
         if ask {
             hearsay.asked = Some(now);
@@ -136,12 +256,39 @@
         self.lately.len()
     }
 
+    /// How many serve, in all and in a zone.
+    pub fn serving(&self, zone: &str) -> (u32, u32) {
+        (self.serving.nodes.len() as u32, self.serving.zones.get(zone).copied().unwrap_or_default())
+    }
+
+    /// Something else is said of a machine.
+    fn look(&mut self, node: &str) {
+        let told = self.known(node).filter(|told| told.standing != Standing::Away);
+        let zone = told.map(|told| told.edge.zone.clone());
+        self.serving.set(node, zone.as_deref());
+    }
+
+    /// All that is said of a machine, each with its weight.
+    fn said(&self, node: &str) -> impl Iterator<Item = ((bool, bool, i64), &Told)> {
+        let own = self.own.get(node).map(|lease| ((lease.told.linked, true, 0), &lease.told));
+        let others = self.hearsay.values().filter_map(|hearsay| {
+            let told = hearsay.list.get(node)?;
+            Some(((told.linked, false, hearsay.changed), told))
+        });
+        own.into_iter().chain(others)
+    }
+
+    /// A member, as [`Members::all`] has it.
+    fn known(&self, node: &str) -> Option<&Told> {
+        self.said(node).max_by_key(|(weight, _)| *weight).map(|(_, told)| told)
+    }
+
     /// All members. An edge linked here goes before hearsay, then who is linked there, then who was told of last.
     pub fn all(&self) -> Vec<&Told> {
         let mut best: BTreeMap<&str, ((bool, bool, i64), &Told)> = BTreeMap::new();
         let own = self.own.values().map(|lease| ((lease.told.linked, true, 0), &lease.told));
         let others = self.hearsay.values().flat_map(|hearsay| {
-            hearsay.list.iter().map(|told| ((told.linked, false, hearsay.changed), told))
+            hearsay.list.values().map(|told| ((told.linked, false, hearsay.changed), told))
         });
         for (weight, told) in own.chain(others) {
             let entry = best.entry(&told.edge.node).or_insert((weight, told));
@@ -152,3 +299,50 @@
         best.into_values().map(|(_, told)| told).collect()
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use std::net::SocketAddr;
+
+    use super::*;
+
+    fn edge(node: &str) -> Edge {
+        let (zone, region) = ("a".to_string(), "r".to_string());
+        Edge { node: node.to_string(), zone, region, http: SocketAddr::from(([10, 0, 0, 1], 80)) }
+    }
+
+    /// What another seat holds of this one's list.
+    fn held(other: &Members) -> Vec<(&str, Standing)> {
+        other.all().into_iter().map(|told| (told.edge.node.as_str(), told.standing)).collect()
+    }
+
+    #[test]
+    fn a_change_is_told_alone_and_who_missed_one_asks_for_the_whole() {
+        let (mut one, mut other) = (Members::default(), Members::default());
+        assert!(one.hello(0, 1, edge("e")) && one.hello(0, 2, edge("f")));
+        let first = one.news().unwrap();
+        assert_eq!((first.told.len(), one.news()), (2, None));
+        assert_eq!(other.moved(0, 7, first.clone()), Some(false));
+        assert!(one.beat(1, 1, Standing::Ready) && !one.beat(2, 1, Standing::Ready));
+        let second = one.news().unwrap();
+        assert_eq!((second.told.len(), second.gone.len()), (1, 0));
+        assert!(one.beat(3, 2, Standing::Leaving));
+        let third = one.news().unwrap();
+        // The third comes before the second, and the first again.
+        assert_eq!(other.moved(3, 7, third), None);
+        assert_eq!(other.moved(4, 7, second), Some(false));
+        assert_eq!(held(&other), [("e", Standing::Ready), ("f", Standing::Away)]);
+        assert!(!other.confirmed(5, 7, one.digest()), "it was asked for just now");
+        assert!(other.confirmed(limits::ASK + 5, 7, one.digest()));
+        other.told(limits::ASK + 6, 7, one.list());
+        assert!(!other.confirmed(limits::ASK + 7, 7, one.digest()));
+        assert_eq!(held(&other), [("e", Standing::Ready), ("f", Standing::Leaving)]);
+        assert_eq!(other.serving("a"), (2, 2));
+        // One whose lease has run out goes by its name alone.
+        assert!(one.beat(limits::LEASE, 1, Standing::Ready) || one.expire(limits::LEASE + 4, true));
+        let last = one.news().unwrap();
+        assert_eq!((last.told.len(), last.gone.as_slice()), (0, ["f".to_string()].as_slice()));
+        assert_eq!(other.moved(limits::LEASE + 5, 7, last), Some(false));
+        assert_eq!((held(&other), other.serving("a")), (vec![("e", Standing::Ready)], (1, 1)));
+    }
+}
--- a/headworks/src/core/mod.rs
+++ b/headworks/src/core/mod.rs
@@ -198,7 +198,7 @@
     ahead: i64,
     touch: bool,
     /// Seats that know the same to be chosen as this one, a bit each; once they are enough, agents are told the whole.
-    matched: u64,
+    matched: u128,
     whole: bool,
     /// In any case then.
     whole_at: Option<i64>,
@@ -267,7 +267,12 @@
         match input {
             Input::Tick => {}
             Input::Letter(from, letter) => self.letter(now, from, letter, out),
-            Input::LinkUp(peer) => self.link_up(peer, out),
+            Input::LinkUp(peer) => {
+                if let Some(rebuild) = &mut self.rebuild {
+                    rebuild.linked(now, peer);
+                }
+                self.link_up(peer, out);
+            }
             Input::Written(number) => self.written(now, number, out),
             Input::Call(call, command, deadline) => self.call(now, call, command, deadline, out),
             Input::Agent(link, up) => self.agent(now, link, up, out),
@@ -278,7 +283,7 @@
             Input::Stop => self.stop(now, out),
         }
         self.turn(now, out);
-        if !often {
+        if !often || self.agents.wake().is_some_and(|wake| wake <= now) {
             self.tell_who(now, false, out);
         }
     }
@@ -293,6 +298,7 @@
         let able = able && !self.stopping;
         let duties = self.duties.iter().filter(|duty| able || duty.bids()).map(Ballots::wake);
         let all = rounds.chain(readings).chain(rebuild).chain(finish).chain(duties);
+        let all = all.chain(self.agents.wake());
         all.fold(self.next_beat, i64::min)
     }
 
@@ -391,7 +397,7 @@
         match letter.body {
             Body::AskMembers => self.send(vec![from], Body::Members(self.members.list()), out),
             Body::AskServers => self.send_servers(now, from, out),
-            Body::Record(life) => self.record(from, letter.by.seat, life, out),
+            Body::Record { life, digest } => self.record(from, letter.by.seat, life, digest, out),
             // One of an older life learns of the newer one by any letter.
             Body::Beat(_) if !heard.counts && letter.by.life != Life::NONE => self.link_up(from, out),
             _ if !heard.counts => {}
@@ -399,13 +405,14 @@
             Body::Seats(told) if self.seats.knows_more(&letter.lives, &told) => self.link_up(from, out),
             Body::Seats(_) => {}
             Body::Members(list) => self.members_told(now, by.0, list, out),
+            Body::Moved(moved) => self.members_moved(now, from, by.0, moved, out),
             Body::Servers { version, servers } => {
                 if self.listed.told(now, version, servers) {
                     self.tell_servers(now, out);
                 }
             }
             Body::Recorded { life, floor, all, terms } => {
-                self.recorded(by, life, floor, all, &terms, out);
+                self.recorded(now, by, life, floor, all, &terms, out);
             }
             _ if !self.seats.takes_part() => {}
             Body::Prepare { ballot, names } => self.prepare(now, from, ballot, &names, out),
@@ -418,9 +425,11 @@
             }
             Body::Read { id, digest } => self.asked(from, id, digest, out),
             Body::Sync(known) => {
-                let newer = self.news.newer(&known);
-                if !newer.is_empty() {
-                    self.send(vec![from], Body::Learn(newer), out);
+                let more = self.news.differing(&known);
+                for piece in
+                    news::pieces(more, |(_, item)| item).into_iter().filter(|piece| !piece.is_empty())
+                {
+                    self.send(vec![from], Body::Learn(piece), out);
                 }
             }
             Body::Learn(items) => self.learn(now, items, out),
--- a/headworks/src/core/news.rs
+++ b/headworks/src/core/news.rs
@@ -2,16 +2,21 @@
 
 use std::collections::BTreeMap;
 
+use mains::digests::Digests;
 use mains::items::{Item, Name};
 
 use super::letters::Ballot;
 use super::registers::digest;
+use crate::limits;
 
 /// The items that are known to be chosen.
 #[derive(Clone, Debug, Default)]
 pub struct News {
     chosen: BTreeMap<Name, (Ballot, Item)>,
     digest: u64,
+    /// By parts: of all, and of names and versions alone, as agents have them.
+    parts: Digests,
+    versions: Digests,
 }
 
 /// What a chosen item is here.
@@ -34,13 +39,20 @@
             Some((_, old)) if old.ver == item.ver => Learned::Again,
             _ => Learned::News,
         };
-        self.digest ^= digest(&ballot, item);
+        self.turn(ballot, item);
         if let Some((ballot, item)) = self.chosen.insert(item.name.clone(), (ballot, item.clone())) {
-            self.digest ^= digest(&ballot, &item);
+            self.turn(ballot, &item);
         }
         learned
     }
 
+    fn turn(&mut self, ballot: Ballot, item: &Item) {
+        let digest = digest(&ballot, item);
+        self.digest ^= digest;
+        self.parts.turn(&item.name, digest);
+        self.versions.turn(&item.name, Digests::of(item));
+    }
+
     /// The version that is chosen, if any.
     pub fn version(&self, name: &Name) -> Option<u64> {
         self.chosen.get(name).map(|(_, item)| item.ver)
@@ -61,18 +73,37 @@
         self.digest
     }
 
-    /// What is known, without the contents.
-    pub fn summary(&self) -> Vec<(Name, u64, Ballot)> {
-        self.all().map(|(ballot, item)| (item.name.clone(), item.ver, *ballot)).collect()
+    /// Digests of all that is chosen, by parts.
+    pub fn parts(&self) -> &[u64] {
+        self.parts.parts()
     }
 
-    /// What is newer here than in a summary.
-    pub fn newer(&self, summary: &[(Name, u64, Ballot)]) -> Vec<(Ballot, Item)> {
-        let known: BTreeMap<&Name, (u64, Ballot)> =
-            summary.iter().map(|(name, ver, ballot)| (name, (*ver, *ballot))).collect();
-        let newer = |(ballot, item): &&(Ballot, Item)| {
-            known.get(&item.name).is_none_or(|known| *known < (item.ver, *ballot))
-        };
-        self.all().filter(newer).cloned().collect()
+    /// What is chosen of the parts of which another seat knows something else.
+    pub fn differing(&self, parts: &[u64]) -> Vec<(Ballot, Item)> {
+        self.all().filter(|(_, item)| self.parts.differ(parts, &item.name)).cloned().collect()
+    }
+
+    /// What an agent lacks that has these parts.
+    pub fn lacking(&self, have: &[u64]) -> Vec<Item> {
+        let items = self.all().map(|(_, item)| item);
+        items.filter(|item| self.versions.differ(have, &item.name)).cloned().collect()
+    }
+}
+
+/// Items in pieces, so that no message grows with how many there are. At least one piece, be it empty.
+pub fn pieces<T>(items: Vec<T>, of: impl Fn(&T) -> &Item) -> Vec<Vec<T>> {
+    let mut pieces = vec![Vec::new()];
+    let mut bytes = 0;
+    for one in items {
+        let size = of(&one).name.name.len() + of(&one).spec.as_deref().map_or(0, str::len);
+        if bytes + size > limits::PIECE && bytes > 0 {
+            pieces.push(Vec::new());
+            bytes = 0;
+        }
+        bytes += size;
+        if let Some(last) = pieces.last_mut() {
+            last.push(one);
+        }
     }
+    pieces
 }
--- a/headworks/src/core/post.rs
+++ b/headworks/src/core/post.rs
@@ -11,7 +11,7 @@
     /// A vote goes out; without an address it is this seat's own.
     Vote(Option<SocketAddr>, Body),
     /// A seat that rebuilds hears that its life is written down here.
-    Recorded(SocketAddr, Life),
+    Recorded(SocketAddr, Life, u64),
     /// This seat takes part from now on.
     Begin(Life),
 }
@@ -75,11 +75,12 @@
             match after {
                 After::Vote(to, body) if self.seats.takes_part() => self.post(now, to, body, out),
                 After::Vote(..) => {}
-                After::Recorded(to, life) => {
+                After::Recorded(to, life, digest) => {
+                    let same = digest == self.registers.digest();
                     let body = Body::Recorded {
                         life,
                         floor: self.registers.highest(),
-                        all: self.registers.held().cloned().collect(),
+                        all: (!same).then(|| self.registers.held().cloned().collect()),
                         terms: self.own().terms,
                     };
                     self.send(vec![to], body, out);
--- a/headworks/src/core/repair.rs
+++ b/headworks/src/core/repair.rs
@@ -1,10 +1,12 @@
 //! Repair: what was lost is rebuilt from those who were told it; what was begun and not finished is finished.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 
 use mains::items::{Item, Name};
 
 use super::letters::{Ballot, Life, Seat, Term};
+use super::registers::digest;
 use super::seats::Seats;
 use crate::limits;
 
@@ -17,6 +19,11 @@
     answers: BTreeMap<Seat, Life>,
     /// What was accepted, by the highest ballot.
     pub found: BTreeMap<Name, (Ballot, Item)>,
+    /// Digest of this. Who holds the same answers so, and does not tell it all again.
+    pub digest: u64,
+    /// The first one with a link. It is asked alone at first: then most of the others have nothing to add.
+    near: Option<SocketAddr>,
+    tried: bool,
     /// Highest promise of all.
     pub floor: Ballot,
     /// Newest terms of the duties.
@@ -33,25 +40,52 @@
         if newest >= self.life {
             *self = Rebuild {
                 life: Life { number: newest.max(Life::FIRST).number + 1, mark },
+                near: self.near,
                 ..Rebuild::default()
             };
         }
     }
 
+    /// A link is up.
+    pub fn linked(&mut self, now: i64, peer: SocketAddr) {
+        if self.near.is_none() {
+            self.near = Some(peer);
+            self.wake = now;
+        }
+    }
+
+    /// Whom to ask now: those that have not answered; the near one alone at first.
+    pub fn to_ask(&mut self, seats: &Seats) -> Vec<SocketAddr> {
+        let first = self.near.filter(|_| !std::mem::replace(&mut self.tried, true));
+        if let Some(near) = first.filter(|_| self.answers.is_empty()) {
+            return vec![near];
+        }
+        let counted = self.answers.iter().filter(|(seat, life)| seats.counts(**seat, **life));
+        let answered: Vec<SocketAddr> = counted.filter_map(|(seat, _)| seats.address(*seat)).collect();
+        seats.peers().into_iter().filter(|peer| !answered.contains(peer)).collect()
+    }
+
     /// Takes an answer in. Gives whether more than half of the others have answered.
     pub fn answered(
         &mut self,
+        now: i64,
         by: (Seat, Life),
         floor: Ballot,
-        all: Vec<(Ballot, Item)>,
+        all: Option<Vec<(Ballot, Item)>>,
         terms: &[Term],
         seats: &Seats,
     ) -> bool {
-        for (ballot, item) in all {
+        for (ballot, item) in all.into_iter().flatten() {
             if self.found.get(&item.name).is_none_or(|(known, _)| *known < ballot) {
-                self.found.insert(item.name.clone(), (ballot, item));
+                self.digest ^= digest(&ballot, &item);
+                if let Some((ballot, item)) = self.found.insert(item.name.clone(), (ballot, item)) {
+                    self.digest ^= digest(&ballot, &item);
+                }
             }
         }
+        if self.answers.is_empty() {
+            self.wake = now;
+        }
         self.floor = self.floor.max(floor);
         let pairs = terms.iter().enumerate();
         for (at, term) in pairs {
--- a/headworks/src/core/seats.rs
+++ b/headworks/src/core/seats.rs
@@ -147,9 +147,9 @@
     }
 
     /// Where the seats are that are known, by their zones, for agents.
-    pub fn for_agents(&self, zones: &[String]) -> Vec<(String, SocketAddr)> {
-        let at = |(seat, zone): (usize, &String)| Some((zone.clone(), self.address(seat as Seat)?));
-        zones.iter().enumerate().filter_map(at).collect()
+    pub fn for_agents<'a>(&self, zones: &'a [String]) -> impl Iterator<Item = (&'a str, SocketAddr)> {
+        let at = |(seat, zone): (usize, &'a String)| Some((zone.as_str(), self.address(seat as Seat)?));
+        zones.iter().enumerate().filter_map(at)
     }
 
     /// A vote of this life of a seat counts.
@@ -220,7 +220,7 @@
     }
 
     /// The seats that were heard of late, a bit each.
-    pub fn heard(&self, now: i64) -> u64 {
+    pub fn heard(&self, now: i64) -> u128 {
         (0..self.places.len())
             .filter(|seat| self.hears(now, *seat as Seat))
             .fold(0, |bits, seat| bits | 1 << seat)
--- a/headworks/src/host/mod.rs
+++ b/headworks/src/host/mod.rs
@@ -49,8 +49,8 @@
 
 fn places(settings: &Settings) -> eyre::Result<Places> {
     let want = |key: &str| eyre!("settings: {key}: missing, and wanted on a machine of the core");
-    if settings.zones.len() > 64 {
-        return Err(eyre!("settings: zones: more than 64 seats"));
+    if settings.zones.len() > limits::SEATS {
+        return Err(eyre!("settings: zones: more than 128 seats"));
     }
     Ok(Places {
         core: settings.core_address(settings.ip),
--- a/headworks/src/limits.rs
+++ b/headworks/src/limits.rs
@@ -75,6 +75,14 @@
 /// Clients keep an answer to where-to-go for this.
 pub const TTL: i64 = 2_000 * MS;
 
+/// Between two tellings to agents of how many limiters there are, where nothing else is news...
+pub const COUNTS: i64 = 100 * MS;
+/// ...and this has changed by less than one in so many.
+pub const COUNTED: u32 = 32;
+/// Contents of this many bytes go into one message, where many are told.
+pub const PIECE: usize = 256 * 1024;
+/// Most seats: each is a bit in a beat.
+pub const SEATS: usize = 128;
 /// Longest body of a call, in bytes.
 pub const CALL_BYTES: u64 = 8 * 1024 * 1024;
 /// Longest page of the platform's list, in bytes.
--- a/mains/src/lib.rs
+++ b/mains/src/lib.rs
@@ -4,6 +4,7 @@
 //! platform's list of servers. [`messages`] are what the programs say to each other and [`frames`] how that is put on a
 //! connection. [`ring`] keeps the log until something goes wrong.
 
+pub mod digests;
 pub mod frames;
 pub mod items;
 pub mod messages;
--- a/mains/src/messages.rs
+++ b/mains/src/messages.rs
@@ -51,6 +51,9 @@
 pub enum Up {
     /// Who speaks; the first message of an agent. Its lease begins, and it wants the news.
     Hello(Edge),
+    /// Digests of the items that an agent knows already, by parts (see [`crate::digests`]): before its `Hello`, where
+    /// it knows any. It is told only what differs.
+    Have(Vec<u64>),
     /// Renews the lease; the proxy's only message about itself.
     Beat(Standing),
     /// The limiters' clock as the agent has it, 0 if it has not heard it: the first message on a link to the holder of
@@ -85,9 +88,10 @@
 /// From a control program to an agent, and from an agent to its proxy.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Down {
-    /// Who is who. Comes at once, at each change and as a sign of life.
+    /// Who is who. Comes at once and at each change.
     Who(Who),
-    /// Items that were chosen; each holds by its own version. The first one on a link carries all.
+    /// Items that were chosen; each holds by its own version. The first ones on a link carry all that the agent has not
+    /// said to have. With nothing in it, it is a sign of life.
     Items(Vec<Item>),
     /// The platform's list, whole, by the poller of this term. `cold` counts from now.
     Servers {
--- a/penstock/src/host.rs
+++ b/penstock/src/host.rs
@@ -73,6 +73,8 @@
     proxy: Option<WireKey>,
     edge: Option<Edge>,
     standing: Standing,
+    /// The own zone's seat was looked for since the start.
+    homed: bool,
     ending: bool,
     finished: bool,
 }
@@ -122,6 +124,7 @@
             proxy: None,
             edge: None,
             standing: Standing::Away,
+            homed: false,
             ending: false,
             finished: false,
         })
@@ -194,6 +197,9 @@
 
     fn greet(&mut self, now: i64, key: WireKey) {
         if let Some(edge) = self.edge.clone() {
+            if let Some(have) = self.known.have() {
+                self.put(key, &Up::Have(have));
+            }
             self.put(key, &Up::Hello(edge));
             self.ask_time(now, key);
             self.put(key, &Up::Beat(self.standing));
@@ -339,6 +345,10 @@
                 }
                 self.pass_on(now, message);
                 self.open_count(now);
+                // The settings name a few seats: not all agents that start are to stay with these.
+                if in_touch && !std::mem::replace(&mut self.homed, true) {
+                    self.try_home(now);
+                }
             }
             // Half of the way there and back has passed since it was told.
             Down::Time(time) => {
@@ -371,7 +381,7 @@
                 }
                 Ok(Some(Up::Beat(standing))) => self.stands(standing),
                 Ok(Some(Up::Adds { batch, time, adds })) => self.adds(now, key, batch, time, adds),
-                Ok(Some(Up::Clock(_))) => {}
+                Ok(Some(Up::Clock(_) | Up::Have(_))) => {}
                 Ok(None) => return,
                 Err(fault) => {
                     error!(self.log, "{fault}"; "step" => "reading", "peer" => "proxy");
@@ -441,6 +451,10 @@
     /// An agent that is linked elsewhere looks whether the seat of its zone is back.
     fn go_home(&mut self, now: i64) {
         self.deadlines.enter(now + HOMEWARD, Due::Home);
+        self.try_home(now);
+    }
+
+    fn try_home(&mut self, now: i64) {
         if let Some((old, _)) = self.homeward.take() {
             self.wires.close(old);
         }
--- a/penstock/src/known.rs
+++ b/penstock/src/known.rs
@@ -1,5 +1,6 @@
 //! What an agent was told, to be told to its proxy, also to one that starts later. Without any input or output.
 
+use mains::digests::Digests;
 use mains::items::{Item, Items};
 use mains::messages::{Down, Who};
 use mains::platform::Server;
@@ -16,6 +17,8 @@
 #[derive(Debug, Default)]
 pub struct Known {
     items: Items,
+    /// Of these, by parts.
+    digests: Digests,
     list: Option<List>,
     who: Option<Who>,
     whole: bool,
@@ -38,7 +41,12 @@
             Down::Items(items) => {
                 let newer = |item: &Item| self.items.get(&item.name).is_none_or(|held| held.ver < item.ver);
                 let new: Vec<Item> = items.into_iter().filter(newer).collect();
-                self.items.extend(new.iter().map(|item| (item.name.clone(), item.clone())));
+                for item in &new {
+                    self.digests.turn(&item.name, Digests::of(item));
+                    if let Some(old) = self.items.insert(item.name.clone(), item.clone()) {
+                        self.digests.turn(&old.name, Digests::of(&old));
+                    }
+                }
                 (!new.is_empty()).then_some(Down::Items(new))
             }
             Down::Servers { version, servers } => {
@@ -62,6 +70,11 @@
         }
     }
 
+    /// Digests of the items, for a control program that is to tell what is missing; nothing where none is known.
+    pub fn have(&self) -> Option<Vec<u64>> {
+        (!self.items.is_empty()).then(|| self.digests.parts().to_vec())
+    }
+
     /// Who is who, as last told.
     pub fn who(&self) -> Option<&Who> {
         self.who.as_ref()
