Gauge: the operators' view, by status, export and diff

A read-only call on the seats, GET /api/status: lives, duties, versions, members with the seat that holds each, and how far each limiter is behind, told from what the seat holds. Agents say what they hold after each news and every 2 s. gauge puts the seats' answers side by side and names what is wrong; writes out the configuration with keys as salted hashes; compares two by item and key. verify is left out: it waits for the disk's own check.

--- /dev/null
+++ b/gauge/src/configuration.rs
@@ -0,0 +1,126 @@
+//! A configuration as it is written out: all items that stand, each with its version. Keys of tenants are secrets: they
+//! are shown as hashes with a salt, which stands beside the items.
+
+use std::collections::BTreeMap;
+
+use eyre::{WrapErr, eyre};
+use mains::items::{self, Items};
+use serde_json::{Map, Value, json};
+use sha2::{Digest, Sha256};
+
+/// The key of secrets in a tenant.
+pub const SECRETS: &str = "apikeys";
+/// What a hash begins with.
+const MARK: &str = "hash:";
+
+/// A configuration: its items as they were read, by name, and how its secrets stand in it.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Configuration {
+    /// Version and content of each item.
+    pub items: BTreeMap<String, (u64, Map<String, Value>)>,
+    /// The salt of the hashes that stand for its secrets; none where these are plain.
+    pub salt: Option<String>,
+}
+
+/// A salt that nobody has used.
+pub fn salt() -> String {
+    use std::hash::{BuildHasher, Hasher, RandomState};
+    let part = || RandomState::new().build_hasher().finish();
+    format!("{:016x}{:016x}", part(), part())
+}
+
+/// The hash that stands for a secret.
+pub fn hashed(salt: &str, secret: &str) -> String {
+    let digest = Sha256::digest(format!("{salt}:{secret}").as_bytes());
+    let text: String = digest.iter().take(16).map(|byte| format!("{byte:02x}")).collect();
+    format!("{MARK}{text}")
+}
+
+impl Configuration {
+    /// Reads what a seat answers, or what was written out before.
+    ///
+    /// # Errors
+    /// It is none; the message names the item and the key.
+    pub fn read(text: &[u8]) -> eyre::Result<Configuration> {
+        let value: Value = serde_json::from_slice(text).wrap_err("configuration: no JSON")?;
+        let objects = value.get("objs").ok_or_else(|| eyre!("configuration: objs: missing"))?;
+        let salt = match value.get("salt") {
+            None => None,
+            Some(Value::String(salt)) => Some(salt.clone()),
+            Some(_) => return Err(eyre!("configuration: salt: no text")),
+        };
+        // Checked as a call of the operators would be.
+        let call = json!({"upsert": {"objs": objects}}).to_string();
+        let read = items::read_patch(call.as_bytes(), &Items::new());
+        let read = read.map_err(|error| eyre!("configuration: {error}"))?;
+        let mut items = BTreeMap::new();
+        for item in read {
+            let text = item.spec.as_deref().unwrap_or_default();
+            let spec =
+                serde_json::from_str(text).wrap_err_with(|| format!("configuration: {}", item.name))?;
+            items.insert(item.name.to_string(), (item.ver, spec));
+        }
+        Ok(Configuration { items, salt })
+    }
+
+    /// The same with hashes in place of secrets; as it is where it has such already.
+    pub fn hidden(mut self, salt: &str) -> Configuration {
+        if self.salt.is_some() {
+            return self;
+        }
+        for (_, spec) in self.items.values_mut() {
+            let secrets = spec.get_mut(SECRETS).and_then(Value::as_array_mut);
+            for secret in secrets.into_iter().flatten() {
+                if let Value::String(text) = secret {
+                    *text = hashed(salt, text);
+                }
+            }
+        }
+        self.salt = Some(salt.to_string());
+        self
+    }
+
+    /// As it is written out, an item a line, in the order of names.
+    pub fn write(&self) -> String {
+        let one = |(name, (ver, spec)): (&String, &(u64, Map<String, Value>))| {
+            let (kind, name) = name.split_once('/').unwrap_or((name, ""));
+            let meta = if name.is_empty() { json!({"ver": ver}) } else { json!({"name": name, "ver": ver}) };
+            json!({"type": kind, "meta": meta, "spec": spec}).to_string()
+        };
+        let lines: Vec<String> = self.items.iter().map(one).collect();
+        let salt = self.salt.as_ref().map(|salt| format!("\"salt\":{},", json!(salt))).unwrap_or_default();
+        format!("{{{salt}\"objs\":[\n{}\n]}}\n", lines.join(",\n"))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use test_case::test_case;
+
+    const TEXT: &str = r#"{"objs":[{"type":"tenants","meta":{"name":"t","ver":3},"spec":{"apikeys":["secret-1"],"per_s":5}},
+        {"type":"svcs","meta":{"name":"s","ver":1},"spec":{"hcheck":"/h"}},
+        {"type":"limits","meta":{"ver":2},"spec":{"hdr_bytes":1,"body_bytes":1,"hdr":"1s","idle":"1s"}}]}"#;
+
+    #[test]
+    fn what_is_written_out_is_read_back_and_shows_no_secret() {
+        let plain = Configuration::read(TEXT.as_bytes()).unwrap();
+        assert_eq!(Configuration::read(plain.write().as_bytes()).unwrap(), plain);
+        let hidden = plain.clone().hidden("pepper");
+        let text = hidden.write();
+        assert!(!text.contains("secret-1") && text.contains(&hashed("pepper", "secret-1")), "{text}");
+        assert_eq!(Configuration::read(text.as_bytes()).unwrap(), hidden);
+        assert_ne!(hashed("pepper", "secret-1"), hashed("salt", "secret-1"));
+    }
+
+    #[test_case(r#""per_s":5"#, r#""per_s":-5"#, "per_s"; "a rate below nothing")]
+    #[test_case(r#""hdr":"1s""#, r#""hdr":"soon""#, "limits"; "no span")]
+    #[test_case(r#""objs""#, r#""objects""#, "objs"; "no items")]
+    #[test_case(r#""type":"svcs""#, r#""type":"rules""#, "type"; "an unknown kind")]
+    #[test_case(r#""ver":1}"#, r#""ver":1"#, "JSON"; "cut short")]
+    fn a_fault_names_its_key(from: &str, to: &str, key: &str) {
+        assert!(TEXT.contains(from));
+        let error = Configuration::read(TEXT.replacen(from, to, 1).as_bytes()).unwrap_err();
+        assert!(format!("{error:#}").contains(key), "{error:#}");
+    }
+}
--- /dev/null
+++ b/gauge/src/http.rs
@@ -0,0 +1,89 @@
+//! One call of a seat, by an absolute deadline.
+
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Instant;
+
+use eyre::{WrapErr, ensure, eyre};
+
+/// Longest answer that is taken, in bytes.
+const LONGEST: usize = 64 * 1024 * 1024;
+/// Longest head of an answer.
+const HEAD: usize = 16 * 1024;
+
+/// Gets a path; gives the body of an answer with the status 200.
+///
+/// # Errors
+/// There is none in time, or another one; the message names the address and the step.
+pub fn get(at: SocketAddr, path: &str, until: Instant) -> eyre::Result<Vec<u8>> {
+    let (status, body) = ask(at, path, until).wrap_err_with(|| format!("asking {at} for {path}"))?;
+    let text = || String::from_utf8_lossy(&body).chars().take(200).collect::<String>();
+    ensure!(status == 200, "asking {at} for {path}: answered {status}: {}", text());
+    Ok(body)
+}
+
+fn ask(at: SocketAddr, path: &str, until: Instant) -> eyre::Result<(u16, Vec<u8>)> {
+    let left = || {
+        let left = until.saturating_duration_since(Instant::now());
+        if left.is_zero() { Err(eyre!("no answer in time")) } else { Ok(left) }
+    };
+    let mut stream = TcpStream::connect_timeout(&at, left()?).wrap_err("connecting")?;
+    stream.set_write_timeout(Some(left()?)).wrap_err("writing")?;
+    let request = format!("GET {path} HTTP/1.1\r\nHost: {at}\r\nConnection: close\r\n\r\n");
+    stream.write_all(request.as_bytes()).wrap_err("writing")?;
+    let (mut input, mut part) = (Vec::new(), [0; 16 * 1024]);
+    loop {
+        if let Some(answer) = read(&input)? {
+            return Ok(answer);
+        }
+        stream.set_read_timeout(Some(left()?)).wrap_err("reading")?;
+        match stream.read(&mut part) {
+            Ok(0) => return Err(eyre!("reading: it ended in the middle of an answer")),
+            Ok(length) => input.extend_from_slice(&part[..length]),
+            Err(error) if error.kind() == ErrorKind::Interrupted => {}
+            Err(error) => return Err(error).wrap_err("reading"),
+        }
+    }
+}
+
+/// Status and body, once both are there.
+fn read(input: &[u8]) -> eyre::Result<Option<(u16, Vec<u8>)>> {
+    let Some(end) = input.windows(4).take(HEAD).position(|four| four == b"\r\n\r\n") else {
+        ensure!(input.len() < HEAD, "reading: a head that does not end");
+        return Ok(None);
+    };
+    let head = std::str::from_utf8(&input[..end]).wrap_err("reading: the head")?;
+    let mut lines = head.split("\r\n");
+    let status = lines.next().and_then(|line| line.split(' ').nth(1)).and_then(|word| word.parse().ok());
+    let status = status.ok_or_else(|| eyre!("reading: no status"))?;
+    let length = lines.filter_map(|line| line.split_once(':'));
+    let length = length.filter(|(name, _)| name.eq_ignore_ascii_case("content-length"));
+    let length = length.filter_map(|(_, value)| value.trim().parse::<usize>().ok()).next();
+    let length = length.ok_or_else(|| eyre!("reading: an answer without its length"))?;
+    ensure!(length <= LONGEST, "reading: an answer of {length} bytes");
+    let body = input.get(end + 4..end + 4 + length);
+    Ok(body.map(|body| (status, body.to_vec())))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use test_case::test_case;
+
+    #[test_case("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}", Some((200, "{}")); "whole")]
+    #[test_case("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n", Some((503, "")); "without a body")]
+    #[test_case("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{}", None; "a body on its way")]
+    #[test_case("HTTP/1.1 200 OK\r\nContent-", None; "a head on its way")]
+    fn an_answer_is_read_once_it_is_whole(text: &str, is: Option<(u16, &str)>) {
+        let read = read(text.as_bytes()).unwrap();
+        assert_eq!(read, is.map(|(status, body)| (status, body.as_bytes().to_vec())));
+    }
+
+    #[test_case("HTTP/1.1 200 OK\r\n\r\n{}", "length"; "no length")]
+    #[test_case("HTTP/1.1 200 OK\r\nContent-Length: 999999999999\r\n\r\n", "bytes"; "too long")]
+    #[test_case("what\r\n\r\n", "status"; "something else")]
+    fn what_is_no_answer_is_told(text: &str, word: &str) {
+        let error = read(text.as_bytes()).unwrap_err().to_string();
+        assert!(error.contains(word), "{error}");
+    }
+}
--- /dev/null
+++ b/gauge/src/status.rs
@@ -0,0 +1,237 @@
+//! How the seats see the system: what each told, put side by side, and what is wrong in it.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use eyre::WrapErr;
+use headworks::core::status::{LimiterSeen, Status};
+use serde::Serialize;
+
+use crate::http;
+
+/// A limiter that has held less than its seat for longer than this lags, in milliseconds: the operators' bound.
+const LAG: i64 = 4_000;
+
+/// What was told at one address.
+#[derive(Clone, Debug, Serialize)]
+pub struct Told {
+    /// The address.
+    pub at: SocketAddr,
+    /// What it told.
+    pub status: Option<Status>,
+    /// Why it told nothing.
+    pub error: Option<String>,
+}
+
+/// The system as all that were asked see it.
+#[derive(Clone, Debug, Serialize)]
+pub struct View {
+    /// What each told.
+    pub told: Vec<Told>,
+    /// The limiters: each as its own seat tells of it, where that was asked, else as another one does.
+    pub limiters: Vec<LimiterSeen>,
+    /// What is wrong.
+    pub findings: Vec<String>,
+}
+
+/// Asks seats, one after the other, each by a deadline of its own.
+pub fn ask(at: &[SocketAddr], until: impl Fn() -> Instant) -> View {
+    let one = |at: &SocketAddr| {
+        let body = http::get(*at, "/api/status", until());
+        let status = body.and_then(|body| {
+            serde_json::from_slice::<Status>(&body).wrap_err_with(|| format!("reading what {at} tells"))
+        });
+        match status {
+            Ok(status) => Told { at: *at, status: Some(status), error: None },
+            Err(error) => Told { at: *at, status: None, error: Some(format!("{error:#}")) },
+        }
+    };
+    view(at.iter().map(one).collect())
+}
+
+/// Puts side by side what was told.
+pub fn view(told: Vec<Told>) -> View {
+    let mut limiters: BTreeMap<String, LimiterSeen> = BTreeMap::new();
+    for status in told.iter().filter_map(|told| told.status.as_ref()) {
+        for limiter in &status.limiters {
+            // The seat that it is linked to knows most; without, who knows it to be linked.
+            let rank = |one: &LimiterSeen| (one.items.is_some(), one.linked);
+            let held = limiters.get(&limiter.node);
+            if held.is_none_or(|held| rank(held) < rank(limiter)) {
+                limiters.insert(limiter.node.clone(), limiter.clone());
+            }
+        }
+    }
+    let limiters: Vec<LimiterSeen> = limiters.into_values().collect();
+    let findings = findings(&told, &limiters);
+    View { told, limiters, findings }
+}
+
+fn findings(told: &[Told], limiters: &[LimiterSeen]) -> Vec<String> {
+    let mut found = Vec::new();
+    for one in told {
+        let Some(status) = &one.status else {
+            found.push(one.error.clone().unwrap_or_default());
+            continue;
+        };
+        let zone = &status.zone;
+        let states = [
+            (status.replaced, "was replaced: another machine stands for its seat"),
+            (!status.replaced && !status.takes_part, "has not rebuilt its disk yet"),
+            (status.takes_part && !status.in_touch, "is out of touch with more than half of the seats"),
+            (status.disk_full, "has a full disk"),
+        ];
+        found.extend(states.iter().filter(|(is, _)| *is).map(|(_, text)| format!("seat {zone} {text}")));
+        if !status.takes_part || !status.in_touch {
+            continue;
+        }
+        let silent = status.seats.iter().filter(|seat| !seat.heard);
+        found.extend(silent.map(|seat| format!("seat {zone} does not hear seat {}", seat.zone)));
+        let vacant = status.duties.iter().filter(|duty| duty.holder.is_none());
+        found.extend(vacant.map(|duty| format!("seat {zone} knows nobody with the duty {}", duty.duty)));
+    }
+    let parts = || told.iter().filter_map(|told| told.status.as_ref()).filter(|status| status.in_touch);
+    if let Some(first) = parts().next() {
+        let other = parts().filter(|status| status.digest != first.digest);
+        found.extend(other.map(|status| {
+            format!(
+                "seats {} and {} know other items ({} and {})",
+                first.zone, status.zone, first.items, status.items
+            )
+        }));
+    }
+    for limiter in limiters {
+        let node = &limiter.node;
+        if !limiter.linked {
+            found.push(format!("limiter {node} is linked to no seat, its lease runs out"));
+        } else if limiter.standing != "ready" {
+            found.push(format!("limiter {node} is {}", limiter.standing));
+        }
+        if let Some(behind) = limiter.behind.filter(|behind| *behind > LAG) {
+            found.push(format!("limiter {node} has lagged for up to {behind} ms"));
+        }
+    }
+    found
+}
+
+impl View {
+    /// Somebody told something.
+    pub fn told_anything(&self) -> bool {
+        self.told.iter().any(|told| told.status.is_some())
+    }
+}
+
+impl fmt::Display for View {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(
+            f,
+            "{:<12} {:<6} {:<4} {:<9} {:<7} {:<17} {:<10} duties",
+            "seat", "life", "run", "touch", "items", "digest", "list"
+        )?;
+        for status in self.told.iter().filter_map(|told| told.status.as_ref()) {
+            let touch = match status {
+                status if status.replaced => "replaced",
+                status if !status.takes_part => "rebuilds",
+                status if !status.in_touch => "out",
+                _ => "in",
+            };
+            let own = status.duties.iter().filter(|duty| duty.holder.as_ref() == Some(&status.zone));
+            let own: Vec<String> = own.map(|duty| format!("{} (term {})", duty.duty, duty.term)).collect();
+            let list = format!("{}.{}", status.servers.0, status.servers.1);
+            writeln!(
+                f,
+                "{:<12} {:<6} {:<4} {touch:<9} {:<7} {:<17} {list:<10} {}",
+                status.zone,
+                status.life,
+                status.run,
+                status.items,
+                status.digest,
+                own.join(", ")
+            )?;
+        }
+        writeln!(
+            f,
+            "\n{:<20} {:<12} {:<12} {:<8} {:<7} behind",
+            "limiter", "zone", "at seat", "stands", "items"
+        )?;
+        for one in &self.limiters {
+            let items = one.items.map_or("?".to_string(), |items| items.to_string());
+            let behind = one.behind.map_or("?".to_string(), |behind| format!("{behind} ms"));
+            writeln!(
+                f,
+                "{:<20} {:<12} {:<12} {:<8} {items:<7} {behind}",
+                one.node, one.zone, one.seat, one.standing
+            )?;
+        }
+        let left: usize =
+            self.told.iter().filter_map(|told| told.status.as_ref()).map(|s| s.left_out).max().unwrap_or(0);
+        if left > 0 {
+            writeln!(f, "... and {left} more")?;
+        }
+        writeln!(f)?;
+        self.findings.iter().try_for_each(|finding| writeln!(f, "! {finding}"))?;
+        writeln!(f, "{} findings", self.findings.len())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use headworks::core::status::{DutySeen, SeatSeen};
+    use test_case::test_case;
+
+    fn seat(zone: &str) -> Status {
+        let seat = |zone: &str| SeatSeen { zone: zone.to_string(), heard: true, ..SeatSeen::default() };
+        let duty = DutySeen { duty: "poll".into(), holder: Some("a".into()), term: 3 };
+        Status {
+            zone: zone.to_string(),
+            takes_part: true,
+            in_touch: true,
+            digest: "7".into(),
+            seats: ["a", "b"].map(seat).into(),
+            duties: vec![duty],
+            limiters: vec![LimiterSeen {
+                node: "e".into(),
+                seat: "a".into(),
+                linked: true,
+                standing: "ready".into(),
+                behind: (zone == "a").then_some(0),
+                items: (zone == "a").then_some(5),
+                ..LimiterSeen::default()
+            }],
+            ..Status::default()
+        }
+    }
+
+    #[test_case(|_| {}, &[]; "all is well")]
+    #[test_case(|s| s[1].in_touch = false, &["seat b is out of touch with more than half of the seats"]; "cut off")]
+    #[test_case(|s| (s[1].takes_part, s[1].in_touch) = (false, false), &["seat b has not rebuilt its disk yet"]; "rebuilding")]
+    #[test_case(|s| s[0].disk_full = true, &["seat a has a full disk"]; "full")]
+    #[test_case(|s| s[0].seats[1].heard = false, &["seat a does not hear seat b"]; "silent")]
+    #[test_case(|s| s[1].duties[0].holder = None, &["seat b knows nobody with the duty poll"]; "vacant")]
+    #[test_case(|s| s[1].digest = "8".into(), &["seats a and b know other items (0 and 0)"]; "apart")]
+    #[test_case(|s| s[0].limiters[0].behind = Some(9_000), &["limiter e has lagged for up to 9000 ms"]; "lagging")]
+    #[test_case(|s| s[0].limiters[0].standing = "away".into(), &["limiter e is away"]; "away")]
+    fn what_is_wrong_is_found(change: impl Fn(&mut Vec<Status>), is: &[&str]) {
+        let mut seats = vec![seat("a"), seat("b")];
+        change(&mut seats);
+        // In whatever order they were asked.
+        for turned in [false, true] {
+            let told = |status: &Status| Told {
+                at: SocketAddr::from(([127, 0, 0, 1], 1)),
+                status: Some(status.clone()),
+                error: None,
+            };
+            let mut told: Vec<Told> = seats.iter().map(told).collect();
+            let apart = seats[0].digest != seats[1].digest;
+            if turned && !apart {
+                told.reverse();
+            }
+            let view = view(told);
+            assert_eq!(view.findings, is, "{view}");
+            assert_eq!(view.limiters.len(), 1);
+        }
+    }
+}
--- a/headworks/src/calls.rs
+++ b/headworks/src/calls.rs
@@ -11,6 +11,8 @@
     Patch(Vec<u8>),
     /// Reads all items.
     Get,
+    /// Reads how this seat sees the system.
+    Status,
     /// Begins or ends the evacuation of a zone.
     Drain {
         /// The zone.
@@ -27,6 +29,8 @@
     Done,
     /// All items, as they are read back.
     Items(Vec<u8>),
+    /// How this seat sees the system.
+    Status(Vec<u8>),
     /// It makes no sense; the text names the key.
     Invalid(String),
     /// Something else stands at this version or a higher one.
@@ -45,7 +49,7 @@
         let error = |status: u16, text: &str| (status, json!({"error": text}).to_string().into_bytes());
         match self {
             Reply::Done => (200, b"{}".to_vec()),
-            Reply::Items(body) => (200, body),
+            Reply::Items(body) | Reply::Status(body) => (200, body),
             Reply::Invalid(text) => error(400, &text),
             Reply::Conflict => error(409, "ver: another change stands at this version or a higher one"),
             Reply::Unknown(text) => error(404, &text),
@@ -65,6 +69,7 @@
     let command = match (parts.next(), parts.next(), parts.next(), parts.next(), parts.next()) {
         (Some("api"), Some("cfg"), Some("patch"), None, None) => ("POST", Command::Patch(request.body)),
         (Some("api"), Some("cfg"), Some("get"), None, None) => ("GET", Command::Get),
+        (Some("api"), Some("status"), None, None, None) => ("GET", Command::Status),
         (Some("api"), Some("drain"), Some(zone), Some(word @ ("begin" | "finish")), None) => {
             ("POST", Command::Drain { zone: zone.to_string(), on: word == "begin" })
         }
@@ -89,6 +94,7 @@
 
     #[test_case("POST", "/api/cfg/patch", Ok(Command::Patch(b"{}".to_vec())); "a change")]
     #[test_case("GET", "/api/cfg/get?x=1", Ok(Command::Get); "a reading")]
+    #[test_case("GET", "/api/status", Ok(Command::Status); "a look")]
     #[test_case("POST", "/api/drain/a/begin", Ok(Command::Drain { zone: "a".into(), on: true }); "an evacuation")]
     #[test_case("POST", "/api/drain/a/finish", Ok(Command::Drain { zone: "a".into(), on: false }); "its end")]
     #[test_case("GET", "/api/drain/a/finish", Err(Reply::Method); "another method")]
--- a/headworks/src/core/agents.rs
+++ b/headworks/src/core/agents.rs
@@ -20,6 +20,23 @@
     Much,
 }
 
+/// What an agent holds, as it said.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Holding {
+    /// How many items.
+    pub items: u32,
+    digest: u64,
+    /// That was all there is, then.
+    whole: i64,
+}
+
+impl Holding {
+    /// How long it has held less than there is, in microseconds; counted from when it last said to hold all.
+    pub fn behind(&self, now: i64, digest: u64) -> i64 {
+        if self.digest == digest { 0 } else { now - self.whole }
+    }
+}
+
 /// The links of agents.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Agents {
@@ -27,6 +44,8 @@
     zones: BTreeMap<u64, String>,
     /// What each zone was told last.
     told: BTreeMap<String, Who>,
+    /// What each holds as it said last, and when that was last all there is.
+    holding: BTreeMap<u64, Holding>,
     /// What those know already that have not said yet who they are.
     have: BTreeMap<u64, Vec<u64>>,
     /// How many limiters there are is told again then at the earliest...
@@ -40,6 +59,11 @@
         self.zones.keys().copied().collect()
     }
 
+    /// What the agent on a link holds, if it has said so.
+    pub(super) fn holding(&self, link: u64) -> Option<Holding> {
+        self.holding.get(&link).copied()
+    }
+
     /// When something is owed to them.
     pub(super) fn wake(&self) -> Option<i64> {
         self.owed.then_some(self.counts)
@@ -76,6 +100,12 @@
                 self.agents.have.insert(link, parts);
                 false
             }
+            Up::Holding { items, digest } => {
+                let before = self.agents.holding.get(&link).map_or(now, |before| before.whole);
+                let whole = if digest == self.news.holding().1 { now } else { before };
+                self.agents.holding.insert(link, Holding { items, digest, whole });
+                false
+            }
             Up::Beat(standing) => self.members.beat(now, link, standing),
             Up::Clock(time) => {
                 self.raise(now, time);
@@ -107,6 +137,7 @@
     pub(super) fn agent_gone(&mut self, _now: i64, link: u64, out: &mut Vec<Output>) {
         self.agents.zones.remove(&link);
         self.agents.have.remove(&link);
+        self.agents.holding.remove(&link);
         if self.members.gone(link) {
             self.spread_members(out);
         }
--- a/headworks/src/core/agreement.rs
+++ b/headworks/src/core/agreement.rs
@@ -47,6 +47,10 @@
         deadline: i64,
         out: &mut Vec<Output>,
     ) {
+        // Also of a seat that does nothing else: that is when it is asked.
+        if command == Command::Status {
+            return out.push(Output::Answer(call, Reply::Status(self.status(now).json())));
+        }
         let no = if !self.seats.takes_part() {
             Some("this seat has not rebuilt, or was replaced")
         } else if self.stopping {
@@ -62,6 +66,7 @@
             return out.push(Output::Answer(call, Reply::Unavailable(no)));
         }
         match command {
+            Command::Status => {}
             Command::Get => self.read(now, call, None, deadline, out),
             Command::Drain { zone, .. } if !self.zones.contains(&zone) => {
                 out.push(Output::Answer(call, Reply::Unknown(format!("zone: {zone:?}"))));
--- a/headworks/src/core/members.rs
+++ b/headworks/src/core/members.rs
@@ -285,18 +285,25 @@
 
     /// All members. An edge linked here goes before hearsay, then who is linked there, then who was told of last.
     pub fn all(&self) -> Vec<&Told> {
-        let mut best: BTreeMap<&str, ((bool, bool, i64), &Told)> = BTreeMap::new();
-        let own = self.own.values().map(|lease| ((lease.told.linked, true, 0), &lease.told));
-        let others = self.hearsay.values().flat_map(|hearsay| {
-            hearsay.list.values().map(|told| ((told.linked, false, hearsay.changed), told))
+        self.placed().into_iter().map(|(_, _, told)| told).collect()
+    }
+
+    /// The same, with the seat that told of each; without one, it is held here, on this link.
+    pub fn placed(&self) -> Vec<(Option<Seat>, u64, &Told)> {
+        let own =
+            self.own.values().map(|lease| ((lease.told.linked, true, 0), (None, lease.link, &lease.told)));
+        let others = self.hearsay.iter().flat_map(|(seat, hearsay)| {
+            let one = |told| (Some(*seat), 0, told);
+            hearsay.list.values().map(move |told: &Told| ((told.linked, false, hearsay.changed), one(told)))
         });
-        for (weight, told) in own.chain(others) {
-            let entry = best.entry(&told.edge.node).or_insert((weight, told));
+        let mut best = BTreeMap::new();
+        for (weight, one) in own.chain(others) {
+            let entry = best.entry(one.2.edge.node.as_str()).or_insert((weight, one));
             if entry.0 < weight {
-                *entry = (weight, told);
+                *entry = (weight, one);
             }
         }
-        best.into_values().map(|(_, told)| told).collect()
+        best.into_values().map(|(_, one)| one).collect()
     }
 }
 
--- a/headworks/src/core/mod.rs
+++ b/headworks/src/core/mod.rs
@@ -19,6 +19,7 @@
 pub mod seats;
 pub mod servers;
 mod standing;
+pub mod status;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
--- a/headworks/src/core/news.rs
+++ b/headworks/src/core/news.rs
@@ -78,6 +78,11 @@
         self.parts.parts()
     }
 
+    /// How many items there are, dropped ones included, and their digest, as agents hold them.
+    pub fn holding(&self) -> (u32, u64) {
+        (self.chosen.len() as u32, self.versions.whole())
+    }
+
     /// What is chosen of the parts of which another seat knows something else.
     pub fn differing(&self, parts: &[u64]) -> Vec<(Ballot, Item)> {
         self.all().filter(|(_, item)| self.parts.differ(parts, &item.name)).cloned().collect()
--- a/headworks/src/limits.rs
+++ b/headworks/src/limits.rs
@@ -93,5 +93,7 @@
 pub const READ: usize = 16 * 1024;
 /// Most connections of callers.
 pub const CALLERS: usize = 600;
+/// Most limiters in an answer to how the system stands.
+pub const LISTED: usize = 5_000;
 /// Most addresses in an answer to where-to-go.
 pub const ADDRESSES: usize = 64;
--- a/mains/src/digests.rs
+++ b/mains/src/digests.rs
@@ -39,6 +39,11 @@
         hash(&(&item.name, item.ver))
     }
 
+    /// One digest of all.
+    pub fn whole(&self) -> u64 {
+        self.0.iter().fold(0, |all, part| all ^ part)
+    }
+
     /// As they are sent.
     pub fn parts(&self) -> &[u64] {
         &self.0
--- a/mains/src/messages.rs
+++ b/mains/src/messages.rs
@@ -54,6 +54,13 @@
     /// Digests of the items that an agent knows already, by parts (see [`crate::digests`]): before its `Hello`, where
     /// it knows any. It is told only what differs.
     Have(Vec<u64>),
+    /// What an agent holds: told after each news, and now and then. So its seat knows whether it lags.
+    Holding {
+        /// How many items, dropped ones included.
+        items: u32,
+        /// Their digest, by names and versions.
+        digest: u64,
+    },
     /// Renews the lease; the proxy's only message about itself.
     Beat(Standing),
     /// The limiters' clock as the agent has it, 0 if it has not heard it: the first message on a link to the holder of
--- a/penstock/src/host.rs
+++ b/penstock/src/host.rs
@@ -356,7 +356,14 @@
                     self.pass_on(now, Down::Time(time + (now - asked) / 2));
                 }
             }
-            Down::Items(_) | Down::Servers { .. } | Down::Whole => self.pass_on(now, message),
+            Down::Items(ref items) => {
+                let news = !items.is_empty();
+                self.pass_on(now, message);
+                if news && self.is_link(key) {
+                    self.put(key, &self.known.holding());
+                }
+            }
+            Down::Servers { .. } | Down::Whole => self.pass_on(now, message),
         }
     }
 
@@ -381,7 +388,7 @@
                 }
                 Ok(Some(Up::Beat(standing))) => self.stands(standing),
                 Ok(Some(Up::Adds { batch, time, adds })) => self.adds(now, key, batch, time, adds),
-                Ok(Some(Up::Clock(_) | Up::Have(_))) => {}
+                Ok(Some(Up::Clock(_) | Up::Have(_) | Up::Holding { .. })) => {}
                 Ok(None) => return,
                 Err(fault) => {
                     error!(self.log, "{fault}"; "step" => "reading", "peer" => "proxy");
@@ -438,6 +445,10 @@
             {
                 self.ask_time(now, key);
             }
+            if let Some(link) = &self.link {
+                let key = link.key;
+                self.put(key, &self.known.holding());
+            }
         }
         let Some(link) = &self.link else { return };
         let heard = self.wires.get(link.key).map_or(i64::MIN, |wire| wire.heard);
--- a/penstock/src/known.rs
+++ b/penstock/src/known.rs
@@ -2,7 +2,7 @@
 
 use mains::digests::Digests;
 use mains::items::{Item, Items};
-use mains::messages::{Down, Who};
+use mains::messages::{Down, Up, Who};
 use mains::platform::Server;
 
 /// A list of servers, and when it was told, in microseconds.
@@ -75,6 +75,11 @@
         (!self.items.is_empty()).then(|| self.digests.parts().to_vec())
     }
 
+    /// How many items are known, and their digest, as the control program is told.
+    pub fn holding(&self) -> Up {
+        Up::Holding { items: self.items.len() as u32, digest: self.digests.whole() }
+    }
+
     /// Who is who, as last told.
     pub fn who(&self) -> Option<&Who> {
         self.who.as_ref()
