--- a/drill/src/scale/mod.rs
+++ b/drill/src/scale/mod.rs
@@ -37,6 +37,8 @@
     pub calm: (Said, Said),
     /// Share of a processor that a seat's core takes in calm: the mean, in thousandths; and the longest input, in µs.
     pub work: (f64, u128),
+    /// The longest input at a seat in the second after a change, in µs.
+    pub longest: u128,
     /// A change: until its 200; until half of the limiters have it; until all have.
     pub change: (Option<i64>, Option<i64>, Option<i64>),
     /// The second after it: seats, agents.
@@ -95,8 +97,10 @@
     // A change at the last seat: no duty stands there at the start.
     let at = world.now;
     world.watched.1 = 2;
+    world.seats.iter_mut().for_each(|seat| seat.longest = Default::default());
     let call = world.call(size.cores - 1, service("svc", 2, 5));
     report.after = measure(&mut world, SECOND);
+    report.longest = world.seats.iter().map(|seat| seat.longest.as_micros()).max().unwrap_or_default();
     world.until(10 * SECOND, |world| world.agents.iter().all(|agent| agent.seen.is_some()));
     let mut seen: Vec<i64> =
         world.agents.iter().filter_map(|agent| agent.seen).map(|seen| seen - at).collect();
@@ -165,7 +169,7 @@
             for (kind, said) in [("seat", seats), ("agent", agents)] {
                 writeln!(
                     f,
-                    "{when}: a {kind} sends {:.1} messages/s, {}/s; most sent {}/s, most taken in {}/s",
+                    "{when}: one {kind} sends {:.1} messages/s, {}/s; most sent {}/s, most taken in {}/s",
                     said.messages,
                     size(said.bytes),
                     size(said.most),
@@ -175,8 +179,8 @@
         }
         writeln!(
             f,
-            "calm: a seat's core takes {:.1} thousandths of a processor, longest input {} us",
-            self.work.0, self.work.1
+            "calm: a seat's core takes {:.1} thousandths of a processor, longest input {} us, after a change {} us",
+            self.work.0, self.work.1, self.longest
         )?;
         let (answered, half, last) = self.change;
         writeln!(
--- a/drill/src/scale/world.rs
+++ b/drill/src/scale/world.rs
@@ -419,7 +419,14 @@
         let main = self.agents[agent].link.is_some_and(|(own, _)| own == link);
         if main {
             let watched = self.watched.clone();
+            let news_came = match &news {
+                News::Items(count, _) => *count > 0,
+                News::Whole(down) => matches!(&**down, Down::Items(items) if !items.is_empty()),
+            };
             self.agents[agent].hear(self.now, news, self.size.items.max(1), (&watched.0, watched.1));
+            if let Some(held) = news_came.then_some(self.agents[agent].items) {
+                self.hold(agent, held);
+            }
             let homed = self.agents[agent].links.home().is_none()
                 || std::mem::replace(&mut self.agents[agent].homed, true);
             if !homed {
@@ -448,9 +455,18 @@
         if self.now - self.agents[agent].asked >= ASK_TIME {
             self.agents[agent].asked = self.now;
             let one = &self.agents[agent];
+            let held = one.items;
             for link in [one.count, one.link].into_iter().flatten() {
                 self.say(agent, link, Up::Clock(0));
             }
+            self.hold(agent, held);
+        }
+    }
+
+    /// An agent says what it holds. Nobody asks for how far it lags here: only how long the message is matters.
+    fn hold(&mut self, agent: usize, items: usize) {
+        if let Some(link) = self.agents[agent].link {
+            self.say(agent, link, Up::Holding { items: items as u32, digest: u64::MAX });
         }
     }
 
--- a/headworks/src/core/news.rs
+++ b/headworks/src/core/news.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use mains::digests::Digests;
-use mains::items::{Item, Name};
+use mains::items::{Held, Item, Name};
 
 use super::letters::Ballot;
 use super::registers::digest;
@@ -95,6 +95,16 @@
     }
 }
 
+impl Held for News {
+    fn held(&self, name: &Name) -> Option<&Item> {
+        self.chosen.get(name).map(|(_, item)| item)
+    }
+
+    fn all(&self) -> impl Iterator<Item = &Item> {
+        self.chosen.values().map(|(_, item)| item)
+    }
+}
+
 /// Items in pieces, so that no message grows with how many there are. At least one piece, be it empty.
 pub fn pieces<T>(items: Vec<T>, of: impl Fn(&T) -> &Item) -> Vec<Vec<T>> {
     let mut pieces = vec![Vec::new()];
--- a/mains/src/items.rs
+++ b/mains/src/items.rs
@@ -1,7 +1,7 @@
 //! The operators' configuration: named items, each with its own version. Per name the highest version holds, whether
 //! set or dropped; the configuration as a whole has none.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::fmt;
 
 use serde::{Deserialize, Serialize};
@@ -289,11 +289,29 @@
 /// The items that stand, dropped ones included: they keep their version.
 pub type Items = BTreeMap<Name, Item>;
 
+/// Items that stand, wherever they are kept: a call is checked against the few that it has to do with.
+pub trait Held {
+    /// One of them.
+    fn held(&self, name: &Name) -> Option<&Item>;
+    /// All of them.
+    fn all(&self) -> impl Iterator<Item = &Item>;
+}
+
+impl Held for Items {
+    fn held(&self, name: &Name) -> Option<&Item> {
+        self.get(name)
+    }
+
+    fn all(&self) -> impl Iterator<Item = &Item> {
+        self.values()
+    }
+}
+
 /// Reads a call of the operators and checks it whole, by itself and against what stands.
 ///
 /// # Errors
 /// The first fault, by the item and the key.
-pub fn read_patch(bytes: &[u8], standing: &Items) -> Result<Vec<Item>, Invalid> {
+pub fn read_patch(bytes: &[u8], standing: &impl Held) -> Result<Vec<Item>, Invalid> {
     let patch: Patch<'_> = serde_json::from_slice(bytes).map_err(|e| Invalid(format!("call: {e}")))?;
     let mut items = Vec::new();
     for object in patch.upsert.objs {
@@ -333,18 +351,22 @@
 }
 
 /// Every route that is set, or whose service goes, names services that stand afterwards.
-fn refers(items: &[Item], standing: &Items) -> Result<(), Invalid> {
-    let newer = |item: &&Item| standing.get(&item.name).is_none_or(|old| old.ver < item.ver);
-    let mut after: BTreeMap<&Name, &Item> = standing.iter().collect();
-    after.extend(items.iter().filter(newer).map(|item| (&item.name, item)));
-    let services = after.values().filter(|i| i.name.kind == Kind::Service && i.spec.is_some());
-    let services: BTreeSet<&str> = services.map(|item| item.name.name.as_str()).collect();
+fn refers(items: &[Item], standing: &impl Held) -> Result<(), Invalid> {
+    let newer = |item: &&Item| standing.held(&item.name).is_none_or(|old| old.ver < item.ver);
+    let new: BTreeMap<&Name, &Item> = items.iter().filter(newer).map(|item| (&item.name, item)).collect();
+    let after = |name: &Name| new.get(name).copied().or_else(|| standing.held(name));
+    let stands = |svc: &str| {
+        let name = Name { kind: Kind::Service, name: svc.to_string() };
+        after(&name).is_some_and(|item| item.spec.is_some())
+    };
     let goes = items.iter().any(|i| i.name.kind == Kind::Service && i.spec.is_none());
-    let set: BTreeSet<&Name> = items.iter().map(|item| &item.name).collect();
-    let routes = after.values().copied().filter(|i| goes || set.contains(&i.name));
-    for item in routes.chain(items).filter(|i| i.name.kind == Kind::Route && i.spec.is_some()) {
+    let others = goes.then(|| standing.all()).into_iter().flatten();
+    let others = others.filter(|item| !new.contains_key(&item.name));
+    let set = items.iter().filter_map(|item| after(&item.name));
+    let routes = others.chain(set).chain(items);
+    for item in routes.filter(|i| i.name.kind == Kind::Route && i.spec.is_some()) {
         let route: Route = spec(item)?;
-        if let Some((unknown, _)) = route.services().find(|(svc, _)| !services.contains(svc)) {
+        if let Some((unknown, _)) = route.services().find(|(svc, _)| !stands(svc)) {
             return Err(Invalid(format!("{}: svc: no service {unknown:?}", item.name)));
         }
     }
@@ -423,6 +445,26 @@
         assert_eq!(read, [("a", 7, true), ("b", 9, false)]);
     }
 
+    #[test]
+    fn a_change_is_checked_against_the_few_items_that_it_names() {
+        struct Few(Items);
+        impl Held for Few {
+            fn held(&self, name: &Name) -> Option<&Item> {
+                self.0.get(name)
+            }
+            fn all(&self) -> impl Iterator<Item = &Item> {
+                assert!(self.0.is_empty(), "it looks at all that stands");
+                self.0.values()
+            }
+        }
+        let standing = Few(stand(read_patch(CALL.as_bytes(), &Items::new()).unwrap()));
+        let call =
+            |svc: &str| CALL.replace(r#""ver":7"#, r#""ver":8"#).replace(r#"{"svc":"b","wt":10}"#, svc);
+        let named = |svc: &str| read_patch(call(svc).as_bytes(), &standing);
+        assert_eq!(named(r#"{"svc":"b","wt":11}"#).map(|items| items.len()), Ok(5));
+        assert!(named(r#"{"svc":"c","wt":10}"#).is_err());
+    }
+
     #[test]
     fn a_service_that_a_standing_route_names_is_not_dropped() {
         let standing = stand(read_patch(CALL.as_bytes(), &Items::new()).unwrap());
