Core: what is asked after each input is kept, not looked for

Cause, by drill scale at 100 seats: after each input the seats' addresses were compared one by one, and for each change of a limiter the lists of all seats were searched.

--- a/headworks/src/core/agents.rs
+++ b/headworks/src/core/agents.rs
@@ -20,6 +20,14 @@
     Much,
 }
 
+/// What the agents of a zone were told last.
+#[derive(Clone, Debug)]
+struct Told {
+    who: Who,
+    /// The table of seats, then.
+    seats: u64,
+}
+
 /// What an agent holds, as it said.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Holding {
@@ -43,7 +51,7 @@
     /// The zone of each one that wants news.
     zones: BTreeMap<u64, String>,
     /// What each zone was told last.
-    told: BTreeMap<String, Who>,
+    told: BTreeMap<String, Told>,
     /// What each holds as it said last, and when that was last all there is.
     holding: BTreeMap<u64, Holding>,
     /// What those know already that have not said yet who they are.
@@ -80,9 +88,9 @@
                 self.agents.zones.insert(link, zone.clone());
                 let to = || vec![link];
                 // All of a zone stand on the same: what is news goes to all of them afterwards.
-                let who = self.agents.told.get(&zone).cloned().unwrap_or_else(|| self.who(now, &zone));
-                out.push(Output::Tell(to(), Down::Who(who.clone())));
-                self.agents.told.insert(zone, who);
+                let told = self.agents.told.get(&zone).cloned().unwrap_or_else(|| self.who(now, &zone));
+                out.push(Output::Tell(to(), Down::Who(told.who.clone())));
+                self.agents.told.insert(zone, told);
                 let have = self.agents.have.remove(&link).unwrap_or_default();
                 for piece in pieces(self.news.lacking(&have), |item| item) {
                     out.push(Output::Tell(to(), Down::Items(piece)));
@@ -151,27 +159,28 @@
         Some((self.seats.address(seat)?, term))
     }
 
-    fn who(&self, now: i64, zone: &str) -> Who {
+    fn who(&self, now: i64, zone: &str) -> Told {
         let (limiters, in_zone) = self.members.serving(zone);
-        Who {
+        let who = Who {
             seats: self.seats.for_agents(&self.zones).map(|(zone, at)| (zone.to_string(), at)).collect(),
             holder: self.holder(now),
             in_touch: self.seats.in_touch(now) && !self.stopping,
             limiters: limiters.max(self.members.lately() as u32),
             in_zone,
-        }
+        };
+        Told { who, seats: self.seats.revision() }
     }
 
     /// What is news to agents of a zone that were told `before`; it is looked for after most inputs, and costs little
     /// where it is nothing.
-    fn news_since(&self, now: i64, zone: &str, before: &Who) -> Change {
+    fn news_since(&self, now: i64, zone: &str, told: &Told) -> Change {
+        let before = &told.who;
         let (limiters, in_zone) = self.members.serving(zone);
         let limiters = limiters.max(self.members.lately() as u32);
         let in_touch = self.seats.in_touch(now) && !self.stopping;
-        let seats = before.seats.iter().map(|(zone, at)| (zone.as_str(), *at));
         if before.holder != self.holder(now)
             || before.in_touch != in_touch
-            || !seats.eq(self.seats.for_agents(&self.zones))
+            || told.seats != self.seats.revision()
         {
             return Change::Much;
         }
@@ -206,7 +215,7 @@
                 continue;
             }
             let who = self.who(now, zone);
-            out.push(Output::Tell(links, Down::Who(who.clone())));
+            out.push(Output::Tell(links, Down::Who(who.who.clone())));
             told.insert(zone.clone(), who);
             news = true;
         }
--- a/headworks/src/core/members.rs
+++ b/headworks/src/core/members.rs
@@ -1,7 +1,7 @@
 //! The edges: each holds a lease at the seat that its agent is linked to and is a member while it renews it there. Seats
 //! tell each other whom they hold; who is heard nowhere is out.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::hash::{DefaultHasher, Hasher};
 
 use mains::messages::{Edge, Standing};
@@ -35,6 +35,8 @@
     /// Who spoke first on each link: an agent may have two for a while.
     links: BTreeMap<u64, Edge>,
     hearsay: BTreeMap<Seat, Hearsay>,
+    /// The seats that tell of each machine: few do, and looking at all for each change would grow with the seats.
+    tellers: BTreeMap<String, BTreeSet<Seat>>,
     digest: u64,
     /// The own list as the others were told it last, and its digest.
     spread: (BTreeMap<String, Told>, u64),
@@ -170,7 +172,11 @@
     /// Drops the leases that have run out. Gives whether the own list is another one.
     pub fn expire(&mut self, now: i64, in_touch: bool) -> bool {
         let span = if in_touch { limits::LEASE } else { limits::LEASE_ALONE };
-        self.hearsay.retain(|_, hearsay| now - hearsay.heard <= span);
+        let silent = self.hearsay.iter().filter(|(_, hearsay)| now - hearsay.heard > span);
+        for seat in silent.map(|(seat, _)| *seat).collect::<Vec<_>>() {
+            let gone = self.hearsay.remove(&seat).unwrap_or_default();
+            gone.list.keys().for_each(|node| self.tells(seat, node, false));
+        }
         let over = self.own.iter().filter(|(_, lease)| now - lease.heard > limits::LEASE);
         let over: Vec<String> = over.map(|(node, _)| node.clone()).collect();
         over.iter().for_each(|node| _ = self.lease(node, None));
@@ -193,6 +199,8 @@
         let nodes: Vec<String> = list.keys().cloned().collect();
         let new = Hearsay { list, digest, changed: now, heard: now, asked: None };
         let old = self.hearsay.insert(seat, new).unwrap_or_default();
+        old.list.keys().for_each(|node| self.tells(seat, node, false));
+        nodes.iter().for_each(|node| self.tells(seat, node, true));
         nodes.iter().chain(old.list.keys()).for_each(|node| self.look(node));
         self.settle()
     }
@@ -215,6 +223,8 @@
             digest ^ one(told) ^ old.as_ref().map_or(0, one)
         });
         (hearsay.changed, hearsay.heard) = (now, now);
+        moved.gone.iter().for_each(|node| self.tells(seat, node, false));
+        moved.told.iter().for_each(|told| self.tells(seat, &told.edge.node, true));
         self.moved_there(&moved.told);
         moved.told.iter().map(|told| &told.edge.node).chain(&moved.gone).for_each(|node| self.look(node));
         Some(self.settle())
@@ -261,6 +271,18 @@
         (self.serving.nodes.len() as u32, self.serving.zones.get(zone).copied().unwrap_or_default())
     }
 
+    /// A seat tells of a machine, or no longer.
+    fn tells(&mut self, seat: Seat, node: &str, tells: bool) {
+        if tells {
+            self.tellers.entry(node.to_string()).or_default().insert(seat);
+        } else if let Some(tellers) = self.tellers.get_mut(node) {
+            tellers.remove(&seat);
+            if tellers.is_empty() {
+                self.tellers.remove(node);
+            }
+        }
+    }
+
     /// Something else is said of a machine.
     fn look(&mut self, node: &str) {
         let told = self.known(node).filter(|told| told.standing != Standing::Away);
@@ -271,7 +293,9 @@
     /// All that is said of a machine, each with its weight.
     fn said(&self, node: &str) -> impl Iterator<Item = ((bool, bool, i64), &Told)> {
         let own = self.own.get(node).map(|lease| ((lease.told.linked, true, 0), &lease.told));
-        let others = self.hearsay.values().filter_map(|hearsay| {
+        let tellers = self.tellers.get(node).into_iter().flatten();
+        let others = tellers.filter_map(|seat| {
+            let hearsay = self.hearsay.get(seat)?;
             let told = hearsay.list.get(node)?;
             Some(((told.linked, false, hearsay.changed), told))
         });
--- a/headworks/src/core/seats.rs
+++ b/headworks/src/core/seats.rs
@@ -25,6 +25,8 @@
     seeds: Vec<SocketAddr>,
     places: Vec<Place>,
     aside: bool,
+    /// Rises whenever a life or an address has changed.
+    revision: u64,
 }
 
 /// What a letter has changed.
@@ -45,7 +47,7 @@
         if let Some(place) = places.get_mut(usize::from(me.seat)) {
             *place = Place { life: me.life, address: Some(address), sure: true, heard: None, hears: true };
         }
-        Seats { me, address, seeds, places, aside: false }
+        Seats { me, address, seeds, places, aside: false, revision: 0 }
     }
 
     /// Takes in what was on disk about the others.
@@ -157,8 +159,19 @@
         life != Life::NONE && self.newest(seat) == life
     }
 
+    /// Rises whenever a life or an address has changed.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
     /// Takes a life in, whoever told of it.
     pub fn learn(&mut self, seat: Seat, life: Life, address: Option<SocketAddr>) -> bool {
+        let news = self.learned(seat, life, address);
+        self.revision += u64::from(news);
+        news
+    }
+
+    fn learned(&mut self, seat: Seat, life: Life, address: Option<SocketAddr>) -> bool {
         let own = seat == self.me.seat;
         let Some(place) = self.places.get_mut(usize::from(seat)) else { return false };
         if life > place.life {
@@ -210,6 +223,7 @@
                 place.hears = beat.hears & (1 << self.me.seat) != 0;
             }
         }
+        self.revision += u64::from(changed);
         Heard { counts, changed, returned }
     }
 
