Core: limiters that start are told the whole by the seat of their zone

Cause, by drill scale: the settings name three seats, so that each told the whole to a third of all limiters at a start, and their own seats told it again.

--- a/drill/tests/scale.rs
+++ b/drill/tests/scale.rs
@@ -30,3 +30,11 @@
     // A fifth of the limiters moves; all of them were told all at the start, most of it by the three first seats.
     assert!(report.seat_bytes.1 * 10 < report.start_bytes, "{report}");
 }
+
+#[test]
+fn limiters_that_start_are_told_the_whole_by_the_seat_of_their_zone() {
+    let (one, many) = (played(5, 5, 300), played(25, 250, 300));
+    // Three of the 25 seats are named in the settings; a third of all limiters at each would be 83 times the whole.
+    let whole = one.start_bytes;
+    assert!(many.start_bytes < 45 * whole, "{one}\n{many}");
+}
--- a/headworks/src/core/agents.rs
+++ b/headworks/src/core/agents.rs
@@ -6,7 +6,7 @@
 use mains::items::Item;
 use mains::messages::{Down, Up, Who};
 
-use super::letters::Duty;
+use super::letters::{Duty, Seat};
 use super::news::pieces;
 use super::{Core, Output};
 use crate::limits;
@@ -54,6 +54,8 @@
     told: BTreeMap<String, Told>,
     /// What each holds as it said last, and when that was last all there is.
     holding: BTreeMap<u64, Holding>,
+    /// Those that are told all then: they have just started, and go to the seat of their own zone before that.
+    later: BTreeMap<u64, i64>,
     /// What those know already that have not said yet who they are.
     have: BTreeMap<u64, Vec<u64>>,
     /// How many limiters there are is told again then at the earliest...
@@ -74,7 +76,7 @@
 
     /// When something is owed to them.
     pub(super) fn wake(&self) -> Option<i64> {
-        self.owed.then_some(self.counts)
+        self.owed.then_some(self.counts).into_iter().chain(self.later.values().copied()).min()
     }
 }
 
@@ -83,7 +85,7 @@
     pub(super) fn agent(&mut self, now: i64, link: u64, up: Up, out: &mut Vec<Output>) {
         let changed = match up {
             Up::Hello(edge) => {
-                let zone = edge.zone.clone();
+                let (zone, home) = (edge.zone.clone(), edge.zone.clone());
                 let changed = self.members.hello(now, link, edge);
                 self.agents.zones.insert(link, zone.clone());
                 let to = || vec![link];
@@ -91,16 +93,10 @@
                 let told = self.agents.told.get(&zone).cloned().unwrap_or_else(|| self.who(now, &zone));
                 out.push(Output::Tell(to(), Down::Who(told.who.clone())));
                 self.agents.told.insert(zone, told);
-                let have = self.agents.have.remove(&link).unwrap_or_default();
-                for piece in pieces(self.news.lacking(&have), |item| item) {
-                    out.push(Output::Tell(to(), Down::Items(piece)));
-                }
-                if self.listed.known() {
-                    let (version, servers) = (self.listed.version(), self.listed.list(now));
-                    out.push(Output::Tell(to(), Down::Servers { version, servers }));
-                }
-                if self.whole {
-                    out.push(Output::Tell(to(), Down::Whole));
+                if !self.agents.have.contains_key(&link) && self.has_home(now, &home) {
+                    self.agents.later.insert(link, now + limits::BEAT);
+                } else {
+                    self.tell_all(now, link, out);
                 }
                 changed
             }
@@ -135,6 +131,34 @@
         }
     }
 
+    /// An agent of this zone has a seat of its own, and that is well as far as is known here.
+    fn has_home(&self, now: i64, zone: &str) -> bool {
+        let seat = self.zones.iter().position(|other| other == zone).map(|seat| seat as Seat);
+        seat.is_some_and(|seat| seat != self.seats.me().seat && self.seats.hears(now, seat))
+    }
+
+    /// Tells an agent all that it lacks.
+    fn tell_all(&mut self, now: i64, link: u64, out: &mut Vec<Output>) {
+        let have = self.agents.have.remove(&link).unwrap_or_default();
+        let mut tell = |down| out.push(Output::Tell(vec![link], down));
+        pieces(self.news.lacking(&have), |item| item).into_iter().for_each(|piece| tell(Down::Items(piece)));
+        if self.listed.known() {
+            tell(Down::Servers { version: self.listed.version(), servers: self.listed.list(now) });
+        }
+        if self.whole {
+            tell(Down::Whole);
+        }
+    }
+
+    /// Agents that were to find their own seat first, and have not left.
+    pub(super) fn agents_turn(&mut self, now: i64, out: &mut Vec<Output>) {
+        let due = self.agents.later.iter().filter(|(_, at)| **at <= now);
+        for link in due.map(|(link, _)| *link).collect::<Vec<_>>() {
+            self.agents.later.remove(&link);
+            self.tell_all(now, link, out);
+        }
+    }
+
     /// The limiters' clock: whoever is ahead leads, and the time of day has no part in it. Seats tell it on from agent to
     /// agent, the holder of the count to all, so that all limiters tell the windows of a tenant apart alike.
     fn raise(&mut self, now: i64, time: i64) {
@@ -146,6 +170,7 @@
         self.agents.zones.remove(&link);
         self.agents.have.remove(&link);
         self.agents.holding.remove(&link);
+        self.agents.later.remove(&link);
         if self.members.gone(link) {
             self.spread_members(out);
         }
@@ -238,7 +263,8 @@
 
     /// Tells the agents that they know all that is in force.
     pub(super) fn tell_whole(&self, out: &mut Vec<Output>) {
-        let links = self.agents.links();
+        let mut links = self.agents.links();
+        links.retain(|link| !self.agents.later.contains_key(link));
         if !links.is_empty() {
             out.push(Output::Tell(links, Down::Whole));
         }
--- a/headworks/src/core/mod.rs
+++ b/headworks/src/core/mod.rs
@@ -313,6 +313,7 @@
         self.rounds_turn(now, out);
         self.readings_turn(now, out);
         self.duties_turn(now, out);
+        self.agents_turn(now, out);
     }
 
     /// This seat does a duty at this instant, in this term.
