--- a/headworks/src/core/status.rs
+++ b/headworks/src/core/status.rs
@@ -156,3 +156,55 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::calls::{Command, Reply};
+    use crate::core::letters::{Ballot, Life};
+    use crate::core::{Input, Output, Own, Restored, Setup};
+    use mains::digests::Digests;
+    use mains::items::{Item, Kind, Name};
+    use mains::messages::{Edge, Up};
+
+    fn look(core: &mut Core, now: i64) -> Status {
+        let mut out = Vec::new();
+        core.take(now, Input::Call(9, Command::Status, now), &mut out);
+        let answer = out.iter().find_map(|output| match output {
+            Output::Answer(9, Reply::Status(body)) => Some(body),
+            _ => None,
+        });
+        serde_json::from_slice(answer.unwrap()).unwrap()
+    }
+
+    #[test]
+    fn a_seat_out_of_touch_tells_who_lags_and_since_when_at_most() {
+        let name = Name { kind: Kind::Service, name: "s".to_string() };
+        let item = Item { name, ver: 3, spec: Some("{}".to_string()) };
+        let own = Own { life: Life::FIRST, run: 1, ..Own::default() };
+        let chosen = vec![(Ballot::default(), item.clone())];
+        let zones = ["a", "b", "c"].map(String::from).to_vec();
+        let restored = Restored { own, chosen, ..Restored::default() };
+        let setup = Setup { zones, zone: "b".to_string(), restored, ..Setup::default() };
+        let (mut core, mut out) = (Core::new(0, setup), Vec::new());
+        let edge = |node: &str| Edge {
+            node: node.to_string(),
+            zone: "b".to_string(),
+            region: "r".to_string(),
+            http: SocketAddr::from(([10, 0, 0, 1], 80)),
+        };
+        let digest = Digests::of(&item);
+        let mut take = |core: &mut Core, now, link, up| core.take(now, Input::Agent(link, up), &mut out);
+        for (link, node) in [(1, "lags"), (2, "holds"), (3, "new")] {
+            take(&mut core, 0, link, Up::Hello(edge(node)));
+        }
+        for (now, link, digest) in [(100_000, 1, digest), (900_000, 1, 7), (900_000, 2, digest)] {
+            take(&mut core, now, link, Up::Holding { items: 1, digest });
+        }
+        let status = look(&mut core, 1_100_000);
+        assert_eq!((status.zone.as_str(), status.in_touch, status.items), ("b", false, 1));
+        let seen: Vec<_> = status.limiters.iter().map(|one| (one.node.as_str(), one.behind)).collect();
+        assert_eq!(seen, [("holds", Some(0)), ("lags", Some(1_000)), ("new", None)]);
+        assert!(status.limiters.iter().all(|one| one.seat == "b" && one.linked));
+    }
+}
