--- a/headworks/src/core/agents.rs
+++ b/headworks/src/core/agents.rs
@@ -1,23 +1,69 @@
 //! The agents linked to this seat: their leases, what they are told, and their adds to the count.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 
 use mains::items::Item;
-use mains::messages::{Down, Standing, Up, Who};
+use mains::messages::{Down, Up, Who};
 
-use super::letters::{Body, Duty};
+use super::letters::{Duty, Seat};
+use super::news::pieces;
 use super::{Core, Output};
 use crate::limits;
 
+/// What has changed of who is who.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Change {
+    Nothing,
+    /// How many limiters there are, by little.
+    Little,
+    Much,
+}
+
+/// What the agents of a zone were told last.
+#[derive(Clone, Debug)]
+struct Told {
+    who: Who,
+    /// The table of seats, then.
+    seats: u64,
+}
+
+/// What an agent holds, as it said.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Holding {
+    /// How many items.
+    pub items: u32,
+    digest: u64,
+    /// That was all there is, then.
+    whole: i64,
+}
+
+impl Holding {
+    /// How long it has held less than there is, in microseconds; counted from when it last said to hold all.
+    pub fn behind(&self, now: i64, digest: u64) -> i64 {
+        if self.digest == digest { 0 } else { now - self.whole }
+    }
+}
+
 /// The links of agents.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Agents {
     /// The zone of each one that wants news.
     zones: BTreeMap<u64, String>,
     /// What each zone was told last.
-    told: BTreeMap<String, Who>,
+    told: BTreeMap<String, Told>,
     /// Links that are for the count alone, and when something came on them.
     counting: BTreeMap<u64, i64>,
+    /// What each holds as it said last, and when that was last all there is.
+    holding: BTreeMap<u64, Holding>,
+    /// Those that are told all then: they have just started, and go to the seat of their own zone before that.
+    later: BTreeMap<u64, i64>,
+    /// What those know already that have not said yet who they are.
+    have: BTreeMap<u64, Vec<u64>>,
+    /// How many limiters there are is told again then at the earliest...
+    counts: i64,
+    /// ...and is owed.
+    owed: bool,
 }
 
 impl Agents {
@@ -32,6 +78,16 @@
         }
         self.counting.retain(|_, heard| now - *heard <= limits::COUNTING);
     }
+
+    /// What the agent on a link holds, if it has said so.
+    pub(super) fn holding(&self, link: u64) -> Option<Holding> {
+        self.holding.get(&link).copied()
+    }
+
+    /// When something is owed to them.
+    pub(super) fn wake(&self) -> Option<i64> {
+        self.owed.then_some(self.counts).into_iter().chain(self.later.values().copied()).min()
+    }
 }
 
 impl Core {
@@ -39,22 +95,31 @@
     pub(super) fn agent(&mut self, now: i64, link: u64, up: Up, out: &mut Vec<Output>) {
         let changed = match up {
             Up::Hello(edge) => {
-                let zone = edge.zone.clone();
+                let (zone, home) = (edge.zone.clone(), edge.zone.clone());
                 let changed = self.members.hello(now, link, edge);
                 self.agents.zones.insert(link, zone.clone());
                 let to = || vec![link];
-                out.push(Output::Tell(to(), Down::Who(self.who(now, &zone))));
-                let items = self.news.all().map(|(_, item)| item.clone()).collect();
-                out.push(Output::Tell(to(), Down::Items(items)));
-                if self.listed.known() {
-                    let (version, servers) = (self.listed.version(), self.listed.list(now));
-                    out.push(Output::Tell(to(), Down::Servers { version, servers }));
-                }
-                if self.whole {
-                    out.push(Output::Tell(to(), Down::Whole));
+                // All of a zone stand on the same: what is news goes to all of them afterwards.
+                let told = self.agents.told.get(&zone).cloned().unwrap_or_else(|| self.who(now, &zone));
+                out.push(Output::Tell(to(), Down::Who(told.who.clone())));
+                self.agents.told.insert(zone, told);
+                if !self.agents.have.contains_key(&link) && self.has_home(now, &home) {
+                    self.agents.later.insert(link, now + limits::BEAT);
+                } else {
+                    self.tell_all(now, link, out);
                 }
                 changed
             }
+            Up::Have(parts) => {
+                self.agents.have.insert(link, parts);
+                false
+            }
+            Up::Holding { items, digest } => {
+                let before = self.agents.holding.get(&link).map_or(now, |before| before.whole);
+                let whole = if digest == self.news.holding().1 { now } else { before };
+                self.agents.holding.insert(link, Holding { items, digest, whole });
+                false
+            }
             Up::Beat(standing) => self.members.beat(now, link, standing),
             Up::Clock(time) => {
                 self.raise(now, time);
@@ -80,7 +145,35 @@
             }
         };
         if changed {
-            self.spread(Body::Members(self.members.list()), out);
+            self.spread_members(out);
+        }
+    }
+
+    /// An agent of this zone has a seat of its own, and that is well as far as is known here.
+    fn has_home(&self, now: i64, zone: &str) -> bool {
+        let seat = self.zones.iter().position(|other| other == zone).map(|seat| seat as Seat);
+        seat.is_some_and(|seat| seat != self.seats.me().seat && self.seats.hears(now, seat))
+    }
+
+    /// Tells an agent all that it lacks.
+    fn tell_all(&mut self, now: i64, link: u64, out: &mut Vec<Output>) {
+        let have = self.agents.have.remove(&link).unwrap_or_default();
+        let mut tell = |down| out.push(Output::Tell(vec![link], down));
+        pieces(self.news.lacking(&have), |item| item).into_iter().for_each(|piece| tell(Down::Items(piece)));
+        if self.listed.known() {
+            tell(Down::Servers { version: self.listed.version(), servers: self.listed.list(now) });
+        }
+        if self.whole {
+            tell(Down::Whole);
+        }
+    }
+
+    /// Agents that were to find their own seat first, and have not left.
+    pub(super) fn agents_turn(&mut self, now: i64, out: &mut Vec<Output>) {
+        let due = self.agents.later.iter().filter(|(_, at)| **at <= now);
+        for link in due.map(|(link, _)| *link).collect::<Vec<_>>() {
+            self.agents.later.remove(&link);
+            self.tell_all(now, link, out);
         }
     }
 
@@ -106,46 +199,87 @@
     pub(super) fn agent_gone(&mut self, _now: i64, link: u64, out: &mut Vec<Output>) {
         self.agents.zones.remove(&link);
         self.agents.counting.remove(&link);
+        self.agents.have.remove(&link);
+        self.agents.holding.remove(&link);
+        self.agents.later.remove(&link);
         if self.members.gone(link) {
-            self.spread(Body::Members(self.members.list()), out);
+            self.spread_members(out);
         }
     }
 
-    fn who(&self, now: i64, zone: &str) -> Who {
+    /// The holder of the count, as far as known, and its term.
+    fn holder(&self, now: i64) -> Option<(SocketAddr, u64)> {
         let holder = self.duties[Duty::Count as usize].holder(now);
         let own = self.holds(now, Duty::Count).map(|term| (self.seats.me().seat, term));
-        let holder = own.or(holder.map(|term| (term.by.seat, term.number)));
-        let address = |(seat, term): (u8, u64)| Some((self.seats.address(seat)?, term));
-        let (mut limiters, mut in_zone) = (0, 0);
-        for told in self.members.all().into_iter().filter(|told| told.standing != Standing::Away) {
-            limiters += 1;
-            in_zone += u32::from(told.edge.zone == zone);
-        }
-        Who {
-            seats: self.seats.for_agents(&self.zones),
-            holder: holder.and_then(address),
+        let (seat, term) = own.or(holder.map(|term| (term.by.seat, term.number)))?;
+        Some((self.seats.address(seat)?, term))
+    }
+
+    fn who(&self, now: i64, zone: &str) -> Told {
+        let (limiters, in_zone) = self.members.serving(zone);
+        let who = Who {
+            seats: self.seats.for_agents(&self.zones).map(|(zone, at)| (zone.to_string(), at)).collect(),
+            holder: self.holder(now),
             in_touch: self.seats.in_touch(now) && !self.stopping,
             limiters: limiters.max(self.members.lately() as u32),
             in_zone,
+        };
+        Told { who, seats: self.seats.revision() }
+    }
+
+    /// What is news to agents of a zone that were told `before`; it is looked for after most inputs, and costs little
+    /// where it is nothing.
+    fn news_since(&self, now: i64, zone: &str, told: &Told) -> Change {
+        let before = &told.who;
+        let (limiters, in_zone) = self.members.serving(zone);
+        let limiters = limiters.max(self.members.lately() as u32);
+        let in_touch = self.seats.in_touch(now) && !self.stopping;
+        if before.holder != self.holder(now)
+            || before.in_touch != in_touch
+            || told.seats != self.seats.revision()
+        {
+            return Change::Much;
+        }
+        // Danger: limiters that each take an even slice must not stay with a count that is too low by much.
+        match before.limiters.abs_diff(limiters) {
+            0 if before.in_zone == in_zone => Change::Nothing,
+            changed if changed * limits::COUNTED > before.limiters => Change::Much,
+            _ => Change::Little,
         }
     }
 
     /// Tells the agents who is who, where that has changed or as a sign of life.
     pub(super) fn tell_who(&mut self, now: i64, beat: bool, out: &mut Vec<Output>) {
         if self.agents.zones.is_empty() {
+            self.agents.owed = false;
             return;
         }
         let mut zones: BTreeMap<&String, Vec<u64>> = BTreeMap::new();
         for (link, zone) in &self.agents.zones {
             zones.entry(zone).or_default().push(*link);
         }
-        let mut told = BTreeMap::new();
+        let (mut told, mut quiet, mut news) = (std::mem::take(&mut self.agents.told), Vec::new(), false);
+        told.retain(|zone, _| zones.contains_key(zone));
+        self.agents.owed = false;
         for (zone, links) in zones {
-            let who = self.who(now, zone);
-            if beat || self.agents.told.get(zone) != Some(&who) {
-                out.push(Output::Tell(links, Down::Who(who.clone())));
+            let change = told.get(zone).map_or(Change::Much, |before| self.news_since(now, zone, before));
+            // Danger: when many limiters start, each would be told of each by all.
+            let later = change == Change::Little && now < self.agents.counts;
+            self.agents.owed |= later;
+            if change == Change::Nothing || later {
+                quiet.extend(links.into_iter().filter(|_| beat));
+                continue;
             }
+            let who = self.who(now, zone);
+            out.push(Output::Tell(links, Down::Who(who.who.clone())));
             told.insert(zone.clone(), who);
+            news = true;
+        }
+        if news {
+            self.agents.counts = now + limits::COUNTS;
+        }
+        if !quiet.is_empty() {
+            out.push(Output::Tell(quiet, Down::Items(Vec::new())));
         }
         self.agents.told = told;
     }
@@ -160,7 +294,8 @@
 
     /// Tells the agents that they know all that is in force.
     pub(super) fn tell_whole(&self, out: &mut Vec<Output>) {
-        let links = self.agents.links();
+        let mut links = self.agents.links();
+        links.retain(|link| !self.agents.later.contains_key(link));
         if !links.is_empty() {
             out.push(Output::Tell(links, Down::Whole));
         }
--- a/headworks/src/core/agreement.rs
+++ b/headworks/src/core/agreement.rs
@@ -50,6 +50,10 @@
         deadline: i64,
         out: &mut Vec<Output>,
     ) {
+        // Also of a seat that does nothing else: that is when it is asked.
+        if command == Command::Status {
+            return out.push(Output::Answer(call, Reply::Status(self.status(now).json())));
+        }
         let no = if !self.seats.takes_part() {
             Some("this seat has not rebuilt, or was replaced")
         } else if self.stopping {
@@ -65,6 +69,7 @@
             return out.push(Output::Answer(call, Reply::Unavailable(no)));
         }
         match command {
+            Command::Status => {}
             Command::Get => self.read(now, call, None, deadline, out),
             Command::Drain { zone, .. } if !self.zones.contains(&zone) => {
                 out.push(Output::Answer(call, Reply::Unknown(format!("zone: {zone:?}"))));
@@ -75,7 +80,7 @@
             }
             Command::Patch(body) => {
                 // What was only accepted may be lost again, and with it what a change refers to.
-                match items::read_patch(&body, &newest(self.news.all().map(|(_, item)| item))) {
+                match items::read_patch(&body, &self.news) {
                     Ok(items) => self.change(now, call, items, deadline, out),
                     // What it refers to may have been acknowledged elsewhere and not be known here yet.
                     Err(_) => self.read(now, call, Some(body), deadline, out),
--- a/headworks/src/core/seats.rs
+++ b/headworks/src/core/seats.rs
@@ -25,6 +25,8 @@
     seeds: Vec<SocketAddr>,
     places: Vec<Place>,
     aside: bool,
+    /// Rises whenever a life or an address has changed.
+    revision: u64,
 }
 
 /// What a letter has changed.
@@ -45,7 +47,7 @@
         if let Some(place) = places.get_mut(usize::from(me.seat)) {
             *place = Place { life: me.life, address: Some(address), sure: true, heard: None, hears: true };
         }
-        Seats { me, address, seeds, places, aside: false }
+        Seats { me, address, seeds, places, aside: false, revision: 0 }
     }
 
     /// Takes in what was on disk about the others.
@@ -147,9 +149,9 @@
     }
 
     /// Where the seats are that are known, by their zones, for agents.
-    pub fn for_agents(&self, zones: &[String]) -> Vec<(String, SocketAddr)> {
-        let at = |(seat, zone): (usize, &String)| Some((zone.clone(), self.address(seat as Seat)?));
-        zones.iter().enumerate().filter_map(at).collect()
+    pub fn for_agents<'a>(&self, zones: &'a [String]) -> impl Iterator<Item = (&'a str, SocketAddr)> {
+        let at = |(seat, zone): (usize, &'a String)| Some((zone.as_str(), self.address(seat as Seat)?));
+        zones.iter().enumerate().filter_map(at)
     }
 
     /// A vote of this life of a seat counts.
@@ -157,8 +159,19 @@
         life != Life::NONE && self.newest(seat) == life
     }
 
+    /// Rises whenever a life or an address has changed.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
     /// Takes a life in, whoever told of it.
     pub fn learn(&mut self, seat: Seat, life: Life, address: Option<SocketAddr>) -> bool {
+        let news = self.learned(seat, life, address);
+        self.revision += u64::from(news);
+        news
+    }
+
+    fn learned(&mut self, seat: Seat, life: Life, address: Option<SocketAddr>) -> bool {
         let own = seat == self.me.seat;
         let Some(place) = self.places.get_mut(usize::from(seat)) else { return false };
         if life > place.life {
@@ -210,6 +223,7 @@
                 place.hears = beat.hears & (1 << self.me.seat) != 0;
             }
         }
+        self.revision += u64::from(changed);
         Heard { counts, changed, returned }
     }
 
@@ -220,7 +234,7 @@
     }
 
     /// The seats that were heard of late, a bit each.
-    pub fn heard(&self, now: i64) -> u64 {
+    pub fn heard(&self, now: i64) -> u128 {
         (0..self.places.len())
             .filter(|seat| self.hears(now, *seat as Seat))
             .fold(0, |bits, seat| bits | 1 << seat)
--- a/penstock/src/host.rs
+++ b/penstock/src/host.rs
@@ -72,6 +72,8 @@
     proxy: Option<WireKey>,
     edge: Option<Edge>,
     standing: Standing,
+    /// The own zone's seat was looked for since the start.
+    homed: bool,
     ending: bool,
     finished: bool,
 }
@@ -120,6 +122,7 @@
             proxy: None,
             edge: None,
             standing: Standing::Away,
+            homed: false,
             ending: false,
             finished: false,
         })
@@ -192,6 +195,9 @@
 
     fn greet(&mut self, now: i64, key: WireKey) {
         if let Some(edge) = self.edge.clone() {
+            if let Some(have) = self.known.have() {
+                self.put(key, &Up::Have(have));
+            }
             self.put(key, &Up::Hello(edge));
             self.ask_time(now, key);
             self.put(key, &Up::Beat(self.standing));
@@ -336,9 +342,20 @@
                 }
                 self.pass_on(now, message);
                 self.open_count(now);
+                // The settings name a few seats: not all agents that start are to stay with these.
+                if in_touch && !std::mem::replace(&mut self.homed, true) {
+                    self.try_home(now);
+                }
             }
             // Nothing is added for the way: guesses of it would drive the clock on, as whoever is ahead leads.
-            Down::Time(_) | Down::Items(_) | Down::Servers { .. } | Down::Whole => self.pass_on(now, message),
+            Down::Time(_) | Down::Servers { .. } | Down::Whole => self.pass_on(now, message),
+            Down::Items(ref items) => {
+                let news = !items.is_empty();
+                self.pass_on(now, message);
+                if news && self.is_link(key) {
+                    self.put(key, &self.known.holding());
+                }
+            }
         }
     }
 
@@ -363,7 +380,7 @@
                 }
                 Ok(Some(Up::Beat(standing))) => self.stands(standing),
                 Ok(Some(Up::Adds { batch, time, adds })) => self.adds(now, key, batch, time, adds),
-                Ok(Some(Up::Clock(_))) => {}
+                Ok(Some(Up::Clock(_) | Up::Have(_) | Up::Holding { .. })) => {}
                 Ok(None) => return,
                 Err(fault) => {
                     error!(self.log, "{fault}"; "step" => "reading", "peer" => "proxy");
@@ -420,6 +437,10 @@
             {
                 self.ask_time(now, key);
             }
+            if let Some(link) = &self.link {
+                let key = link.key;
+                self.put(key, &self.known.holding());
+            }
         }
         let Some(link) = &self.link else { return };
         let heard = self.wires.get(link.key).map_or(i64::MIN, |wire| wire.heard);
@@ -433,6 +454,10 @@
     /// An agent that is linked elsewhere looks whether the seat of its zone is back.
     fn go_home(&mut self, now: i64) {
         self.deadlines.enter(now + HOMEWARD, Due::Home);
+        self.try_home(now);
+    }
+
+    fn try_home(&mut self, now: i64) {
         if let Some((old, _)) = self.homeward.take() {
             self.wires.close(old);
         }
--- a/penstock/src/known.rs
+++ b/penstock/src/known.rs
@@ -1,7 +1,8 @@
 //! What an agent was told, to be told to its proxy, also to one that starts later. Without any input or output.
 
+use mains::digests::Digests;
 use mains::items::{Item, Items};
-use mains::messages::{Down, Who};
+use mains::messages::{Down, Up, Who};
 use mains::platform::Server;
 
 /// A list of servers, and when it was told, in microseconds.
@@ -22,6 +23,8 @@
 #[derive(Debug, Default)]
 pub struct Known {
     items: Items,
+    /// Of these, by parts.
+    digests: Digests,
     list: Option<List>,
     who: Option<Who>,
     /// A seat was heard last then, and one in touch with the core.
@@ -53,7 +56,12 @@
             Down::Items(items) => {
                 let newer = |item: &Item| self.items.get(&item.name).is_none_or(|held| held.ver < item.ver);
                 let new: Vec<Item> = items.into_iter().filter(newer).collect();
-                self.items.extend(new.iter().map(|item| (item.name.clone(), item.clone())));
+                for item in &new {
+                    self.digests.turn(&item.name, Digests::of(item));
+                    if let Some(old) = self.items.insert(item.name.clone(), item.clone()) {
+                        self.digests.turn(&old.name, Digests::of(&old));
+                    }
+                }
                 (!new.is_empty()).then_some(Down::Items(new))
             }
             Down::Servers { version, servers } => {
@@ -93,6 +101,16 @@
         Some(Down::Who(who.clone()))
     }
 
+    /// Digests of the items, for a control program that is to tell what is missing; nothing where none is known.
+    pub fn have(&self) -> Option<Vec<u64>> {
+        (!self.items.is_empty()).then(|| self.digests.parts().to_vec())
+    }
+
+    /// How many items are known, and their digest, as the control program is told.
+    pub fn holding(&self) -> Up {
+        Up::Holding { items: self.items.len() as u32, digest: self.digests.whole() }
+    }
+
     /// Who is who, as last told.
     pub fn who(&self) -> Option<&Who> {
         self.who.as_ref()
