--- a/gauge/src/main.rs
+++ b/gauge/src/main.rs
@@ -9,6 +9,7 @@
 use eyre::{WrapErr, ensure, eyre};
 use gauge::configuration::{Configuration, salt};
 use gauge::{diff, http, status};
+use headworks::disk;
 use serde::Serialize;
 
 /// An answer is given up after this.
@@ -20,6 +21,7 @@
     example = "{command_name} status --at 10.1.0.10:8688,10.2.0.10:8688",
     example = "{command_name} export --at 10.1.0.10:8688 > before.json",
     example = "{command_name} diff before.json 10.1.0.10:8688 --json",
+    example = "{command_name} verify /var/lib/streamarch",
     note = "Exit codes: 0 all is well or the same; 1 something was found; 2 it could not be done."
 )]
 struct Arguments {
@@ -33,6 +35,20 @@
     Status(Status),
     Export(Export),
     Diff(Diff),
+    Verify(Verify),
+}
+
+/// Reads the files of a seat's folder while its program does not run, and says what stands there and what is harmed.
+/// Nothing is changed.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "verify", example = "{command_name} /var/lib/streamarch")]
+struct Verify {
+    /// the folder that `datadir` names, or a database file that was put aside
+    #[argh(positional)]
+    path: std::path::PathBuf,
+    /// as JSON
+    #[argh(switch)]
+    json: bool,
 }
 
 /// Seats, lives, leases, duties, versions and what lags, as the seats that are asked see it.
@@ -132,6 +148,11 @@
             }
             Ok(false)
         }
+        Sub::Verify(Verify { path, json }) => {
+            let report = if path.is_dir() { disk::verify(&path)? } else { disk::verify_file(&path)? };
+            show(json, &report)?;
+            Ok(!report.faults.is_empty())
+        }
         Sub::Diff(Diff { old, new, json }) => {
             let diff = diff::diff(configuration(&old)?, configuration(&new)?);
             show(json, &diff)?;
--- a/penstock/src/known.rs
+++ b/penstock/src/known.rs
@@ -30,6 +30,8 @@
     /// A seat was heard last then, and one in touch with the core.
     heard: i64,
     in_touch: i64,
+    /// The seat that spoke last said that it is in touch.
+    touch: bool,
     /// That was so long ago that others count on this limiter no more, and its proxy was told so.
     alone: bool,
     whole: bool,
@@ -40,9 +42,12 @@
 impl Known {
     /// Takes news; gives what of it is new to the proxy.
     pub fn take(&mut self, now: i64, message: Down) -> Option<Down> {
+        // Who is who comes only where it changes; whatever else is told is a sign of life beside it.
+        self.heard = now;
+        self.in_touch = if self.touch { now } else { self.in_touch };
         match message {
             Down::Who(who) => {
-                self.heard = now;
+                self.touch = who.in_touch;
                 if who.in_touch {
                     (self.in_touch, self.alone) = (now, false);
                 }
@@ -178,6 +183,20 @@
         assert!(!Known::default().all(0).contains(&Down::Whole));
     }
 
+    #[test]
+    fn a_limiter_that_hears_signs_of_life_is_not_alone() {
+        let mut known = Known::default();
+        known.take(0, Down::Who(Who { in_touch: true, limiters: 3, ..Who::default() }));
+        for at in (0..2 * ASTRAY).step_by(400_000) {
+            assert_eq!(known.take(at, Down::Items(Vec::new())), None);
+            assert_eq!(known.look(at + 1), None, "at {at}");
+        }
+        // Signs of life of a seat that said that it is out of touch are none of the core.
+        known.take(2 * ASTRAY, Down::Who(Who { limiters: 3, ..Who::default() }));
+        known.take(3 * ASTRAY, Down::Items(Vec::new()));
+        assert!(known.look(3 * ASTRAY + 1).is_some());
+    }
+
     #[test]
     fn a_limiter_that_hears_nothing_is_alone_and_its_proxy_is_told_once() {
         let who = |in_touch| Down::Who(Who { limiters: 3, in_touch, ..Who::default() });
--- a/sluice/src/manifold.rs
+++ b/sluice/src/manifold.rs
@@ -45,11 +45,11 @@
 const LEAST_AWAY: Micros = 300 * MS;
 /// A tenant may have its burst on top in each span in which quotas are counted. Of it this part comes back evenly over the
 /// span, beside its rate...
-const BURST_FLOW: f64 = 0.3;
+const BURST_FLOW: f64 = 0.1;
 /// ...and this part may be had at one instant. What is left is for a count that was lost with its holder and starts full.
-const BURST_SHARE: f64 = 0.25;
+const BURST_SHARE: f64 = 0.45;
 /// A small tenant has up to this part of the rules' slack at one instant.
-const SLACK_SHARE: f64 = 0.3;
+const SLACK_SHARE: f64 = 0.6;
 /// Windows of the count.
 const COUNTED: Micros = SECOND;
 /// Share of the rules' bounds on further tries that is used: the rest is for windows that slide and clocks that differ.
