A shed level by service that all limiters share: the lowest tiers wait first

Ruled out: queues of the proxies (none), processor time (0.014 of 0.2 cores).

Each proxy tells what it saw of services under strain, each 0.2 s; seats sum up by region, share, judge how much the servers bear and tell a border in the order of requests. Beyond it the module refuses before the quota is asked.

--- a/culvert/src/engine.rs
+++ b/culvert/src/engine.rs
@@ -35,6 +35,10 @@
     pub again: bool,
     /// What the client showed is good until then; no leg starts later.
     pub valid_until: Option<Micros>,
+    /// Its place in the order in which requests wait under overload...
+    pub place: f64,
+    /// ...and the share of that order that waits now.
+    pub waits: f64,
 }
 
 /// The final answer, where no server's answer is it.
@@ -194,6 +198,12 @@
         self.held.get(key).map(|held| held.authorisation.deadline)
     }
 
+    /// The class of an authorisation, and since when its leg is out, if one is.
+    pub fn out_since(&self, key: AuthorisationKey) -> Option<(usize, Micros)> {
+        let held = self.held.get(key)?;
+        held.out.map(|out| (held.authorisation.class, out.sent))
+    }
+
     /// From now on requests are judged by a plan book, which starts from the plans that the engine was given.
     pub fn judge_by(&mut self, judging: Judging) {
         self.judging = Some(judging);
@@ -245,6 +255,8 @@
             spread: authorisation.spread,
             first: authorisation.first,
             again: authorisation.again,
+            place: authorisation.place,
+            waits: authorisation.waits,
         }));
         Ok(key)
     }
--- a/drill/src/edges.rs
+++ b/drill/src/edges.rs
@@ -726,7 +726,8 @@
             }
             Down::Whole => proxy.told = true,
             Down::Time(time) => proxy.ahead = proxy.ahead.max(time - steady),
-            Down::Totals { .. } | Down::NotCounted(_) => {}
+            // The drill's servers answer at once: nothing is under strain.
+            Down::Totals { .. } | Down::NotCounted(_) | Down::Levels { .. } => {}
         }
         self.stands(at);
     }
@@ -806,6 +807,7 @@
                 let tenant = Some((named.name.as_str(), &named.tenant));
                 let asked = Asked {
                     request,
+                    id: "i",
                     route: &route,
                     svc: BASE,
                     tenant,
--- a/headworks/src/core/agents.rs
+++ b/headworks/src/core/agents.rs
@@ -29,6 +29,7 @@
         let changed = match up {
             Up::Hello(edge) => {
                 let zone = edge.zone.clone();
+                self.weirs.joined(link, &edge.region);
                 let changed = self.members.hello(now, link, edge);
                 self.agents.zones.insert(link, zone.clone());
                 let to = || vec![link];
@@ -45,6 +46,11 @@
                 changed
             }
             Up::Beat(standing) => self.members.beat(now, link, standing),
+            Up::Load(reports) => {
+                let me = self.seats.me().seat;
+                self.weirs.told(now, me, link, &reports);
+                false
+            }
             Up::Clock(time) => {
                 self.raise(now, time);
                 out.push(Output::Tell(vec![link], Down::Time(now + self.ahead)));
@@ -74,6 +80,7 @@
     /// An agent's link is gone.
     pub(super) fn agent_gone(&mut self, _now: i64, link: u64, out: &mut Vec<Output>) {
         self.agents.zones.remove(&link);
+        self.weirs.left(link);
         if self.members.gone(link) {
             self.spread(Body::Members(self.members.list()), out);
         }
--- a/headworks/src/core/letters.rs
+++ b/headworks/src/core/letters.rs
@@ -7,6 +7,7 @@
 use mains::messages::{Edge, Standing};
 use mains::platform::Server;
 use serde::{Deserialize, Serialize};
+use weir::judge::Share;
 
 /// A seat's number: the place of its zone among all zones, by name.
 pub type Seat = u8;
@@ -217,6 +218,13 @@
     },
     /// Asks for it.
     AskServers,
+    /// What the speaker's limiters saw of the services of a region, and the rate that each is let through at.
+    Strain {
+        /// The region.
+        region: String,
+        /// By service.
+        services: Vec<(String, Share)>,
+    },
 }
 
 /// A letter from a seat.
--- a/headworks/src/core/mod.rs
+++ b/headworks/src/core/mod.rs
@@ -19,6 +19,7 @@
 pub mod seats;
 pub mod servers;
 mod standing;
+mod weirs;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -42,6 +43,7 @@
 use self::rounds::Round;
 use self::seats::Seats;
 use self::servers::Listed;
+use self::weirs::Weirs;
 use crate::calls::{Command, Reply};
 use crate::limits;
 
@@ -180,6 +182,7 @@
     count: Count,
     listed: Listed,
     agents: Agents,
+    weirs: Weirs,
     after: BTreeMap<u64, Vec<After>>,
     /// Last number given to a write, a round or a question.
     number: u64,
@@ -243,6 +246,7 @@
             count: Count::default(),
             listed: Listed::default(),
             agents: Agents::default(),
+            weirs: Weirs::default(),
             after: BTreeMap::new(),
             number: 0,
             chance: setup.seed | 1,
@@ -263,7 +267,10 @@
     /// Takes one input at a time on a clock that never goes back, in microseconds.
     pub fn take(&mut self, now: i64, input: Input, out: &mut Vec<Output>) {
         // Who is who does not change by these, and they come often.
-        let often = matches!(input, Input::Agent(_, Up::Adds { .. }) | Input::Written(_) | Input::Listed(_));
+        let often = matches!(
+            input,
+            Input::Agent(_, Up::Adds { .. } | Up::Load(_)) | Input::Written(_) | Input::Listed(_)
+        );
         match input {
             Input::Tick => {}
             Input::Letter(from, letter) => self.letter(now, from, letter, out),
@@ -292,7 +299,8 @@
         let finish = self.unfinished.wake(self.seats.me().seat).filter(|_| able);
         let able = able && !self.stopping;
         let duties = self.duties.iter().filter(|duty| able || duty.bids()).map(Ballots::wake);
-        let all = rounds.chain(readings).chain(rebuild).chain(finish).chain(duties);
+        let weirs = self.weirs.next().into_iter();
+        let all = rounds.chain(readings).chain(rebuild).chain(finish).chain(duties).chain(weirs);
         all.fold(self.next_beat, i64::min)
     }
 
@@ -306,6 +314,7 @@
         self.rounds_turn(now, out);
         self.readings_turn(now, out);
         self.duties_turn(now, out);
+        self.weirs_turn(now, out);
     }
 
     /// This seat does a duty at this instant, in this term.
@@ -407,6 +416,10 @@
             Body::Recorded { life, floor, all, terms } => {
                 self.recorded(by, life, floor, all, &terms, out);
             }
+            Body::Strain { region, services } => {
+                let seats = (self.seats.me().seat, by.0);
+                self.weirs.shared(now, seats, &region, services);
+            }
             _ if !self.seats.takes_part() => {}
             Body::Prepare { ballot, names } => self.prepare(now, from, ballot, &names, out),
             Body::Accept { ballot, items } => self.accept(now, from, ballot, &items, out),
--- /dev/null
+++ b/headworks/src/core/weirs.rs
@@ -0,0 +1,113 @@
+//! How much of the load of services is let through: a seat is home to all services for the limiters linked to it. What
+//! they saw is summed up by region, since a region's limiters share its servers, and shared with the other seats.
+
+use std::collections::BTreeMap;
+
+use mains::messages::Down;
+use weir::STEP;
+use weir::gauge::Report;
+use weir::judge::{Judge, Level, Share};
+
+use super::letters::{Body, Seat};
+use super::{Core, Output};
+
+/// A region without levels is told that there are none every so many steps.
+const QUIET: u64 = 2;
+
+/// The judges of this seat.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Weirs {
+    /// The region of each agent, by its link.
+    regions: BTreeMap<u64, String>,
+    /// By region and service.
+    judges: BTreeMap<(String, String), Judge>,
+    due: i64,
+    steps: u64,
+}
+
+impl Weirs {
+    pub(super) fn joined(&mut self, link: u64, region: &str) {
+        self.regions.insert(link, region.to_string());
+    }
+
+    pub(super) fn left(&mut self, link: u64) {
+        self.regions.remove(&link);
+        self.judges.values_mut().for_each(|judge| judge.left(link));
+    }
+
+    fn judge(&mut self, me: Seat, region: &str, svc: &str) -> &mut Judge {
+        let key = (region.to_string(), svc.to_string());
+        self.judges.entry(key).or_insert_with(|| Judge::new(me.into()))
+    }
+
+    pub(super) fn told(&mut self, now: i64, me: Seat, link: u64, reports: &[Report]) {
+        let Some(region) = self.regions.get(&link).cloned() else { return };
+        for report in reports {
+            self.judge(me, &region, &report.svc).report(now, link, report);
+        }
+    }
+
+    pub(super) fn shared(
+        &mut self,
+        now: i64,
+        (me, by): (Seat, Seat),
+        region: &str,
+        services: Vec<(String, Share)>,
+    ) {
+        for (svc, share) in services {
+            self.judge(me, region, &svc).shared(now, by.into(), share);
+        }
+    }
+
+    /// Where nothing is judged the seat's own beat is often enough.
+    pub(super) fn next(&self) -> Option<i64> {
+        (!self.judges.is_empty()).then_some(self.due)
+    }
+
+    fn look(&mut self, now: i64) {
+        self.judges.values_mut().for_each(|judge| judge.look(now));
+        self.judges.retain(|_, judge| !judge.idle(now));
+    }
+
+    fn levels(&self, region: &str) -> Vec<Level> {
+        let judged = self.judges.iter().filter(|((at, _), _)| at == region);
+        judged.filter_map(|((_, svc), judge)| judge.level(svc)).collect()
+    }
+}
+
+impl Core {
+    /// The judges look at what they were told, and what they find is told on.
+    pub(super) fn weirs_turn(&mut self, now: i64, out: &mut Vec<Output>) {
+        if now < self.weirs.due {
+            return;
+        }
+        (self.weirs.due, self.weirs.steps) = (now + STEP, self.weirs.steps + 1);
+        self.weirs.look(now);
+        self.share_strain(now, out);
+        let mut regions: BTreeMap<&String, Vec<u64>> = BTreeMap::new();
+        for (link, region) in &self.weirs.regions {
+            regions.entry(region).or_default().push(*link);
+        }
+        let mut tell = Vec::new();
+        for (region, links) in regions {
+            let levels = self.weirs.levels(region);
+            if !levels.is_empty() || self.weirs.steps.is_multiple_of(QUIET) {
+                tell.push(Output::Tell(links, Down::Levels { age: 0, levels }));
+            }
+        }
+        out.append(&mut tell);
+    }
+
+    /// The other seats hear what was told here of a region's services: its limiters may be linked to any of them.
+    fn share_strain(&mut self, now: i64, out: &mut Vec<Output>) {
+        let mut regions: BTreeMap<&String, Vec<(String, Share)>> = BTreeMap::new();
+        for ((region, svc), judge) in &self.weirs.judges {
+            if let Some(share) = judge.to_share(now) {
+                regions.entry(region).or_default().push((svc.clone(), share));
+            }
+        }
+        for (region, services) in regions {
+            self.spread(Body::Strain { region: region.clone(), services }, out);
+        }
+    }
+}
--- a/headworks/tests/core.rs
+++ b/headworks/tests/core.rs
@@ -209,7 +209,10 @@
     cluster.start(5);
     cluster.feed(5, Input::Agent(1, Up::Hello(edge("e1", "f"))));
     let heard = |cluster: &Cluster| {
-        let told = cluster.nodes[5].told.iter().filter(|(_, down)| !matches!(down, Down::Who(_)));
+        let told = cluster.nodes[5]
+            .told
+            .iter()
+            .filter(|(_, down)| !matches!(down, Down::Who(_) | Down::Levels { .. }));
         told.map(|(_, down)| match down {
             Down::Items(items) => format!("{} items", items.len()),
             down => format!("{down:?}"),
--- a/mains/src/messages.rs
+++ b/mains/src/messages.rs
@@ -6,6 +6,8 @@
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
+use weir::gauge::Report;
+use weir::judge::Level;
 
 use crate::items::Item;
 use crate::platform::Server;
@@ -65,6 +67,8 @@
         /// The adds.
         adds: Vec<Add>,
     },
+    /// What a proxy saw of the services that are under strain.
+    Load(Vec<Report>),
 }
 
 /// Who is who, as a control program sees it.
@@ -109,4 +113,11 @@
     Time(i64),
     /// A batch that reached no count: nothing was added.
     NotCounted(u64),
+    /// How much of the load of services is let through; of all others, all.
+    Levels {
+        /// How long ago that was judged, in microseconds.
+        age: i64,
+        /// The levels that hold.
+        levels: Vec<Level>,
+    },
 }
--- a/penstock/src/host.rs
+++ b/penstock/src/host.rs
@@ -346,7 +346,11 @@
                     self.pass_on(now, Down::Time(time + (now - asked) / 2));
                 }
             }
-            Down::Items(_) | Down::Servers { .. } | Down::Whole => self.pass_on(now, message),
+            // Two links are open for a moment; only the one that is kept tells who is let through.
+            Down::Levels { .. } if !self.is_link(key) => {}
+            Down::Items(_) | Down::Servers { .. } | Down::Whole | Down::Levels { .. } => {
+                self.pass_on(now, message);
+            }
         }
     }
 
@@ -371,6 +375,11 @@
                 }
                 Ok(Some(Up::Beat(standing))) => self.stands(standing),
                 Ok(Some(Up::Adds { batch, time, adds })) => self.adds(now, key, batch, time, adds),
+                Ok(Some(Up::Load(reports))) => {
+                    if let Some(link) = self.link.as_ref().filter(|link| link.told).map(|link| link.key) {
+                        self.put(link, &Up::Load(reports));
+                    }
+                }
                 Ok(Some(Up::Clock(_))) => {}
                 Ok(None) => return,
                 Err(fault) => {
--- a/penstock/src/known.rs
+++ b/penstock/src/known.rs
@@ -3,6 +3,7 @@
 use mains::items::{Item, Items};
 use mains::messages::{Down, Who};
 use mains::platform::Server;
+use weir::judge::Level;
 
 /// A list of servers, and when it was told, in microseconds.
 #[derive(Clone, Debug)]
@@ -21,6 +22,8 @@
     whole: bool,
     /// The limiters' clock, and when it was told.
     time: Option<(i64, i64)>,
+    /// Levels of services, and when they were judged.
+    levels: Option<(Vec<Level>, i64)>,
 }
 
 impl Known {
@@ -58,6 +61,10 @@
                 self.time = if newer { Some((time, now)) } else { self.time };
                 newer.then_some(Down::Time(time))
             }
+            Down::Levels { age, levels } => {
+                self.levels = Some((levels.clone(), now - age));
+                Some(Down::Levels { age, levels })
+            }
             Down::Totals { .. } | Down::NotCounted(_) => None,
         }
     }
@@ -83,10 +90,13 @@
             Down::Servers { version: list.version, servers: list.servers.iter().map(cooler).collect() }
         });
         let whole = self.whole.then_some(Down::Whole);
+        let levels =
+            self.levels.iter().map(|(levels, at)| Down::Levels { age: now - at, levels: levels.clone() });
         who.into_iter()
             .chain(self.time(now).map(Down::Time))
             .chain([items])
             .chain(list)
+            .chain(levels)
             .chain(whole)
             .collect()
     }
--- a/sluice/src/host/clients.rs
+++ b/sluice/src/host/clients.rs
@@ -233,7 +233,8 @@
             failure: None,
         });
         let tenant = tenant.as_ref().map(|t| (t.name.as_str(), &t.tenant));
-        let asked = Asked { request, route: &route, svc: &svc, tenant, pins: &pins, deadline };
+        let id = self.requests[request].id.clone();
+        let asked = Asked { request, id: &id, route: &route, svc: &svc, tenant, pins: &pins, deadline };
         match self.manifold.take(now, &asked) {
             Some(ticket) => self.requests[request].ticket = ticket,
             None => {
--- a/sluice/src/host/mod.rs
+++ b/sluice/src/host/mod.rs
@@ -124,6 +124,7 @@
     Retire,
     Warm,
     Beat,
+    Load,
     Feed,
     NoticeOver,
     DrainOver,
@@ -206,6 +207,7 @@
         let mut deadlines = Deadlines::default();
         deadlines.enter(now, Due::Feed);
         deadlines.enter(now + BEAT, Due::Beat);
+        deadlines.enter(now + weir::STEP, Due::Load);
         deadlines.enter(now + limits.leg_idle / 4, Due::Retire);
         let yard = Yard::new(&settings.zone, settings.zones.clone());
         info!(log, "serving on {http}");
@@ -392,6 +394,7 @@
             Due::Retire => self.retire(now),
             Due::Warm => self.list(now),
             Due::Beat => self.beat(now),
+            Due::Load => self.tell_load(now),
             Due::Feed => self.open_feed(now),
             Due::NoticeOver => self.notice_over(now),
             Due::DrainOver => self.lifecycle.finish(),
--- a/sluice/src/manifold.rs
+++ b/sluice/src/manifold.rs
@@ -15,9 +15,13 @@
 use mains::settings::Bounds;
 use slotmap::SecondaryMap;
 use streamarch::{
-    Class, CounterName, CustomerId, FirstBound, ListKind, Micros, Outcome, Plan, Repeat, RetryBudget,
-    ServerEntry, ServerId, ServerState, Settings,
+    Class, CounterName, CustomerId, FirstBound, ListKind, Micros, Outcome, Plan, Repeat, Request,
+    RetryBudget, ServerEntry, ServerId, ServerState, Settings,
 };
+use weir::gate::Gate;
+use weir::gauge::{Report, Sign};
+use weir::judge::Level;
+use weir::order;
 
 slotmap::new_key_type! {
     /// A request whose final answer is owed.
@@ -91,6 +95,8 @@
 pub struct Asked<'a> {
     /// The request.
     pub request: RequestKey,
+    /// Its id, as the client sent it.
+    pub id: &'a str,
     /// Its route.
     pub route: &'a Route,
     /// The service chosen for it.
@@ -104,6 +110,8 @@
 }
 
 struct Basin {
+    /// Its service; none where tenants are judged.
+    svc: String,
     engine: Engine,
     requests: SecondaryMap<AuthorisationKey, RequestKey>,
 }
@@ -113,6 +121,7 @@
 struct Onward {
     basin: usize,
     class: usize,
+    band: usize,
     deadline: Micros,
 }
 
@@ -130,6 +139,8 @@
     /// The term of the one that holds the shared count.
     holder: Option<u64>,
     basins: Vec<Basin>,
+    /// What of each service's load is let through.
+    gate: Gate,
     /// Positions by service and regions.
     places: BTreeMap<(String, Vec<String>), usize>,
     onward: SecondaryMap<AuthorisationKey, Onward>,
@@ -151,6 +162,11 @@
     (0..AIMS.len()).min_by_key(off).unwrap_or(0)
 }
 
+/// Its tenant's rank, else the route's.
+fn tier(route: &Route, tenant: Option<(&str, &Tenant)>) -> u32 {
+    tenant.and_then(|(_, tenant)| tenant.prio).unwrap_or(route.prio)
+}
+
 fn class_of(route: &Route, prio: u32) -> usize {
     let rank = (prio as usize).min(WORTHS.len() - 1);
     let repeat = usize::from(route.kind != Kind::Idem);
@@ -239,7 +255,7 @@
 impl Manifold {
     /// No service is known yet.
     pub fn new(seed: u64, bounds: Bounds) -> Manifold {
-        let judge = Basin { engine: judging(seed, MOST), requests: SecondaryMap::new() };
+        let judge = Basin { svc: String::new(), engine: judging(seed, MOST), requests: SecondaryMap::new() };
         Manifold {
             seed,
             bounds,
@@ -249,6 +265,7 @@
             fewer: None,
             holder: None,
             basins: vec![judge],
+            gate: Gate::default(),
             places: BTreeMap::new(),
             onward: SecondaryMap::new(),
             plans: BTreeMap::new(),
@@ -296,7 +313,7 @@
     pub fn open(&mut self, svc: &str, pins: &[String], entries: Vec<ServerEntry>) -> usize {
         let at = self.basins.len();
         let engine = placing(self.limiters, self.seed.wrapping_add(at as u64), MOST, &self.bounds);
-        self.basins.push(Basin { engine, requests: SecondaryMap::new() });
+        self.basins.push(Basin { svc: svc.to_string(), engine, requests: SecondaryMap::new() });
         self.places.insert((svc.to_string(), pins.to_vec()), at);
         self.listed(at, entries);
         at
@@ -328,10 +345,13 @@
     /// Takes a request; [`Manifold::turn`] says what follows. None if too many are held.
     pub fn take(&mut self, now: Micros, asked: &Asked<'_>) -> Option<Ticket> {
         let basin = self.has(asked.svc, asked.pins)?;
-        let prio = asked.tenant.and_then(|(_, tenant)| tenant.prio).unwrap_or(asked.route.prio);
-        let onward = Onward { basin, class: class_of(asked.route, prio), deadline: asked.deadline };
+        let prio = tier(asked.route, asked.tenant);
+        let band = order::band(prio, asked.route.prio);
+        let (place, waits) = self.order(now, asked.svc, asked.route, asked.tenant, asked.id);
+        self.gate.came(asked.svc, band, !streamarch::waits(&Request { place, waits, ..Request::default() }));
+        let onward = Onward { basin, class: class_of(asked.route, prio), band, deadline: asked.deadline };
         match asked.tenant.filter(|(_, tenant)| tenant.per_s > 0.0) {
-            None => self.place(now, asked.request, onward),
+            None => self.place(now, asked.request, onward, (place, waits)),
             Some((name, tenant)) => {
                 let plan = self.plan(name, tenant);
                 let authorisation = Authorisation {
@@ -341,6 +361,8 @@
                     deadline: asked.deadline,
                     units: 1.0,
                     spread: self.spread,
+                    place,
+                    waits,
                     ..Authorisation::default()
                 };
                 let judge = &mut self.basins[0];
@@ -352,9 +374,58 @@
         }
     }
 
-    fn place(&mut self, now: Micros, request: RequestKey, onward: Onward) -> Option<Ticket> {
-        let Onward { basin, class, deadline } = onward;
-        let authorisation = Authorisation { class, deadline, spread: 1, ..Authorisation::default() };
+    /// The place of a request in the order in which requests wait under overload, and the share of that order that
+    /// waits now.
+    fn order(
+        &self,
+        now: Micros,
+        svc: &str,
+        route: &Route,
+        tenant: Option<(&str, &Tenant)>,
+        id: &str,
+    ) -> (f64, f64) {
+        let place = order::place(order::band(tier(route, tenant), route.prio), id);
+        (place, 1.0 - self.gate.border(now, svc))
+    }
+
+    /// Whether a request waits by what its head says; its body need not come then.
+    pub fn waits(
+        &mut self,
+        now: Micros,
+        svc: &str,
+        route: &Route,
+        tenant: Option<(&str, &Tenant)>,
+        id: &str,
+    ) -> bool {
+        let (place, waits) = self.order(now, svc, route, tenant, id);
+        let waits = streamarch::waits(&Request { place, waits, ..Request::default() });
+        if waits {
+            self.gate.came(svc, order::band(tier(route, tenant), route.prio), false);
+        }
+        waits
+    }
+
+    /// Home told how much of the load of services is let through.
+    pub fn levels(&mut self, now: Micros, age: Micros, levels: Vec<Level>) {
+        self.gate.told(now, levels, age);
+    }
+
+    /// What home is to be told; due once a [`weir::STEP`].
+    pub fn load(&mut self, now: Micros) -> Vec<Report> {
+        self.gate.step(now)
+    }
+
+    /// What was let through goes on to its service. Judged once, it does not wait a second time.
+    fn place(
+        &mut self,
+        now: Micros,
+        request: RequestKey,
+        onward: Onward,
+        (place, waits): (f64, f64),
+    ) -> Option<Ticket> {
+        let Onward { basin, class, deadline, .. } = onward;
+        let authorisation =
+            Authorisation { class, deadline, spread: 1, place, waits, ..Authorisation::default() };
         let key = self.basins[basin].engine.take(now, authorisation).ok()?;
         self.basins[basin].requests.insert(key, request);
         Some(Ticket { engine: basin, key })
@@ -391,7 +462,7 @@
                 basin.engine.leg_ended(now, key, leg, Outcome::Ok, None);
                 let (request, onward) = (basin.requests.remove(key), self.onward.remove(key));
                 let Some((request, onward)) = request.zip(onward) else { return };
-                match self.place(now, request, onward) {
+                match self.place(now, request, onward, (0.0, 0.0)) {
                     Some(ticket) => moved(request, ticket),
                     None => {
                         let ending = Ending::Declined { stay_away: STAY_AWAY / 4, over_quota: false };
@@ -408,7 +479,18 @@
             },
             Order::StopLeg { key, leg } => steps.push(Step::Stop(Ticket { engine: at, key }, leg)),
             Order::Answer { key, ending } => {
-                self.onward.remove(key);
+                let onward = self.onward.remove(key);
+                match (ending, onward) {
+                    (Ending::Declined { over_quota: true, .. }, Some(onward)) => {
+                        let svc = &self.basins[onward.basin].svc;
+                        self.gate.over_quota(svc, onward.band);
+                    }
+                    (Ending::Declined { .. }, _) if at > 0 => {
+                        self.gate.ended(now, &self.basins[at].svc, Sign::NoRoom);
+                    }
+                    _ => {}
+                }
+                let basin = &mut self.basins[at];
                 steps.extend(basin.requests.remove(key).map(|request| Step::Answer(request, ending)));
             }
             Order::Count { name, add, life } => {
@@ -422,6 +504,14 @@
     /// A leg ended. True if its answer is the final answer.
     pub fn leg_ended(&mut self, now: Micros, ticket: Ticket, leg: u32, outcome: Outcome) -> bool {
         let basin = &mut self.basins[ticket.engine];
+        if let Some((class, sent)) = basin.engine.out_since(ticket.key) {
+            let sign = match outcome {
+                Outcome::Ok | Outcome::Error => Some(Sign::Answered(now - sent, AIMS[class % AIMS.len()])),
+                Outcome::Full | Outcome::Reset => Some(Sign::Away),
+                Outcome::TimedOut | Outcome::ConnectFailed | Outcome::Cancelled | Outcome::Moot => None,
+            };
+            sign.into_iter().for_each(|sign| self.gate.ended(now, &basin.svc, sign));
+        }
         let last = basin.engine.leg_ended(now, ticket.key, leg, outcome, None);
         if last {
             basin.requests.remove(ticket.key);
@@ -532,7 +622,7 @@
             let request = self.keys.insert(());
             let (route, deadline) = (route("idem"), self.now + 3 * SECOND);
             let tenant = tenant.map(|tenant| ("t", tenant));
-            let asked = Asked { request, route: &route, svc: "s", tenant, pins: &[], deadline };
+            let asked = Asked { request, id: "i", route: &route, svc: "s", tenant, pins: &[], deadline };
             self.manifold.take(self.now, &asked).unwrap();
             request
         }
--- a/sluice/tests/quota.rs
+++ b/sluice/tests/quota.rs
@@ -152,7 +152,7 @@
                 let request = proxy.keys.insert(());
                 let (route, deadline) = (route(), self.now + 3 * SECOND);
                 let tenant = Some(("t", tenant));
-                let asked = Asked { request, route: &route, svc: "s", tenant, pins: &[], deadline };
+                let asked = Asked { request, id: "i", route: &route, svc: "s", tenant, pins: &[], deadline };
                 proxy.manifold.take(self.now, &asked).unwrap();
             }
             self.decide(at);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -294,6 +294,10 @@
     pub first: u32,
     /// A client's repeat, where clients say so.
     pub again: bool,
+    /// Its place in the order in which requests wait under overload, from 0 to below 1, the same at all gateways...
+    pub place: f64,
+    /// ...and the share of that order, from its end, that waits now, as all gateways were told.
+    pub waits: f64,
 }
 
 /// The end of an attempt.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 mod state;
 
 pub use interface::*;
+pub use policy::waits;
 pub use state::Balancer;
 
 /// Compiles the example of the README.
--- a/src/policy/requests.rs
+++ b/src/policy/requests.rs
@@ -10,7 +10,7 @@
         }
         self.retries = (self.retries + self.settings.retries.earn).min(self.settings.retries.most);
         self.held.insert(id, Held { request: request.clone(), ..Held::default() });
-        if self.settings.classes.get(request.class).is_none() || deadline <= self.now {
+        if self.settings.classes.get(request.class).is_none() || deadline <= self.now || waits(request) {
             return self.refuse(id);
         }
         self.usual_worth += (self.worth_for_work(request) - self.usual_worth) * WORTH_GAIN;
@@ -41,9 +41,6 @@
         }
         let none_out = held.out.is_empty();
         if end.finished || end.outcome == Outcome::Ok || held.done {
-            if none_out {
-                self.close_open(id);
-            }
             self.close(id);
         } else if none_out && end.outcome != Outcome::Moot && self.may_repeat(id) && self.retries >= 1.0 {
             self.retries -= if may_have_run { 1.0 } else { self.settings.retries.unrun };
@@ -76,10 +73,8 @@
     /// Rule 1: no server, no further attempt or no time left; refused where that is true, else failed.
     pub(super) fn give_up(&mut self, id: RequestId) {
         let Some(held) = self.held.get(&id).filter(|h| !h.done && !h.streaming) else { return };
-        match (held.attempts, held.out.is_empty()) {
-            (0, _) => self.give_back(id),
-            (_, true) => self.close_open(id),
-            (_, false) => {}
+        if held.attempts == 0 {
+            self.give_back(id);
         }
         self.refuse(id);
     }
@@ -100,15 +95,16 @@
         let time = plan.map_or(self.work_of(held.request.class), refill) * (0.5 + chance);
         let stay_away = (time as Micros).min(most);
         let shed = Action::Shed { request: id, stay_away, over_quota: held.denied };
-        self.actions.push(if harmless { shed } else { Action::Fail(id) });
         self.close(id);
+        self.actions.push(if harmless { shed } else { Action::Fail(id) });
     }
 
-    /// The request is over; it is remembered only while attempts are out.
+    /// The request is over; it is remembered, and holds its place, only while attempts are out.
     fn close(&mut self, id: RequestId) {
         let Some(held) = self.held.get_mut(&id) else { return };
         held.done = true;
-        if held.out.is_empty() && !held.opened {
+        if held.out.is_empty() {
+            self.close_open(id);
             self.held.remove(&id);
         }
     }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -98,6 +98,7 @@
             spread: 2,
             first: 0,
             again: false,
+            ..Request::default()
         };
         (id, self.feed(Event::Request(request)))
     }
--- /dev/null
+++ b/weir/src/lib.rs
@@ -0,0 +1,23 @@
+//! Overload: what of a service's load is let through, by one order at every limiter. Without any input or output.
+//!
+//! Each limiter counts what it saw of a service ([`gauge`]) and tells its home. The home sums up, judges by what servers
+//! did how much a second they bear, and tells a level ([`judge`]). Every limiter turns away what lies beyond it ([`gate`])
+//! by the same order ([`order`]): the lowest tiers first, and by a steady number within the tier on the border. Times are
+//! whole microseconds of a clock that never goes back.
+
+pub mod gate;
+pub mod gauge;
+pub mod judge;
+pub mod order;
+
+/// Microseconds on the host's clock, or a span of them.
+pub type Micros = i64;
+
+const MS: Micros = 1_000;
+
+/// Between two reports of a limiter, and between two looks of a home.
+pub const STEP: Micros = 200 * MS;
+/// A report counts for this long; a limiter that sends none is gone.
+pub const FRESH: Micros = 700 * MS;
+/// A limiter that was told nothing for this long goes by its own share.
+pub const DEAF: Micros = 1_500 * MS;
--- /dev/null
+++ b/weir/src/order.rs
@@ -0,0 +1,61 @@
+//! The order in which requests wait, the same at every limiter.
+
+/// Tiers that are told apart; what lies behind counts as the last.
+pub const TIERS: u32 = 4;
+/// Bands of the order: a tier, and within it the route's own rank.
+pub const BANDS: usize = (TIERS * TIERS) as usize;
+
+/// The band of a request: by its tier, and among those of one tier by its route's own rank, where the tier is not the
+/// route's.
+pub fn band(tier: u32, rank: u32) -> usize {
+    (tier.min(TIERS - 1) * TIERS + rank.min(TIERS - 1)) as usize
+}
+
+/// The place in the order, from 0 for what waits last to below 1: by band, then by the request's id. The same request
+/// has the same place everywhere, and a new try a new one.
+pub fn place(band: usize, id: &str) -> f64 {
+    // FNV-1a, then stirred: ids that differ in their last letter lie far apart.
+    let mut hash = id.bytes().fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
+    });
+    hash = (hash ^ (hash >> 29)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let within = ((hash ^ (hash >> 32)) >> 11) as f64 / (1_u64 << 53) as f64;
+    (band as f64 + within) / BANDS as f64
+}
+
+/// The border that lets through `kept` a second of what is offered in each band.
+pub fn border(offered: &[f64; BANDS], kept: f64) -> f64 {
+    let mut left = kept;
+    for (band, offered) in offered.iter().enumerate().filter(|(_, offered)| **offered > 0.0) {
+        if left < *offered {
+            return (band as f64 + (left / offered).max(0.0)) / BANDS as f64;
+        }
+        left -= offered;
+    }
+    1.0
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use test_case::test_case;
+
+    #[test]
+    fn a_tier_goes_before_all_that_a_route_says_and_ids_spread_evenly() {
+        assert!(place(band(0, 3), "x") < place(band(1, 0), "y"));
+        assert!(place(band(2, 1), "x") < place(band(2, 2), "x"));
+        assert!(place(band(9, 9), "x") < 1.0);
+        let low = (0..1_000).filter(|n| place(0, &format!("id-{n}")) * (BANDS as f64) < 0.3).count();
+        assert!((260..340).contains(&low), "{low}");
+    }
+
+    #[test_case(300.0, 1.0; "all fits")]
+    #[test_case(150.0, (8.0 + 0.25) / 16.0; "the border lies within a band")]
+    #[test_case(100.0, 8.0 / 16.0; "on an edge")]
+    #[test_case(-1.0, 0.0; "nothing")]
+    fn the_border_keeps_what_is_asked(kept: f64, at: f64) {
+        let mut offered = [0.0; BANDS];
+        (offered[0], offered[8]) = (100.0, 200.0);
+        assert!((border(&offered, kept) - at).abs() < 1e-9);
+    }
+}
