Weir: a judge that settles, tests on a driven clock; over-quota first, uploads refused by their head

A tenant at eight times its usual made others wait: its requests beyond the quota counted as load.

Now a fall goes by what servers answered, rises are slow near what they last bore and quick while nothing waits, a home watches before it judges, tenants lately over their quota are asked for it first. A request whose head says that it waits is refused before its body is taken.

--- a/sluice/src/host/clients.rs
+++ b/sluice/src/host/clients.rs
@@ -7,6 +7,7 @@
 use super::*;
 use crate::answers::concerns_connection;
 use crate::manifold::Asked;
+use crate::shedding::Asker;
 
 /// Most connections of clients at a time; what is beyond makes room.
 const CLIENTS: usize = 2_600;
@@ -45,6 +46,7 @@
             request: None,
             armed: Micros::MAX,
             last: false,
+            looked_at: false,
             told_to_go_on: false,
             held: 0,
         };
@@ -145,7 +147,7 @@
         }
         if client.incoming.whole() {
             let incoming = std::mem::take(&mut client.incoming);
-            client.told_to_go_on = false;
+            (client.told_to_go_on, client.looked_at) = (false, false);
             client.visit.taken(now);
             wire.most = AHEAD.max(wire.input.len());
             if let Some((head, _, body)) = incoming.into_parts() {
@@ -153,6 +155,12 @@
             }
             return;
         }
+        if self.waits_by_head(now, key) {
+            self.client(key).into_iter().for_each(|client| client.last = true);
+            let stay_away = (STAY_AWAY as f64 * (0.5 + fastrand::f64())) as Micros;
+            return self.answer_own(now, key, &away(503, stay_away, "others go first"));
+        }
+        let Some(Role::Client(client)) = self.roles.get_mut(key) else { return };
         if let Some(head) = client.incoming.head() {
             if head.expects && !std::mem::replace(&mut client.told_to_go_on, true) {
                 self.wires
@@ -180,6 +188,27 @@
         }
     }
 
+    /// Whether a request's turn has not come: it is refused then before its body is taken, and the connection closed
+    /// behind the answer. Looked at once, when its head is there, where the route has one service: else it is not known.
+    fn waits_by_head(&mut self, now: Micros, key: WireKey) -> bool {
+        let Some(Role::Client(client)) = self.roles.get_mut(key) else { return false };
+        let Some(head) = client.incoming.head() else { return false };
+        if std::mem::replace(&mut client.looked_at, true) {
+            return false;
+        }
+        let asked = head.headers.get("Host").and_then(|host| self.book.route(host, &head.target));
+        let (Some(route), Some(id)) = (asked, head.headers.get("X-Request-Id")) else { return false };
+        let mut services = route.services().filter(|(_, weight)| *weight > 0.0);
+        let (Some((svc, _)), None) = (services.next(), services.next()) else { return false };
+        let shown = head.headers.get("Authorization").and_then(|value| value.strip_prefix("Bearer "));
+        let tenant = shown.and_then(|key| self.book.tenant(key.trim()));
+        if tenant.is_none() && !route.public && self.book.keyed() {
+            return false;
+        }
+        let tenant = tenant.map(|known| (known.name.as_str(), &known.tenant));
+        self.manifold.waits(now, &Asker { id, route, svc, tenant })
+    }
+
     /// A whole request was read.
     fn take(&mut self, now: Micros, key: WireKey, head: RequestHead, body: Vec<u8>) {
         if let Some(client) = self.client(key) {
--- a/sluice/src/host/feeding.rs
+++ b/sluice/src/host/feeding.rs
@@ -59,7 +59,7 @@
     /// What was seen of services under strain.
     pub(super) fn tell_load(&mut self, now: Micros) {
         self.deadlines.enter(now + weir::STEP, Due::Load);
-        let load = self.manifold.load(now);
+        let load = self.manifold.shedding().load(now);
         if !load.is_empty() {
             self.tell(&Up::Load(load));
         }
@@ -112,7 +112,7 @@
             }
             Down::Whole => self.told = true,
             Down::Time(time) => self.clock.raise(time),
-            Down::Levels { age, levels } => self.manifold.levels(now, age, levels),
+            Down::Levels { age, levels } => self.manifold.shedding().levels(now, age, levels),
             Down::Totals { batch, totals } => self.totals(batch, &totals),
             Down::NotCounted(batch) => {
                 if let Some(batch) = self.take_batch(batch) {
--- a/sluice/src/host/mod.rs
+++ b/sluice/src/host/mod.rs
@@ -78,6 +78,8 @@
     /// The answer that is being written is the last.
     last: bool,
     told_to_go_on: bool,
+    /// Whether it is refused by its head was looked at.
+    looked_at: bool,
     /// Its bytes among those held for all.
     held: usize,
 }
--- a/sluice/src/manifold.rs
+++ b/sluice/src/manifold.rs
@@ -15,13 +15,11 @@
 use mains::settings::Bounds;
 use slotmap::SecondaryMap;
 use streamarch::{
-    Class, CounterName, CustomerId, FirstBound, ListKind, Micros, Outcome, Plan, Repeat, Request,
-    RetryBudget, ServerEntry, ServerId, ServerState, Settings,
+    Class, CounterName, CustomerId, FirstBound, ListKind, Micros, Outcome, Plan, Repeat, RetryBudget,
+    ServerEntry, ServerId, ServerState, Settings,
 };
-use weir::gate::Gate;
-use weir::gauge::{Report, Sign};
-use weir::judge::Level;
-use weir::order;
+
+use crate::shedding::{Asker, Shedding, Turn, tier};
 
 slotmap::new_key_type! {
     /// A request whose final answer is owed.
@@ -109,19 +107,37 @@
     pub deadline: Micros,
 }
 
+impl<'a> Asked<'a> {
+    fn asker(&self) -> Asker<'a> {
+        let Asked { id, route, svc, tenant, .. } = *self;
+        Asker { id, route, svc, tenant }
+    }
+}
+
 struct Basin {
     /// Its service; none where tenants are judged.
     svc: String,
     engine: Engine,
     requests: SecondaryMap<AuthorisationKey, RequestKey>,
+    /// Those whose turn has not come: the module refuses them.
+    waiting: SecondaryMap<AuthorisationKey, ()>,
+}
+
+impl Basin {
+    fn new(svc: &str, engine: Engine) -> Basin {
+        let (requests, waiting) = (SecondaryMap::new(), SecondaryMap::new());
+        Basin { svc: svc.to_string(), engine, requests, waiting }
+    }
 }
 
 /// Where a request goes once its tenant was judged.
-#[derive(Clone, Copy)]
 struct Onward {
     basin: usize,
     class: usize,
-    band: usize,
+    turn: Turn,
+    /// It had its turn before its tenant was judged.
+    first: bool,
+    tenant: String,
     deadline: Micros,
 }
 
@@ -139,8 +155,7 @@
     /// The term of the one that holds the shared count.
     holder: Option<u64>,
     basins: Vec<Basin>,
-    /// What of each service's load is let through.
-    gate: Gate,
+    shedding: Shedding,
     /// Positions by service and regions.
     places: BTreeMap<(String, Vec<String>), usize>,
     onward: SecondaryMap<AuthorisationKey, Onward>,
@@ -162,11 +177,6 @@
     (0..AIMS.len()).min_by_key(off).unwrap_or(0)
 }
 
-/// Its tenant's rank, else the route's.
-fn tier(route: &Route, tenant: Option<(&str, &Tenant)>) -> u32 {
-    tenant.and_then(|(_, tenant)| tenant.prio).unwrap_or(route.prio)
-}
-
 fn class_of(route: &Route, prio: u32) -> usize {
     let rank = (prio as usize).min(WORTHS.len() - 1);
     let repeat = usize::from(route.kind != Kind::Idem);
@@ -255,7 +265,7 @@
 impl Manifold {
     /// No service is known yet.
     pub fn new(seed: u64, bounds: Bounds) -> Manifold {
-        let judge = Basin { svc: String::new(), engine: judging(seed, MOST), requests: SecondaryMap::new() };
+        let judge = Basin::new("", judging(seed, MOST));
         Manifold {
             seed,
             bounds,
@@ -265,7 +275,7 @@
             fewer: None,
             holder: None,
             basins: vec![judge],
-            gate: Gate::default(),
+            shedding: Shedding::default(),
             places: BTreeMap::new(),
             onward: SecondaryMap::new(),
             plans: BTreeMap::new(),
@@ -313,7 +323,7 @@
     pub fn open(&mut self, svc: &str, pins: &[String], entries: Vec<ServerEntry>) -> usize {
         let at = self.basins.len();
         let engine = placing(self.limiters, self.seed.wrapping_add(at as u64), MOST, &self.bounds);
-        self.basins.push(Basin { svc: svc.to_string(), engine, requests: SecondaryMap::new() });
+        self.basins.push(Basin::new(svc, engine));
         self.places.insert((svc.to_string(), pins.to_vec()), at);
         self.listed(at, entries);
         at
@@ -345,89 +355,63 @@
     /// Takes a request; [`Manifold::turn`] says what follows. None if too many are held.
     pub fn take(&mut self, now: Micros, asked: &Asked<'_>) -> Option<Ticket> {
         let basin = self.has(asked.svc, asked.pins)?;
-        let prio = tier(asked.route, asked.tenant);
-        let band = order::band(prio, asked.route.prio);
-        let (place, waits) = self.order(now, asked.svc, asked.route, asked.tenant, asked.id);
-        self.gate.came(asked.svc, band, !streamarch::waits(&Request { place, waits, ..Request::default() }));
-        let onward = Onward { basin, class: class_of(asked.route, prio), band, deadline: asked.deadline };
-        match asked.tenant.filter(|(_, tenant)| tenant.per_s > 0.0) {
-            None => self.place(now, asked.request, onward, (place, waits)),
-            Some((name, tenant)) => {
-                let plan = self.plan(name, tenant);
-                let authorisation = Authorisation {
-                    class: 0,
-                    plan,
-                    customer: customer(name),
-                    deadline: asked.deadline,
-                    units: 1.0,
-                    spread: self.spread,
-                    place,
-                    waits,
-                    ..Authorisation::default()
-                };
-                let judge = &mut self.basins[0];
-                let key = judge.engine.take(now, authorisation).ok()?;
-                judge.requests.insert(key, asked.request);
-                self.onward.insert(key, onward);
-                Some(Ticket { engine: 0, key })
-            }
+        let asker = asked.asker();
+        let turn = self.shedding.turn(now, &asker);
+        let limited = asked.tenant.filter(|(_, tenant)| tenant.per_s > 0.0);
+        let first = limited.is_none() || self.shedding.before_quota(now, &asker);
+        if first {
+            self.shedding.came(asked.svc, &turn);
         }
+        let class = class_of(asked.route, tier(asked.route, asked.tenant));
+        let name = limited.map_or(String::new(), |(name, _)| name.to_string());
+        let onward = Onward { basin, class, turn, first, tenant: name, deadline: asked.deadline };
+        let Some((name, tenant)) = limited else { return self.place(now, asked.request, &onward, turn) };
+        let plan = self.plan(name, tenant);
+        let Turn { place, waits, .. } = if first { turn } else { Turn::default() };
+        let authorisation = Authorisation {
+            class: 0,
+            plan,
+            customer: customer(name),
+            deadline: asked.deadline,
+            units: 1.0,
+            spread: self.spread,
+            place,
+            waits,
+            ..Authorisation::default()
+        };
+        let judge = &mut self.basins[0];
+        let key = judge.engine.take(now, authorisation).ok()?;
+        judge.requests.insert(key, asked.request);
+        self.onward.insert(key, onward);
+        Some(Ticket { engine: 0, key })
     }
 
-    /// The place of a request in the order in which requests wait under overload, and the share of that order that
-    /// waits now.
-    fn order(
-        &self,
-        now: Micros,
-        svc: &str,
-        route: &Route,
-        tenant: Option<(&str, &Tenant)>,
-        id: &str,
-    ) -> (f64, f64) {
-        let place = order::place(order::band(tier(route, tenant), route.prio), id);
-        (place, 1.0 - self.gate.border(now, svc))
-    }
-
-    /// Whether a request waits by what its head says; its body need not come then.
-    pub fn waits(
-        &mut self,
-        now: Micros,
-        svc: &str,
-        route: &Route,
-        tenant: Option<(&str, &Tenant)>,
-        id: &str,
-    ) -> bool {
-        let (place, waits) = self.order(now, svc, route, tenant, id);
-        let waits = streamarch::waits(&Request { place, waits, ..Request::default() });
+    /// Whether a request waits by what its head says: its body need not come then.
+    pub fn waits(&mut self, now: Micros, asker: &Asker<'_>) -> bool {
+        let turn = self.shedding.turn(now, asker);
+        let waits = turn.waiting() && self.shedding.before_quota(now, asker);
         if waits {
-            self.gate.came(svc, order::band(tier(route, tenant), route.prio), false);
+            self.shedding.came(asker.svc, &turn);
         }
         waits
     }
 
-    /// Home told how much of the load of services is let through.
-    pub fn levels(&mut self, now: Micros, age: Micros, levels: Vec<Level>) {
-        self.gate.told(now, levels, age);
-    }
-
-    /// What home is to be told; due once a [`weir::STEP`].
-    pub fn load(&mut self, now: Micros) -> Vec<Report> {
-        self.gate.step(now)
+    /// What this proxy knows of overload.
+    pub fn shedding(&mut self) -> &mut Shedding {
+        &mut self.shedding
     }
 
-    /// What was let through goes on to its service. Judged once, it does not wait a second time.
-    fn place(
-        &mut self,
-        now: Micros,
-        request: RequestKey,
-        onward: Onward,
-        (place, waits): (f64, f64),
-    ) -> Option<Ticket> {
-        let Onward { basin, class, deadline, .. } = onward;
+    /// Goes on to its service. What had its turn before does not wait a second time.
+    fn place(&mut self, now: Micros, request: RequestKey, onward: &Onward, turn: Turn) -> Option<Ticket> {
+        let &Onward { basin, class, deadline, .. } = onward;
+        let Turn { place, waits, .. } = turn;
         let authorisation =
             Authorisation { class, deadline, spread: 1, place, waits, ..Authorisation::default() };
         let key = self.basins[basin].engine.take(now, authorisation).ok()?;
         self.basins[basin].requests.insert(key, request);
+        if turn.waiting() {
+            self.basins[basin].waiting.insert(key, ());
+        }
         Some(Ticket { engine: basin, key })
     }
 
@@ -462,7 +446,11 @@
                 basin.engine.leg_ended(now, key, leg, Outcome::Ok, None);
                 let (request, onward) = (basin.requests.remove(key), self.onward.remove(key));
                 let Some((request, onward)) = request.zip(onward) else { return };
-                match self.place(now, request, onward, (0.0, 0.0)) {
+                let turn = if onward.first { Turn::default() } else { onward.turn };
+                if !onward.first {
+                    self.shedding.came(&self.basins[onward.basin].svc, &turn);
+                }
+                match self.place(now, request, &onward, turn) {
                     Some(ticket) => moved(request, ticket),
                     None => {
                         let ending = Ending::Declined { stay_away: STAY_AWAY / 4, over_quota: false };
@@ -482,11 +470,13 @@
                 let onward = self.onward.remove(key);
                 match (ending, onward) {
                     (Ending::Declined { over_quota: true, .. }, Some(onward)) => {
-                        let svc = &self.basins[onward.basin].svc;
-                        self.gate.over_quota(svc, onward.band);
+                        let counted = (self.basins[onward.basin].svc.as_str(), onward.turn.band);
+                        self.shedding.over_quota(now, &onward.tenant, onward.first.then_some(counted));
                     }
-                    (Ending::Declined { .. }, _) if at > 0 => {
-                        self.gate.ended(now, &self.basins[at].svc, Sign::NoRoom);
+                    (Ending::Declined { .. }, _)
+                        if at > 0 && self.basins[at].waiting.remove(key).is_none() =>
+                    {
+                        self.shedding.no_room(now, &self.basins[at].svc);
                     }
                     _ => {}
                 }
@@ -505,12 +495,8 @@
     pub fn leg_ended(&mut self, now: Micros, ticket: Ticket, leg: u32, outcome: Outcome) -> bool {
         let basin = &mut self.basins[ticket.engine];
         if let Some((class, sent)) = basin.engine.out_since(ticket.key) {
-            let sign = match outcome {
-                Outcome::Ok | Outcome::Error => Some(Sign::Answered(now - sent, AIMS[class % AIMS.len()])),
-                Outcome::Full | Outcome::Reset => Some(Sign::Away),
-                Outcome::TimedOut | Outcome::ConnectFailed | Outcome::Cancelled | Outcome::Moot => None,
-            };
-            sign.into_iter().for_each(|sign| self.gate.ended(now, &basin.svc, sign));
+            let times = (now - sent, AIMS[class % AIMS.len()]);
+            self.shedding.ended(now, &basin.svc, outcome, times);
         }
         let last = basin.engine.leg_ended(now, ticket.key, leg, outcome, None);
         if last {
--- a/weir/src/gauge.rs
+++ b/weir/src/gauge.rs
@@ -5,8 +5,8 @@
 use crate::order::BANDS;
 use crate::{Micros, STEP};
 
-/// An answer that took more than this share of its aim has waited.
-const WAITED: f64 = 0.8;
+/// An answer that took more than the first share of its aim has waited, beyond the second for long.
+const WAITED: (f64, f64) = (0.5, 0.7);
 /// A service is reported for this long after something waited or was turned away there.
 const KEPT: Micros = 4_000_000;
 
@@ -34,7 +34,9 @@
     pub sent: u32,
     /// Answers in good time.
     pub good: u32,
-    /// Answers that had waited.
+    /// Those of them that had waited all the same.
+    pub waited: u32,
+    /// Answers that had waited for long.
     pub slow: u32,
     /// Tries turned away by servers.
     pub away: u32,
@@ -49,6 +51,7 @@
     offered: [u32; BANDS],
     sent: u32,
     good: u32,
+    waited: u32,
     slow: u32,
     away: u32,
     no_room: u32,
@@ -71,7 +74,10 @@
     /// Something became of one.
     pub fn ended(&mut self, now: Micros, sign: Sign) {
         match sign {
-            Sign::Answered(took, aim) if took as f64 <= aim as f64 * WAITED => return self.good += 1,
+            Sign::Answered(took, aim) if took as f64 <= aim as f64 * WAITED.1 => {
+                self.waited += u32::from(took as f64 > aim as f64 * WAITED.0);
+                return self.good += 1;
+            }
             Sign::Answered(..) => self.slow += 1,
             Sign::Away => self.away += 1,
             Sign::NoRoom => self.no_room += 1,
@@ -91,6 +97,7 @@
             offered: offered.map(|(band, count)| (band as u8, *count)).collect(),
             sent: known.sent,
             good: known.good,
+            waited: known.waited,
             slow: known.slow,
             away: known.away,
             no_room: known.no_room,
--- a/weir/src/judge.rs
+++ b/weir/src/judge.rs
@@ -20,12 +20,15 @@
 const SURE: f64 = 3.5;
 /// A fall is by as much as the share lies above, within these; and no sooner after another than servers show it.
 const FALL: (f64, f64) = (0.04, 0.25);
-const FALL_EVERY: Micros = 1_000_000;
+const FALL_EVERY: Micros = 1_400_000;
 /// A rise in one step, while nearly all that may is let through: the first where the share is at the edge of what means
-/// room, so much more where it is nothing. A quick one below this share of what servers bore lately, which is forgotten
-/// with this time constant.
-const RISE: (f64, f64) = (0.005, 0.08);
-const RISE_QUICK: f64 = 0.12;
+/// room, so much more where it is nothing, and in full so long after a fall: near what servers bore then it is slow. A
+/// quick one while next to nothing waits at all, or below this share of what they bore lately, which is forgotten with
+/// this time constant.
+const RISE: (f64, f64) = (0.005, 0.06);
+const RISE_FULL: f64 = 8e6;
+const IDLE: f64 = 0.03;
+const RISE_QUICK: f64 = 0.15;
 const BORNE: f64 = 0.9;
 const BORNE_TAU: f64 = 20e6;
 const USED: f64 = 0.85;
@@ -41,6 +44,8 @@
 const TAU: f64 = 0.35e6;
 /// The first report makes all tell; a home judges when it has watched for this long.
 const WATCH: Micros = 3 * STEP;
+/// So long it has heard of some limiters and not yet of others.
+const YOUNG: Micros = 4_000_000;
 /// Without strain for this long, and more let through than is offered, there is no level any more.
 const CALM: Micros = 5_000_000;
 
@@ -64,8 +69,8 @@
     pub offered: Vec<(u8, f32)>,
     /// Let through, a second.
     pub sent: f32,
-    /// Answered in good time, after a wait, turned away, and without a free server, a second.
-    pub ends: [f32; 4],
+    /// Answered in good time, after a long wait, turned away, without a free server, and of the first after some wait, a second.
+    pub ends: [f32; 5],
     /// Limiters that this is of.
     pub limiters: u32,
     /// How it judges; none: it has not watched for long enough.
@@ -77,13 +82,13 @@
 struct Sum {
     offered: [f64; BANDS],
     sent: f64,
-    /// Answered in good time, after a wait, turned away, and without a free server.
-    ends: [f64; 4],
+    /// Answered in good time, after a long wait, turned away, without a free server, and of the first after some wait.
+    ends: [f64; 5],
     limiters: u32,
 }
 
 impl Sum {
-    const NOTHING: Sum = Sum { offered: [0.0; BANDS], sent: 0.0, ends: [0.0; 4], limiters: 0 };
+    const NOTHING: Sum = Sum { offered: [0.0; BANDS], sent: 0.0, ends: [0.0; 5], limiters: 0 };
 
     fn add(&mut self, other: &Sum) {
         let pairs = self.offered.iter_mut().zip(&other.offered).chain(self.ends.iter_mut().zip(&other.ends));
@@ -97,7 +102,7 @@
         for (band, count) in &report.offered {
             offered[usize::from(*band).min(BANDS - 1)] += a_second(*count);
         }
-        let ends = [report.good, report.slow, report.away, report.no_room].map(a_second);
+        let ends = [report.good, report.slow, report.away, report.no_room, report.waited].map(a_second);
         Sum { offered, sent: a_second(report.sent), ends, limiters: 1 }
     }
 
@@ -137,6 +142,10 @@
     /// What servers answered in good time, lately at most.
     borne: f64,
     fell: Option<Micros>,
+    /// When it last stood at what servers bear.
+    met: Option<Micros>,
+    /// The share of tries that waited or were turned away, as last looked at under strain.
+    share: f64,
     strained: Option<Micros>,
     /// No more than this, whatever servers do.
     most: Option<f64>,
@@ -155,6 +164,8 @@
             rate: None,
             borne: 0.0,
             fell: None,
+            met: None,
+            share: 0.0,
             strained: None,
             most: None,
         }
@@ -225,8 +236,15 @@
         self.others.values().for_each(|(share, _)| sum.add(&Sum::shared(share)));
         // While some have only begun to tell, the past says nothing of all.
         let gain = if self.watched(now) { 1.0 - (-span / TAU).exp() } else { 1.0 };
+        let before = f64::from(self.seen.limiters.max(1));
         self.seen.approach(&sum, gain);
-        let [good, slow, away, no_room] = self.seen.ends;
+        // After all have started at once they come one after the other, and what was judged of the first is not for all.
+        let more = f64::from(self.seen.limiters) / before;
+        if more > 1.0 && self.since.is_some_and(|since| now - since < YOUNG) {
+            self.rate = self.rate.map(|rate| rate * more);
+            (self.fell, self.met) = (None, None);
+        }
+        let [good, slow, away, no_room, waited] = self.seen.ends;
         self.borne = (self.borne * (-span / BORNE_TAU).exp()).max(good);
         let ends = (good + slow + away).max(1e-9);
         let too_much = |share: f64| share > TOO_MUCH + SURE * (TOO_MUCH / ends).sqrt();
@@ -239,13 +257,13 @@
                 self.rate = verdict.map(f64::from);
             }
             _ if !self.watched(now) => {}
-            _ if strain => self.fall(now, share, good),
+            _ if strain => self.fall(now, share, good, good + slow),
             // Limiters find no free server before any is full: they are to let through what they can place.
             _ if cramped => {
                 let held = self.rate.unwrap_or(self.seen.sent).min(self.seen.sent.max(self.borne));
                 self.rate = Some(((good + slow) * PRESSED).max(held * EASED).max(self.least()));
             }
-            _ if share < ROOM => self.rise(now, share),
+            _ if share < ROOM => self.rise(now, share, share + waited / ends),
             _ => {}
         }
         if let Some(most) = self.most {
@@ -253,14 +271,16 @@
         }
     }
 
-    fn fall(&mut self, now: Micros, share: f64, good: f64) {
-        if self.fell.is_some_and(|at| now - at < FALL_EVERY) {
+    fn fall(&mut self, now: Micros, share: f64, good: f64, answered: f64) {
+        let before = std::mem::replace(&mut self.share, share);
+        // What waits at servers is worked off first: until then they look as they did.
+        if self.fell.is_some_and(|at| now - at < FALL_EVERY || share < before) {
             return;
         }
-        self.fell = Some(now);
-        // What is sent of a small service varies by chance.
-        let sent = self.seen.sent;
-        let held = self.rate.map_or(sent, |rate| rate.min(sent.max(self.borne * BORNE)));
+        (self.fell, self.met) = (Some(now), Some(now));
+        // Under strain servers are at work all the time: what they answer is what they bear.
+        let (sent, bears) = (self.seen.sent, answered.max(good * PROVEN));
+        let held = self.rate.unwrap_or(sent).min(bears.max(self.borne * BORNE * PROVEN));
         let (least, most) = FALL;
         let cut = held * (1.0 - (share - TOO_MUCH).clamp(least, most));
         self.rate = Some(cut.max(good * PROVEN).max(self.least()));
@@ -271,13 +291,15 @@
         self.seen.offered.iter().sum::<f64>() * LEAST
     }
 
-    fn rise(&mut self, now: Micros, share: f64) {
+    fn rise(&mut self, now: Micros, share: f64, waiting: f64) {
         let Some(rate) = self.rate else { return };
         let offered: f64 = self.seen.offered.iter().sum();
         if self.seen.sent >= rate * USED {
             let (least, more) = RISE;
-            let slow = least + more * (1.0 - share / ROOM);
-            let by = if rate < self.borne * BORNE { RISE_QUICK } else { slow };
+            let since = self.met.map_or(1.0, |at| ((now - at) as f64 / RISE_FULL).min(1.0));
+            let slow = (least + more * since.powi(2)) * (1.0 - share / ROOM);
+            let idle = rate < self.borne * BORNE || waiting < IDLE;
+            let by = if idle { RISE_QUICK } else { slow };
             self.rate = Some((rate * (1.0 + by)).max(self.least()));
         }
         if self.calm(now) && offered < rate * USED {
--- /dev/null
+++ b/weir/tests/overload.rs
@@ -0,0 +1,369 @@
+//! A fleet of limiters before servers that bear less than is asked of them, on a driven clock.
+//!
+//! Servers have two slots and a short queue each, and turn away what finds it full; of two drawn by chance a request goes
+//! to the one with less to do. Clients that are refused or get no answer in time ask again, twice. Each test also runs without the part that it is about, and must fail then.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::fmt::Write;
+
+use test_case::test_case;
+use weir::gate::Gate;
+use weir::gauge::Sign;
+use weir::judge::Judge;
+use weir::order::{self, BANDS};
+use weir::{Micros, STEP};
+
+const MS: Micros = 1_000;
+const SECOND: Micros = 1_000_000;
+const TICK: Micros = 10 * MS;
+const AIM: Micros = 500 * MS;
+/// A request's mean work; how long a client waits for an answer; when the refused come back.
+const WORK: Micros = 90 * MS;
+const PATIENCE: Micros = 1_500 * MS;
+const BACK: Micros = 300 * MS;
+const HOMES: usize = 3;
+/// What a server has in hand and queues at most.
+const SLOTS: usize = 2;
+const QUEUE: usize = 8;
+/// Further tries earned by each request.
+const EARNED: f64 = 0.12;
+const WINDOW: usize = (2 * SECOND / TICK) as usize;
+
+/// What a world does without.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Without {
+    Nothing,
+    /// Nobody is turned away by a level.
+    Levels,
+    /// All wait alike, whatever their tier.
+    Tiers,
+    /// Who hears nothing lets all through.
+    OwnShare,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Asked {
+    tier: u32,
+    first: Micros,
+    tries: u32,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Count {
+    asked: [f64; 2],
+    answered: [f64; 2],
+    in_aim: f64,
+    lines: String,
+}
+
+struct World {
+    now: Micros,
+    without: Without,
+    limiters: Vec<(Gate, usize, f64)>,
+    homes: Vec<(Judge, bool)>,
+    /// What servers bear a second, and how much slower they are than that now.
+    bears: f64,
+    slowed: f64,
+    further: f64,
+    /// When what a server has taken will be done, in order.
+    servers: Vec<VecDeque<Micros>>,
+    /// By when they come: who asked, by which limiter, since when.
+    answers: BTreeMap<(Micros, u64), (Asked, usize, Micros)>,
+    back: VecDeque<(Micros, Asked)>,
+    ids: u64,
+    owed: [f64; 2],
+    windows: Vec<Count>,
+    rates: Vec<f64>,
+}
+
+impl World {
+    fn new(limiters: usize, bears: f64, without: Without) -> World {
+        let limiter = |at: usize| (Gate::default(), at % HOMES, 1.0);
+        World {
+            now: 0,
+            without,
+            limiters: (0..limiters).map(limiter).collect(),
+            homes: (0..HOMES).map(|home| (Judge::new(home as u64), true)).collect(),
+            bears,
+            slowed: 1.0,
+            further: 10.0,
+            servers: vec![VecDeque::new(); (bears * WORK as f64 / 1e6 / SLOTS as f64).round() as usize],
+            answers: BTreeMap::new(),
+            back: VecDeque::new(),
+            ids: 0,
+            owed: [0.0; 2],
+            windows: vec![Count::default()],
+            rates: Vec::new(),
+        }
+    }
+
+    fn window(&mut self) -> &mut Count {
+        self.windows.last_mut().expect("there is one from the start")
+    }
+
+    /// Runs on, at so many requests of tiers 0 and 2 a second.
+    fn run(&mut self, span: Micros, loads: [f64; 2]) {
+        for _ in 0..span / TICK {
+            self.now += TICK;
+            for (kind, load) in loads.iter().enumerate() {
+                self.owed[kind] += load * TICK as f64 / SECOND as f64;
+                while self.owed[kind] >= 1.0 {
+                    self.owed[kind] -= 1.0;
+                    self.window().asked[kind] += 1.0;
+                    let asked = Asked { tier: kind as u32 * 2, first: self.now, tries: 0 };
+                    self.ask(asked);
+                }
+            }
+            while self.back.front().is_some_and(|(at, _)| *at <= self.now) {
+                let asked = self.back.pop_front().expect("looked at").1;
+                self.ask(asked);
+            }
+            self.serve();
+            self.control();
+            if ((self.now / TICK) as usize).is_multiple_of(WINDOW) {
+                self.windows.push(Count::default());
+            }
+        }
+    }
+
+    fn ask(&mut self, asked: Asked) {
+        self.ids += 1;
+        let at = (self.ids.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 33) as usize % self.limiters.len();
+        let tier = if self.without == Without::Tiers { 1 } else { asked.tier };
+        let band = order::band(tier, tier);
+        let (now, without) = (self.now, self.without);
+        let gate = &mut self.limiters[at].0;
+        let silent = without == Without::OwnShare && gate.deaf(now);
+        let border = if without == Without::Levels || silent { 1.0 } else { gate.border(now, "s") };
+        let sent = order::place(band, &self.ids.to_string()) < border;
+        gate.came("s", band, sent);
+        if !sent {
+            return self.refused(asked);
+        }
+        self.further = (self.further + EARNED).min(20.0);
+        let (mut asked_of, mut taken) = (0, self.offer(asked, at, 0));
+        while !taken && asked_of < 1 && self.further >= 1.0 {
+            (asked_of, self.further) = (asked_of + 1, self.further - 1.0);
+            taken = self.offer(asked, at, asked_of);
+        }
+        if !taken {
+            self.refused(asked);
+        }
+    }
+
+    /// Sends a request to one of two servers; whether it took it.
+    fn offer(&mut self, asked: Asked, at: usize, round: u64) -> bool {
+        let now = self.now;
+        let draw = |salt: u64| order::place(0, &format!("{} {round} {salt}", self.ids)) * BANDS as f64;
+        let (one, other) = (self.server(draw(1)), self.server(draw(2)));
+        let work = WORK as f64 * self.slowed * (0.4 + 1.2 * draw(3));
+        let to = if self.servers[one].len() <= self.servers[other].len() { one } else { other };
+        let server = &mut self.servers[to];
+        server.retain(|done| *done > now);
+        if server.len() >= SLOTS + QUEUE {
+            self.limiters[at].0.ended(now, "s", Sign::Away);
+            return false;
+        }
+        // A slot comes free when all but one of those before it are done.
+        let free = server.len().checked_sub(SLOTS).map_or(now, |behind| server[behind]);
+        let done = free + work as Micros;
+        let place = server.partition_point(|other| *other <= done);
+        server.insert(place, done);
+        self.answers.insert((done, self.ids), (asked, at, now));
+        true
+    }
+
+    fn server(&self, draw: f64) -> usize {
+        (draw * self.servers.len() as f64) as usize % self.servers.len()
+    }
+
+    fn refused(&mut self, asked: Asked) {
+        if asked.tries < 2 {
+            // Told times that spread.
+            let spread = (self.ids % 7) as Micros * 40 * MS;
+            let at = self.now + BACK + spread;
+            let place = self.back.partition_point(|(due, _)| *due <= at);
+            self.back.insert(place, (at, Asked { tries: asked.tries + 1, ..asked }));
+        }
+    }
+
+    fn serve(&mut self) {
+        while self.answers.first_key_value().is_some_and(|((at, _), _)| *at <= self.now) {
+            let (_, (asked, at, since)) = self.answers.pop_first().expect("looked at");
+            let (now, took) = (self.now, self.now - since);
+            self.limiters[at].0.ended(now, "s", Sign::Answered(took, AIM));
+            if took > PATIENCE {
+                self.refused(asked);
+                continue;
+            }
+            let window = self.window();
+            window.in_aim += f64::from(u8::from(took <= AIM));
+            let kind = (asked.tier / 2) as usize;
+            // It counts in the window in which it was first asked for.
+            let first = (asked.first / TICK) as usize / WINDOW;
+            self.windows[first].answered[kind] += 1.0;
+        }
+    }
+
+    /// Limiters tell, homes look and share, and tell. A limiter whose home is gone is linked to the next.
+    fn control(&mut self) {
+        let steps = STEP / TICK;
+        let (now, tick) = (self.now, self.now / TICK);
+        for (at, (gate, home, _)) in self.limiters.iter_mut().enumerate() {
+            if (tick + at as Micros) % steps != 0 {
+                continue;
+            }
+            for report in gate.step(now) {
+                if self.homes[*home].1 {
+                    self.homes[*home].0.report(now, at as u64, &report);
+                }
+            }
+        }
+        if tick % steps != 0 {
+            return;
+        }
+        let shares: Vec<_> = self.homes.iter().map(|(home, up)| home.to_share(now).filter(|_| *up)).collect();
+        for (at, (home, up)) in self.homes.iter_mut().enumerate().filter(|(_, (_, up))| *up) {
+            let others = shares.iter().enumerate().filter(|(other, _)| *other != at);
+            others.for_each(|(other, share)| {
+                share.iter().for_each(|share| home.shared(now, other as u64, share.clone()));
+            });
+            home.look(now);
+            debug_assert!(*up);
+        }
+        for (gate, home, heard) in &mut self.limiters {
+            let (judge, up) = &self.homes[*home];
+            if *up && *heard > 0.0 {
+                gate.told(now, judge.level("s").into_iter().collect(), 0);
+            }
+        }
+        let rate = self.homes.iter().find(|(_, up)| *up).and_then(|(home, _)| home.rate());
+        self.rates.extend(rate);
+        let borders: Vec<f64> = self.limiters.iter().take(10).map(|l| l.0.border(now, "s")).collect();
+        let queue = self.answers.len();
+        let line = borders.iter().fold(String::new(), |mut line, border| {
+            let _ = write!(line, "{:>6.1}", border * BANDS as f64);
+            line
+        });
+        let lines = &mut self.window().lines;
+        let _ = writeln!(lines, "{:>5.1} s |{line} | {queue} out", now as f64 / 1e6);
+    }
+
+    /// The shares of the protected that were served in their windows, and of what servers bear that was of use.
+    fn figures(&self, from: usize, to: usize) -> (f64, f64) {
+        let windows = &self.windows[from..to];
+        let share = |w: &Count| w.answered[0] / w.asked[0].max(1.0);
+        let protected = windows.iter().map(share).fold(f64::MAX, f64::min);
+        let good = windows.iter().map(|w| w.in_aim).sum::<f64>();
+        (protected, good / (self.bears * 2.0 * windows.len() as f64))
+    }
+
+    fn drawn(&self) -> String {
+        self.windows.iter().map(|w| w.lines.as_str()).collect()
+    }
+}
+
+/// Three times what servers bear, a fifth of it protected.
+const LOADS: [f64; 2] = [0.6, 2.4];
+
+fn loads(bears: f64) -> [f64; 2] {
+    LOADS.map(|load| load * bears)
+}
+
+#[test_case(10, 300.0; "ten")]
+#[test_case(100, 600.0; "a hundred")]
+#[test_case(1_000, 2_000.0; "a thousand")]
+fn at_three_times_the_load_the_protected_are_served_and_servers_stay_of_use(limiters: usize, bears: f64) {
+    let run = |without| {
+        let mut world = World::new(limiters, bears, without);
+        world.run(4 * SECOND, loads(bears / 4.0));
+        world.run(24 * SECOND, loads(bears));
+        world
+    };
+    let world = run(Without::Nothing);
+    let (protected, good) = world.figures(4, 13);
+    assert!(protected >= 0.97, "{protected:.3}\n{}", world.drawn());
+    assert!(good >= 0.90, "{good:.3}\n{}", world.drawn());
+    // The rate settles: no swinging.
+    let late = &world.rates[world.rates.len() - 50..];
+    let (least, most) = late.iter().fold((f64::MAX, 0.0_f64), |(l, m), r| (l.min(*r), m.max(*r)));
+    assert!(most <= least * 1.75, "{least:.0} to {most:.0}\n{}", world.drawn());
+    let (protected, good) = run(Without::Levels).figures(4, 13);
+    assert!(protected < 0.9, "without levels: {protected:.3}, {good:.3}");
+    let (protected, _) = run(Without::Tiers).figures(4, 13);
+    assert!(protected < 0.9, "without tiers: {protected:.3}");
+}
+
+#[test]
+fn a_level_comes_within_a_second_and_goes_when_the_load_does() {
+    let mut world = World::new(30, 300.0, Without::Nothing);
+    world.run(4 * SECOND, loads(75.0));
+    assert!(world.limiters.iter().all(|l| l.0.border(world.now, "s") == 1.0));
+    world.run(1_400 * MS, loads(300.0));
+    let open = world.limiters.iter().filter(|l| l.0.border(world.now, "s") == 1.0).count();
+    // The queue fills in the first 0.4 s: before that nothing is to be seen.
+    assert_eq!(open, 0, "{}", world.drawn());
+    world.run(10 * SECOND, loads(300.0));
+    world.run(9 * SECOND, loads(75.0));
+    let open = world.limiters.iter().filter(|l| l.0.border(world.now, "s") == 1.0).count();
+    assert_eq!(open, 30, "{}", world.drawn());
+    assert!(world.homes.iter().all(|(home, _)| home.rate().is_none()));
+}
+
+#[test]
+fn limiters_that_hear_nothing_keep_to_their_share() {
+    let run = |without| {
+        let mut world = World::new(30, 300.0, without);
+        world.run(8 * SECOND, loads(300.0));
+        // Two thirds of them are told nothing any more, and their homes hear nothing of them.
+        world.limiters.iter_mut().filter(|l| l.1 > 0).for_each(|l| l.2 = 0.0);
+        world.homes.iter_mut().skip(1).for_each(|home| home.1 = false);
+        world.run(20 * SECOND, loads(300.0));
+        world
+    };
+    let world = run(Without::Nothing);
+    let (protected, good) = world.figures(6, 13);
+    assert!(protected >= 0.9 && good >= 0.7, "{protected:.3} {good:.3}\n{}", world.drawn());
+    let (protected, good) = run(Without::OwnShare).figures(6, 13);
+    assert!(protected < 0.9 || good < 0.7, "without shares: {protected:.3} {good:.3}");
+}
+
+#[test]
+fn a_lost_home_is_replaced_and_the_protected_hardly_feel_it() {
+    let mut world = World::new(30, 300.0, Without::Nothing);
+    world.run(12 * SECOND, loads(300.0));
+    world.homes[0].1 = false;
+    // Its limiters find the next one after a second.
+    world.run(SECOND, loads(300.0));
+    world.limiters.iter_mut().filter(|l| l.1 == 0).for_each(|l| l.1 = 1);
+    world.run(5 * SECOND, loads(300.0));
+    // It comes back empty, and goes by what the others hold.
+    world.homes[0] = (Judge::new(0), true);
+    world.limiters.iter_mut().step_by(3).for_each(|l| l.1 = 0);
+    world.run(6 * SECOND, loads(300.0));
+    let (protected, good) = world.figures(5, 11);
+    assert!(protected >= 0.95 && good >= 0.85, "{protected:.3} {good:.3}\n{}", world.drawn());
+}
+
+#[test]
+fn once_the_trigger_is_gone_all_is_served_again() {
+    let run = |without| {
+        let mut world = World::new(30, 300.0, without);
+        let calm = [60.0, 180.0];
+        world.run(4 * SECOND, calm);
+        // For four seconds servers are four times slower.
+        world.slowed = 4.0;
+        world.run(4 * SECOND, calm);
+        world.slowed = 1.0;
+        world.run(16 * SECOND, calm);
+        world
+    };
+    let served = |world: &World, from: usize| {
+        let windows = &world.windows[from..11];
+        let share = |w: &Count| (w.answered[0] + w.answered[1]) / (w.asked[0] + w.asked[1]);
+        windows.iter().map(share).fold(f64::MAX, f64::min)
+    };
+    // Stated: eight seconds.
+    let world = run(Without::Nothing);
+    assert!(served(&world, 8) >= 0.95, "{:.3}\n{}", served(&world, 8), world.drawn());
+}
