--- a/weir/src/judge.rs
+++ b/weir/src/judge.rs
@@ -259,6 +259,8 @@
             _ if !self.watched(now) => {}
             _ if strain => self.fall(now, share, good, good + slow),
             // Limiters find no free server before any is full: they are to let through what they can place.
+            // After a start they all have little room, and learn fast.
+            _ if cramped && self.since.is_some_and(|since| now - since < YOUNG) => {}
             _ if cramped => {
                 let held = self.rate.unwrap_or(self.seen.sent).min(self.seen.sent.max(self.borne));
                 self.rate = Some(((good + slow) * PRESSED).max(held * EASED).max(self.least()));
