--- a/limiter/src/front/platform.rs
+++ b/limiter/src/front/platform.rs
@@ -94,6 +94,7 @@
             first,
             again: basics.again,
             valid_until: None,
+            ..Authorisation::default()
         })
     }
 
--- a/limiter/src/net/host/tokens.rs
+++ b/limiter/src/net/host/tokens.rs
@@ -119,6 +119,7 @@
             first: 0,
             again: basics.again,
             valid_until: identity.expires,
+            ..Authorisation::default()
         };
         self.take(key, RECORDS, authorisation, Forward::of(&request), Purpose::Record);
     }
--- a/load/src/fleet/mod.rs
+++ b/load/src/fleet/mod.rs
@@ -425,7 +425,18 @@
         let (spread, class, units, again) = (self.spread, 0, 1.0, false);
         self.open.insert(id, Open { customer, attempts: 0, leg: None });
         self.totals.asked += 1;
-        let request = Request { id, class, plan, customer, deadline, units, spread, first, again };
+        let request = Request {
+            id,
+            class,
+            plan,
+            customer,
+            deadline,
+            units,
+            spread,
+            first,
+            again,
+            ..Request::default()
+        };
         self.hand(gateway, Event::Request(request));
     }
 
--- a/simhost/src/wire.rs
+++ b/simhost/src/wire.rs
@@ -141,6 +141,7 @@
         spread: fields.whole("Doors")?.unwrap_or(0) as u32,
         first: fields.whole("FirstDoor")?.unwrap_or(0) as u32,
         again: fields.whole("AgainByClient")?.unwrap_or(0) == 1,
+        ..Request::default()
     })
 }
 
