--- a/drill/src/edges.rs
+++ b/drill/src/edges.rs
@@ -732,7 +732,8 @@
                 proxy.ahead = proxy.ahead.max(time - steady);
                 proxy.manifold.jumped(time, time - now);
             }
-            Down::Totals { .. } | Down::NotCounted(_) => {}
+            // The drill's servers answer at once: nothing is under strain.
+            Down::Totals { .. } | Down::NotCounted(_) | Down::Levels { .. } => {}
         }
         self.stands(at);
     }
@@ -812,6 +813,7 @@
                 let tenant = Some((named.name.as_str(), &named.tenant));
                 let asked = Asked {
                     request,
+                    id: "i",
                     route: &route,
                     svc: BASE,
                     tenant,
--- a/headworks/src/core/agents.rs
+++ b/headworks/src/core/agents.rs
@@ -96,6 +96,7 @@
         let changed = match up {
             Up::Hello(edge) => {
                 let (zone, home) = (edge.zone.clone(), edge.zone.clone());
+                self.weirs.joined(link, &edge.region);
                 let changed = self.members.hello(now, link, edge);
                 self.agents.zones.insert(link, zone.clone());
                 let to = || vec![link];
@@ -121,6 +122,11 @@
                 false
             }
             Up::Beat(standing) => self.members.beat(now, link, standing),
+            Up::Load(reports) => {
+                let me = self.seats.me().seat;
+                self.weirs.told(now, me, link, &reports);
+                false
+            }
             Up::Clock(time) => {
                 self.raise(now, time);
                 self.agents.counts(now, link);
@@ -202,6 +208,7 @@
         self.agents.have.remove(&link);
         self.agents.holding.remove(&link);
         self.agents.later.remove(&link);
+        self.weirs.left(link);
         if self.members.gone(link) {
             self.spread_members(out);
         }
--- a/headworks/src/core/mod.rs
+++ b/headworks/src/core/mod.rs
@@ -20,6 +20,7 @@
 pub mod servers;
 mod standing;
 pub mod status;
+mod weirs;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -43,6 +44,7 @@
 use self::rounds::Round;
 use self::seats::Seats;
 use self::servers::Listed;
+use self::weirs::Weirs;
 use crate::calls::{Command, Reply};
 use crate::limits;
 
@@ -181,6 +183,7 @@
     count: Count,
     listed: Listed,
     agents: Agents,
+    weirs: Weirs,
     after: BTreeMap<u64, Vec<After>>,
     /// Last number given to a write, a round or a question.
     number: u64,
@@ -244,6 +247,7 @@
             count: Count::default(),
             listed: Listed::default(),
             agents: Agents::default(),
+            weirs: Weirs::default(),
             after: BTreeMap::new(),
             number: 0,
             chance: setup.seed | 1,
@@ -264,7 +268,10 @@
     /// Takes one input at a time on a clock that never goes back, in microseconds.
     pub fn take(&mut self, now: i64, input: Input, out: &mut Vec<Output>) {
         // Who is who does not change by these, and they come often.
-        let often = matches!(input, Input::Agent(_, Up::Adds { .. }) | Input::Written(_) | Input::Listed(_));
+        let often = matches!(
+            input,
+            Input::Agent(_, Up::Adds { .. } | Up::Load(_)) | Input::Written(_) | Input::Listed(_)
+        );
         match input {
             Input::Tick => {}
             Input::Letter(from, letter) => self.letter(now, from, letter, out),
@@ -299,7 +306,7 @@
         let able = able && !self.stopping;
         let duties = self.duties.iter().filter(|duty| able || duty.bids()).map(Ballots::wake);
         let all = rounds.chain(readings).chain(rebuild).chain(finish).chain(duties);
-        let all = all.chain(self.agents.wake());
+        let all = all.chain(self.agents.wake()).chain(self.weirs.next());
         all.fold(self.next_beat, i64::min)
     }
 
@@ -314,6 +321,7 @@
         self.readings_turn(now, out);
         self.duties_turn(now, out);
         self.agents_turn(now, out);
+        self.weirs_turn(now, out);
     }
 
     /// This seat does a duty at this instant, in this term.
@@ -416,6 +424,10 @@
             Body::Recorded { life, floor, all, terms } => {
                 self.recorded(now, by, life, floor, all, &terms, out);
             }
+            Body::Strain { region, services } => {
+                let seats = (self.seats.me().seat, by.0);
+                self.weirs.shared(now, seats, &region, services);
+            }
             _ if !self.seats.takes_part() => {}
             Body::Prepare { ballot, names } => self.prepare(now, from, ballot, &names, out),
             Body::Accept { ballot, items } => self.accept(now, from, ballot, &items, out),
--- a/penstock/src/host.rs
+++ b/penstock/src/host.rs
@@ -356,6 +356,9 @@
                     self.put(key, &self.known.holding());
                 }
             }
+            // Two links are open for a moment; only the one that is kept tells who is let through.
+            Down::Levels { .. } if !self.is_link(key) => {}
+            Down::Levels { .. } => self.pass_on(now, message),
         }
     }
 
@@ -380,6 +383,11 @@
                 }
                 Ok(Some(Up::Beat(standing))) => self.stands(standing),
                 Ok(Some(Up::Adds { batch, time, adds })) => self.adds(now, key, batch, time, adds),
+                Ok(Some(Up::Load(reports))) => {
+                    if let Some(link) = self.link.as_ref().filter(|link| link.told).map(|link| link.key) {
+                        self.put(link, &Up::Load(reports));
+                    }
+                }
                 Ok(Some(Up::Clock(_) | Up::Have(_) | Up::Holding { .. })) => {}
                 Ok(None) => return,
                 Err(fault) => {
--- a/sluice/src/host/feeding.rs
+++ b/sluice/src/host/feeding.rs
@@ -56,6 +56,15 @@
         }
     }
 
+    /// What was seen of services under strain.
+    pub(super) fn tell_load(&mut self, now: Micros) {
+        self.deadlines.enter(now + weir::STEP, Due::Load);
+        let load = self.manifold.shedding().load(now);
+        if !load.is_empty() {
+            self.tell(&Up::Load(load));
+        }
+    }
+
     pub(super) fn beat(&mut self, now: Micros) {
         self.beat_now();
         self.deadlines.enter(now + BEAT, Due::Beat);
@@ -107,6 +116,7 @@
                 self.clock.raise(time);
                 self.manifold.jumped(time, time - now);
             }
+            Down::Levels { age, levels } => self.manifold.shedding().levels(now, age, levels),
             Down::Totals { batch, totals } => self.totals(batch, &totals),
             Down::NotCounted(batch) => {
                 if let Some(batch) = self.take_batch(batch) {
--- a/sluice/src/host/mod.rs
+++ b/sluice/src/host/mod.rs
@@ -78,6 +78,8 @@
     /// The answer that is being written is the last.
     last: bool,
     told_to_go_on: bool,
+    /// Whether it is refused by its head was looked at.
+    looked_at: bool,
     /// Its bytes among those held for all.
     held: usize,
 }
@@ -124,6 +126,7 @@
     Retire,
     Warm,
     Beat,
+    Load,
     Feed,
     NoticeOver,
     DrainOver,
@@ -206,6 +209,7 @@
         let mut deadlines = Deadlines::default();
         deadlines.enter(now, Due::Feed);
         deadlines.enter(now + BEAT, Due::Beat);
+        deadlines.enter(now + weir::STEP, Due::Load);
         deadlines.enter(now + limits.leg_idle / 4, Due::Retire);
         let yard = Yard::new(&settings.zone, settings.zones.clone());
         info!(log, "serving on {http}");
@@ -392,6 +396,7 @@
             Due::Retire => self.retire(now),
             Due::Warm => self.list(now),
             Due::Beat => self.beat(now),
+            Due::Load => self.tell_load(now),
             Due::Feed => self.open_feed(now),
             Due::NoticeOver => self.notice_over(now),
             Due::DrainOver => self.lifecycle.finish(),
--- a/sluice/src/manifold.rs
+++ b/sluice/src/manifold.rs
@@ -19,6 +19,8 @@
     ServerEntry, ServerId, ServerState, Settings,
 };
 
+use crate::shedding::{Asker, Shedding, Turn, tier};
+
 slotmap::new_key_type! {
     /// A request whose final answer is owed.
     pub struct RequestKey;
@@ -107,6 +109,8 @@
 pub struct Asked<'a> {
     /// The request.
     pub request: RequestKey,
+    /// Its id, as the client sent it.
+    pub id: &'a str,
     /// Its route.
     pub route: &'a Route,
     /// The service chosen for it.
@@ -119,16 +123,37 @@
     pub deadline: Micros,
 }
 
+impl<'a> Asked<'a> {
+    fn asker(&self) -> Asker<'a> {
+        let Asked { id, route, svc, tenant, .. } = *self;
+        Asker { id, route, svc, tenant }
+    }
+}
+
 struct Basin {
+    /// Its service; none where tenants are judged.
+    svc: String,
     engine: Engine,
     requests: SecondaryMap<AuthorisationKey, RequestKey>,
+    /// Those whose turn has not come: the module refuses them.
+    waiting: SecondaryMap<AuthorisationKey, ()>,
+}
+
+impl Basin {
+    fn new(svc: &str, engine: Engine) -> Basin {
+        let (requests, waiting) = (SecondaryMap::new(), SecondaryMap::new());
+        Basin { svc: svc.to_string(), engine, requests, waiting }
+    }
 }
 
 /// Where a request goes once its tenant was judged.
-#[derive(Clone, Copy)]
 struct Onward {
     basin: usize,
     class: usize,
+    turn: Turn,
+    /// It had its turn before its tenant was judged.
+    first: bool,
+    tenant: String,
     deadline: Micros,
 }
 
@@ -150,6 +175,7 @@
     /// The term of the one that holds the shared count.
     holder: Option<u64>,
     basins: Vec<Basin>,
+    shedding: Shedding,
     /// Positions by service and regions.
     places: BTreeMap<(String, Vec<String>), usize>,
     onward: SecondaryMap<AuthorisationKey, Onward>,
@@ -260,7 +286,7 @@
 impl Manifold {
     /// No service is known yet.
     pub fn new(seed: u64, bounds: Bounds) -> Manifold {
-        let judge = Basin { engine: judging(seed, MOST), requests: SecondaryMap::new() };
+        let judge = Basin::new("", judging(seed, MOST));
         Manifold {
             seed,
             bounds,
@@ -272,6 +298,7 @@
             fewer: None,
             holder: None,
             basins: vec![judge],
+            shedding: Shedding::default(),
             places: BTreeMap::new(),
             onward: SecondaryMap::new(),
             plans: BTreeMap::new(),
@@ -333,7 +360,7 @@
     pub fn open(&mut self, svc: &str, pins: &[String], entries: Vec<ServerEntry>) -> usize {
         let at = self.basins.len();
         let engine = placing(self.limiters, self.seed.wrapping_add(at as u64), MOST, &self.bounds);
-        self.basins.push(Basin { engine, requests: SecondaryMap::new() });
+        self.basins.push(Basin::new(svc, engine));
         self.places.insert((svc.to_string(), pins.to_vec()), at);
         self.listed(at, entries);
         at
@@ -367,39 +394,67 @@
     /// Takes a request; [`Manifold::turn`] says what follows. None if too many are held.
     pub fn take(&mut self, now: Micros, asked: &Asked<'_>) -> Option<Ticket> {
         let basin = self.has(asked.svc, asked.pins)?;
-        let prio = asked.tenant.and_then(|(_, tenant)| tenant.prio).unwrap_or(asked.route.prio);
-        let onward = Onward { basin, class: class_of(asked.route, prio), deadline: asked.deadline };
-        match asked.tenant.filter(|(_, tenant)| tenant.per_s > 0.0) {
-            None => self.place(now, asked.request, onward),
-            Some((name, tenant)) => {
-                let plan = self.plan(name, tenant);
-                let authorisation = Authorisation {
-                    class: 0,
-                    plan,
-                    customer: customer(name),
-                    deadline: asked.deadline,
-                    units: 1.0,
-                    spread: if self.alone || now < self.careful {
-                        (ALONE * self.spread).min(ASKERS)
-                    } else {
-                        self.spread
-                    },
-                    ..Authorisation::default()
-                };
-                let judge = &mut self.basins[0];
-                let key = judge.engine.take(now, authorisation).ok()?;
-                judge.requests.insert(key, asked.request);
-                self.onward.insert(key, onward);
-                Some(Ticket { engine: 0, key })
-            }
+        let asker = asked.asker();
+        let turn = self.shedding.turn(now, &asker);
+        let limited = asked.tenant.filter(|(_, tenant)| tenant.per_s > 0.0);
+        let first = limited.is_none() || self.shedding.before_quota(now, &asker);
+        if first {
+            self.shedding.came(asked.svc, &turn);
         }
+        let class = class_of(asked.route, tier(asked.route, asked.tenant));
+        let name = limited.map_or(String::new(), |(name, _)| name.to_string());
+        let onward = Onward { basin, class, turn, first, tenant: name, deadline: asked.deadline };
+        let Some((name, tenant)) = limited else { return self.place(now, asked.request, &onward, turn) };
+        let plan = self.plan(name, tenant);
+        let Turn { place, waits, .. } = if first { turn } else { Turn::default() };
+        let authorisation = Authorisation {
+            class: 0,
+            plan,
+            customer: customer(name),
+            deadline: asked.deadline,
+            units: 1.0,
+            spread: if self.alone || now < self.careful {
+                (ALONE * self.spread).min(ASKERS)
+            } else {
+                self.spread
+            },
+            place,
+            waits,
+            ..Authorisation::default()
+        };
+        let judge = &mut self.basins[0];
+        let key = judge.engine.take(now, authorisation).ok()?;
+        judge.requests.insert(key, asked.request);
+        self.onward.insert(key, onward);
+        Some(Ticket { engine: 0, key })
+    }
+
+    /// Whether a request waits by what its head says: its body need not come then.
+    pub fn waits(&mut self, now: Micros, asker: &Asker<'_>) -> bool {
+        let turn = self.shedding.turn(now, asker);
+        let waits = turn.waiting() && self.shedding.before_quota(now, asker);
+        if waits {
+            self.shedding.came(asker.svc, &turn);
+        }
+        waits
+    }
+
+    /// What this proxy knows of overload.
+    pub fn shedding(&mut self) -> &mut Shedding {
+        &mut self.shedding
     }
 
-    fn place(&mut self, now: Micros, request: RequestKey, onward: Onward) -> Option<Ticket> {
-        let Onward { basin, class, deadline } = onward;
-        let authorisation = Authorisation { class, deadline, spread: 1, ..Authorisation::default() };
+    /// Goes on to its service. What had its turn before does not wait a second time.
+    fn place(&mut self, now: Micros, request: RequestKey, onward: &Onward, turn: Turn) -> Option<Ticket> {
+        let &Onward { basin, class, deadline, .. } = onward;
+        let Turn { place, waits, .. } = turn;
+        let authorisation =
+            Authorisation { class, deadline, spread: 1, place, waits, ..Authorisation::default() };
         let key = self.basins[basin].engine.take(now, authorisation).ok()?;
         self.basins[basin].requests.insert(key, request);
+        if turn.waiting() {
+            self.basins[basin].waiting.insert(key, ());
+        }
         Some(Ticket { engine: basin, key })
     }
 
@@ -434,7 +489,11 @@
                 basin.engine.leg_ended(now, key, leg, Outcome::Ok, None);
                 let (request, onward) = (basin.requests.remove(key), self.onward.remove(key));
                 let Some((request, onward)) = request.zip(onward) else { return };
-                match self.place(now, request, onward) {
+                let turn = if onward.first { Turn::default() } else { onward.turn };
+                if !onward.first {
+                    self.shedding.came(&self.basins[onward.basin].svc, &turn);
+                }
+                match self.place(now, request, &onward, turn) {
                     Some(ticket) => moved(request, ticket),
                     None => {
                         let ending = Ending::Declined { stay_away: STAY_AWAY / 4, over_quota: false };
@@ -451,7 +510,20 @@
             },
             Order::StopLeg { key, leg } => steps.push(Step::Stop(Ticket { engine: at, key }, leg)),
             Order::Answer { key, ending } => {
-                self.onward.remove(key);
+                let onward = self.onward.remove(key);
+                match (ending, onward) {
+                    (Ending::Declined { over_quota: true, .. }, Some(onward)) => {
+                        let counted = (self.basins[onward.basin].svc.as_str(), onward.turn.band);
+                        self.shedding.over_quota(now, &onward.tenant, onward.first.then_some(counted));
+                    }
+                    (Ending::Declined { .. }, _)
+                        if at > 0 && self.basins[at].waiting.remove(key).is_none() =>
+                    {
+                        self.shedding.no_room(now, &self.basins[at].svc);
+                    }
+                    _ => {}
+                }
+                let basin = &mut self.basins[at];
                 steps.extend(basin.requests.remove(key).map(|request| Step::Answer(request, ending)));
             }
             Order::Count { name, add, life } => {
@@ -465,6 +537,10 @@
     /// A leg ended. True if its answer is the final answer.
     pub fn leg_ended(&mut self, now: Micros, ticket: Ticket, leg: u32, outcome: Outcome) -> bool {
         let basin = &mut self.basins[ticket.engine];
+        if let Some((class, sent)) = basin.engine.out_since(ticket.key) {
+            let times = (now - sent, AIMS[class % AIMS.len()]);
+            self.shedding.ended(now, &basin.svc, outcome, times);
+        }
         let last = basin.engine.leg_ended(now, ticket.key, leg, outcome, None);
         if last {
             basin.requests.remove(ticket.key);
@@ -575,7 +651,7 @@
             let request = self.keys.insert(());
             let (route, deadline) = (route("idem"), self.now + 3 * SECOND);
             let tenant = tenant.map(|tenant| ("t", tenant));
-            let asked = Asked { request, route: &route, svc: "s", tenant, pins: &[], deadline };
+            let asked = Asked { request, id: "i", route: &route, svc: "s", tenant, pins: &[], deadline };
             self.manifold.take(self.now, &asked).unwrap();
             request
         }
