Lines that operators are told to look for come out at once

`rebuilt: life N`, which docs/system.md names, was an INFO line in the ring and came out only with a later error, so that an operator who waited for it saw nothing. The same held for `seat N begins life M`, `stepping aside`, `settings not taken` and `item left out`.

Such lines have a tag now: they are written out at once, alone, and are not kept, so that none comes twice. `settings not taken` says the same fault once: an agent that finds nobody reads the file over and over. `the disk takes writes again` has it too and is no error any more.

Tests: three seats started, one without its disk; the lines are in what the programs wrote. Also a call to operators' address that is cut short, by its length and by its text: nothing of it is in force.

--- a/drill/src/cluster.rs
+++ b/drill/src/cluster.rs
@@ -503,7 +503,7 @@
                         }
                     }
                 }
-                Output::Note(text) => self.nodes[at].notes.push(text),
+                Output::Note(text) | Output::Notice(text) => self.nodes[at].notes.push(text),
             }
         }
         self.check(at);
--- a/headworks/src/core/mod.rs
+++ b/headworks/src/core/mod.rs
@@ -143,6 +143,8 @@
     Tell(Vec<u64>, Down),
     /// Something worth a line in the log.
     Note(String),
+    /// The same, which operators are told to look for.
+    Notice(String),
 }
 
 /// How much a seat holds for what is under way.
--- a/headworks/src/core/standing.rs
+++ b/headworks/src/core/standing.rs
@@ -108,7 +108,7 @@
     pub(super) fn seats_changed(&mut self, now: i64, out: &mut Vec<Output>) {
         out.push(Output::Peers(self.seats.peers()));
         if self.seats.aside() {
-            out.push(Output::Note("this seat has a newer life: stepping aside".to_string()));
+            out.push(Output::Notice("this seat has a newer life: stepping aside".to_string()));
             return self.tell_who(now, true, out);
         }
         if self.seats.takes_part() {
@@ -128,7 +128,7 @@
             return;
         }
         if self.seats.learn(seat, life, Some(from)) {
-            out.push(Output::Note(format!("seat {seat} begins life {} at {from}", life.number)));
+            out.push(Output::Notice(format!("seat {seat} begins life {} at {from}", life.number)));
             out.push(Output::Peers(self.seats.peers()));
             self.spread(Body::Seats(self.seats.addresses()), out);
         }
@@ -203,7 +203,7 @@
         });
         let names: Vec<_> = self.registers.held().map(|(_, item)| item.name.clone()).collect();
         names.iter().for_each(|name| self.settle(now, name));
-        out.push(Output::Note(format!("rebuilt: life {}, {} items", life.number, names.len())));
+        out.push(Output::Notice(format!("rebuilt: life {}, {} items", life.number, names.len())));
         self.seats_changed(now, out);
         self.spread(Body::Members(self.members.list()), out);
         self.next_beat = now;
--- a/headworks/src/host/mod.rs
+++ b/headworks/src/host/mod.rs
@@ -19,6 +19,7 @@
 use calloop::{EventLoop, Interest, LoopHandle, Mode, PostAction, Readiness};
 use eyre::{WrapErr, eyre};
 use mains::frames;
+use mains::ring::AT_ONCE;
 use mains::settings::Settings;
 use slog::{Logger, debug, error, info, warn};
 use slotmap::{Key, KeyData};
@@ -152,8 +153,7 @@
             host.feed(Input::Full(true));
         }
         Event::Msg(Heard::Taken) => {
-            // As loud as its beginning: it would stay in the ring otherwise.
-            error!(host.log, "the disk takes writes again");
+            info!(host.log, #AT_ONCE, "the disk takes writes again");
             host.feed(Input::Full(false));
         }
         Event::Msg(Heard::Failed(error)) => host.failed = Some(error),
@@ -405,6 +405,7 @@
                     }
                 }
                 Output::Note(text) => info!(self.log, "{}", text),
+                Output::Notice(text) => info!(self.log, #AT_ONCE, "{}", text),
             }
         }
         self.out = out;
--- a/headworks/tests/system.rs
+++ b/headworks/tests/system.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use serde_json::json;
+use standins::system::calls::Connection;
 use standins::system::machines::{Role, beside, net};
 use standins::system::operator::Change;
 use standins::system::wait_for;
@@ -53,6 +54,29 @@
     assert_eq!(whole.machines.stop(), Vec::<String>::new());
 }
 
+#[test]
+fn of_a_call_that_is_cut_short_nothing_is_in_force() {
+    let folder = TempDir::new().unwrap();
+    let mut whole = whole(&folder);
+    let route = route("/cut/", SERVICES[1]);
+    let text =
+        json!({"upsert": {"objs": [{"type": "routes", "meta": {"name": "cut", "ver": 9}, "spec": route}]}})
+            .to_string();
+    let (part, length) = (&text[..text.len() - 20], text.len());
+    // Its length says that more should come, and the operator is gone; then one that is whole by its length alone.
+    for (length, status) in [(length, None), (part.len(), Some(400))] {
+        let mut connection = Connection::open(whole.machines.ctl(0), soon()).unwrap();
+        let head = format!("POST /api/cfg/patch HTTP/1.1\r\nHost: core\r\nContent-Length: {length}\r\n\r\n");
+        connection.send(format!("{head}{part}").as_bytes(), soon()).unwrap();
+        if let Some(status) = status {
+            assert_eq!(connection.answer(soon()).unwrap().status, status);
+        }
+    }
+    assert_eq!(whole.operator.differences(soon()), Ok(Vec::new()));
+    assert_eq!(whole.ask(0, "/cut/1").unwrap().status, 404);
+    assert_eq!(whole.machines.stop(), Vec::<String>::new());
+}
+
 #[test]
 fn what_was_acknowledged_outlives_the_end_of_all_control_programs() {
     let folder = TempDir::new().unwrap();
@@ -71,3 +95,20 @@
     }
     assert_eq!(whole.machines.stop(), Vec::<String>::new());
 }
+
+#[test]
+fn a_seat_that_lost_its_disk_says_at_once_that_it_is_back_and_the_others_say_so_too() {
+    let folder = TempDir::new().unwrap();
+    let mut whole = whole(&folder);
+    whole.machines.kill(Role::Headworks, 2);
+    std::fs::remove_dir_all(folder.path().join("disk-2")).unwrap();
+    whole.machines.write(Role::Headworks, 2, false).unwrap();
+    whole.machines.start(Role::Headworks, 2).unwrap();
+    // By the programs' own lines, as operators are told: none of them has met an error.
+    for (seat, line) in [(2, "INFO rebuilt: life 2, "), (0, "INFO seat 2 begins life 2 at ")] {
+        let said = || whole.machines.log(Role::Headworks, seat).contains(line).then_some(());
+        assert!(wait_for(soon(), said).is_some(), "{:?}", whole.machines.log(Role::Headworks, seat));
+    }
+    assert_eq!(whole.operator.differences(soon()), Ok(Vec::new()));
+    assert_eq!(whole.machines.stop(), Vec::<String>::new());
+}
--- a/mains/src/ring.rs
+++ b/mains/src/ring.rs
@@ -9,6 +9,9 @@
 /// Most lines that the ring holds.
 const LINES: usize = 256;
 
+/// The tag of a line that operators are told to look for: it comes out at once, alone, and is not kept.
+pub const AT_ONCE: &str = "at once";
+
 #[derive(Default)]
 struct Held {
     lines: VecDeque<String>,
@@ -61,6 +64,11 @@
         let _ = record.kv().serialize(record, &mut pairs);
         let _ = values.serialize(record, &mut pairs);
         let line = format!("{} {}{}", record.level().as_short_str(), record.msg(), pairs.0);
+        if record.tag() == AT_ONCE {
+            // A log that can't be written harms nothing.
+            let _ = writeln!(std::io::stderr(), "{line}");
+            return Ok(());
+        }
         let mut held = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         if held.lines.len() >= LINES {
             held.lines.pop_front();
@@ -77,7 +85,7 @@
 
 #[cfg(test)]
 mod tests {
-    use super::{LINES, Ring};
+    use super::{AT_ONCE, LINES, Ring};
     use slog::info;
 
     #[test]
@@ -89,5 +97,8 @@
         assert_eq!((lines.len(), lines[0].as_str()), (LINES + 1, "(3 older lines are gone)"));
         assert!(lines[1].contains("line 3") && lines[1].contains("peer=10.0.0.1"), "{}", lines[1]);
         assert!(ring.take().is_empty());
+        // What has come out at once is not written a second time.
+        info!(log, #AT_ONCE, "rebuilt");
+        assert!(ring.take().is_empty());
     }
 }
--- a/penstock/src/host.rs
+++ b/penstock/src/host.rs
@@ -9,7 +9,7 @@
 use eyre::WrapErr;
 use mains::frames;
 use mains::messages::{Down, Edge, Standing, Up};
-use mains::ring::Ring;
+use mains::ring::{AT_ONCE, Ring};
 use mains::settings::Settings;
 use mains::wires::{Happening, WireKey, Wires};
 use signal_hook::consts::{SIGHUP, SIGTERM};
@@ -55,6 +55,8 @@
     clock: Clock,
     settings: Settings,
     file: Option<PathBuf>,
+    /// What was last wrong with it.
+    fault: String,
     log: Logger,
     wires: Wires,
     deadlines: Deadlines<Due>,
@@ -107,6 +109,7 @@
             clock,
             settings,
             file,
+            fault: String::new(),
             wires,
             deadlines,
             links,
@@ -213,7 +216,14 @@
         let Some(file) = &self.file else { return };
         match Settings::load(file) {
             Ok(settings) => self.links.seeds(settings.seeds()),
-            Err(fault) => warn!(self.log, "settings not taken: {fault:#}"; "step" => "reading settings anew"),
+            Err(fault) => {
+                let fault = format!("{fault:#}");
+                // It is read over and over: what stays wrong is said once.
+                if fault != self.fault {
+                    warn!(self.log, #AT_ONCE, "settings not taken: {fault}"; "step" => "reading settings anew");
+                }
+                self.fault = fault;
+            }
         }
     }
 
--- a/sluice/src/host/feeding.rs
+++ b/sluice/src/host/feeding.rs
@@ -2,6 +2,7 @@
 
 use mains::frames;
 use mains::messages::{Down, Up, Who};
+use mains::ring::AT_ONCE;
 use slog::{error, info, warn};
 use streamarch::{Outcome, ServerId};
 
@@ -93,7 +94,7 @@
             Down::Items(items) => {
                 let (touched, faults) = self.book.apply(items);
                 for fault in faults {
-                    warn!(self.log, "item left out: {fault}"; "step" => "reading items", "peer" => "agent");
+                    warn!(self.log, #AT_ONCE, "item left out: {fault}"; "step" => "reading items", "peer" => "agent");
                 }
                 self.touched(now, touched);
             }
--- a/standins/src/system/machines.rs
+++ b/standins/src/system/machines.rs
@@ -170,7 +170,8 @@
         std::fs::write(self.file(role, number, "yaml"), settings.to_string())
     }
 
-    fn file(&self, role: Role, number: usize, end: &str) -> PathBuf {
+    /// A program's settings file (`yaml`), or what it has written (`log`).
+    pub fn file(&self, role: Role, number: usize, end: &str) -> PathBuf {
         self.plan.folder.join(format!("{}-{number}.{end}", role.program()))
     }
 
@@ -224,10 +225,19 @@
 
     /// Tells a program to end (SIGTERM).
     pub fn tell_to_end(&self, role: Role, number: usize) {
+        self.signal(role, number, Signal::TERM);
+    }
+
+    /// Tells a program that its settings file may have changed (SIGHUP).
+    pub fn tell_to_read(&self, role: Role, number: usize) {
+        self.signal(role, number, Signal::HUP);
+    }
+
+    fn signal(&self, role: Role, number: usize, signal: Signal) {
         let pid = self.running.get(&(role, number)).and_then(|child| Pid::from_raw(child.id() as i32));
         if let Some(pid) = pid {
             // One that has ended already is not there to be told.
-            let _ = kill_process(pid, Signal::TERM);
+            let _ = kill_process(pid, signal);
         }
     }
 
@@ -265,7 +275,7 @@
     }
 
     /// What a program has written so far.
-    fn log(&self, role: Role, number: usize) -> String {
+    pub fn log(&self, role: Role, number: usize) -> String {
         // Where there is none, nothing was written.
         std::fs::read_to_string(self.file(role, number, "log")).unwrap_or_default()
     }
