Hard cases that had no test: cut one way, replaced, back at once, full, HUP

Of the core: cut one way, with the operator at the smaller part, which hears and is not heard or the other way round; a machine that died and is replaced at another address, whose vote is then wanted; a zone with the holder of the count that is back before its grants are over.

Of the started programs: a seat whose disk refuses writes for a while tells operators, and takes them again by itself. So far no test went through the host's part of it. The limit is RLIMIT_FSIZE, set from outside on the running process by prlimit, so that nothing of it is in the programs. SIGHUP at all three programs, with a settings file that is faulty: it is named at once, and all serve on.

--- a/headworks/tests/core.rs
+++ b/headworks/tests/core.rs
@@ -118,6 +118,58 @@
     );
 }
 
+#[test_case(true; "the smaller part hears and is not heard")]
+#[test_case(false; "the smaller part is heard and does not hear")]
+fn of_a_core_cut_one_way_only_the_larger_part_acknowledges(hears: bool) {
+    let mut cluster = started(16);
+    let pairs = [0, 1].into_iter().flat_map(|one| [2, 3, 4, 5].map(|other| (one, other)));
+    cluster.cuts.extend(pairs.map(|(one, other)| if hears { (one, other) } else { (other, one) }));
+    let early = cluster.call(1, service("s", 1, 1));
+    cluster.run(1_500 * MS);
+    assert!(matches!(cluster.reply(early), Some(Reply::Unavailable(_))), "{:?}", cluster.reply(early));
+    assert!(matches!(cluster.ask(0, service("s", 2, 2)), Some(Reply::Unavailable(_))));
+    assert_eq!(cluster.ask(2, service("s", 3, 3)), Some(Reply::Done));
+    cluster.run(2 * SECOND);
+    let mut lines = vec![cluster.line(&["s"])];
+    cluster.heal();
+    cluster.run(2 * SECOND);
+    lines.push(cluster.line(&["s"]));
+    let cut = if hears { "-3  -3 " } else { "-_  -_ " };
+    assert_timeline(
+        &lines,
+        &format!(
+            "  a   b   c   d   e   f
+        6.7s  {cut} oP3 oC3 o3  o3
+        8.7s  o3  o3  oP3 oC3 o3  o3"
+        ),
+    );
+    cluster.check_contents();
+    assert!(cluster.agree() && cluster.faults.is_empty(), "{:?}", cluster.faults);
+}
+
+#[test]
+fn a_zone_that_is_lost_and_back_in_a_moment_leaves_one_holder_and_all_that_was_acknowledged() {
+    let mut cluster = started(17);
+    assert_eq!(cluster.ask(3, service("s", 7, 1)), Some(Reply::Done));
+    // The one that keeps the count loses power, and is back before its grants are over by the others' clocks.
+    cluster.power(3);
+    let mut lines = vec![cluster.line(&["s"])];
+    assert_eq!(cluster.ask(0, service("s", 8, 2)), Some(Reply::Done));
+    cluster.run_to(4_700 * MS);
+    cluster.start(3);
+    lines.push(cluster.line(&["s"]));
+    cluster.run(900 * MS);
+    lines.push(cluster.line(&["s"]));
+    assert_timeline(
+        &lines,
+        "       a   b   c   d   e   f
+        3.2s  oP_ o_  o_  .   o_  o_
+        4.7s  oP8 o8  o8  -_  o8  o8
+        5.6s  oP8 o8  o8  o8  oC8 o8",
+    );
+    assert!(cluster.faults.is_empty(), "{:?}", cluster.faults);
+}
+
 #[test]
 fn a_seat_with_a_full_disk_keeps_its_duty_and_what_is_in_force_and_takes_changes_later() {
     let mut cluster = started(5);
@@ -197,6 +249,32 @@
     );
 }
 
+#[test]
+fn a_machine_that_died_is_replaced_at_another_address_and_its_vote_counts() {
+    let mut cluster = started(15);
+    assert_eq!(cluster.ask(0, service("s", 7, 1)), Some(Reply::Done));
+    cluster.wipe(5);
+    cluster.run(SECOND);
+    let new = cluster.add(5);
+    cluster.start(new);
+    cluster.run(2 * SECOND);
+    let mut lines = vec![cluster.line(&["s"])];
+    // With two more gone it is one of the four that are wanted, and operators may call it.
+    cluster.kill(0);
+    cluster.kill(1);
+    cluster.run(2 * SECOND);
+    assert_eq!(cluster.ask(new, service("s", 8, 2)), Some(Reply::Done));
+    cluster.run(SECOND);
+    lines.push(cluster.line(&["s"]));
+    assert_timeline(
+        &lines,
+        "       a   b   c   d   e   f
+        6.2s  oP7 o7  o7  oC7 o7  .  o7
+        9.5s  .   .   oP8 oC8 o8  .  o8",
+    );
+    assert!(cluster.faults.is_empty(), "{:?}", cluster.faults);
+}
+
 #[test]
 fn a_seat_without_its_disk_waits_for_more_than_half_of_the_others() {
     let mut cluster = started(12);
--- a/headworks/tests/system.rs
+++ b/headworks/tests/system.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use serde_json::json;
-use standins::system::calls::Connection;
+use standins::system::calls::{Connection, call};
 use standins::system::machines::{Role, beside, net};
 use standins::system::operator::Change;
 use standins::system::wait_for;
@@ -18,9 +18,12 @@
 }
 
 fn whole(folder: &TempDir) -> Whole {
-    let programs = beside(Path::new(PROGRAM), env!("CARGO"));
+    whole_of(folder, &beside(Path::new(PROGRAM), env!("CARGO")))
+}
+
+fn whole_of(folder: &TempDir, programs: &Path) -> Whole {
     let size = Size { zones: 3, edges: 1, net: net() };
-    Whole::start(folder.path(), &programs, size, soon()).unwrap()
+    Whole::start(folder.path(), programs, size, soon()).unwrap()
 }
 
 #[test]
@@ -112,3 +115,54 @@
     assert_eq!(whole.operator.differences(soon()), Ok(Vec::new()));
     assert_eq!(whole.machines.stop(), Vec::<String>::new());
 }
+
+/// The built programs, each started with SIGXFSZ ignored, as a write beyond a limit is an error only then.
+fn programs_that_may_be_limited(folder: &TempDir) -> std::path::PathBuf {
+    let (programs, built) = (folder.path().join("programs"), beside(Path::new(PROGRAM), env!("CARGO")));
+    std::fs::create_dir(&programs).unwrap();
+    for role in [Role::Headworks, Role::Penstock, Role::Sluice] {
+        let (path, program) = (programs.join(role.program()), built.join(role.program()));
+        let text = format!("#!/bin/sh\ntrap '' XFSZ\nexec '{}' \"$@\"\n", program.display());
+        std::fs::write(&path, text).unwrap();
+        std::fs::set_permissions(&path, std::os::unix::fs::PermissionsExt::from_mode(0o755)).unwrap();
+    }
+    programs
+}
+
+#[test]
+fn a_seat_whose_disk_refuses_says_so_and_takes_writes_again_by_itself() {
+    let folder = TempDir::new().unwrap();
+    let mut whole = whole_of(&folder, &programs_that_may_be_limited(&folder));
+    let at = whole.machines.ctl(0);
+    let patch = |ver: u64, svc: &str| {
+        let object =
+            json!({"type": "routes", "meta": {"name": "full", "ver": ver}, "spec": route("/full/", svc)});
+        let body = json!({"upsert": {"objs": [object]}}).to_string();
+        call(at, "POST", "/api/cfg/patch", "", body.as_bytes(), soon()).unwrap()
+    };
+    let says = |whole: &Whole, line: &str| {
+        let said = || whole.machines.log(Role::Headworks, 0).contains(line).then_some(());
+        assert!(wait_for(soon(), said).is_some(), "{line}: {}", whole.machines.log(Role::Headworks, 0));
+    };
+    assert_eq!(patch(1, SERVICES[0]).status, 200);
+    // Its log can't grow, and all writes go to its end.
+    let length = std::fs::metadata(folder.path().join("disk-0/headworks.db-wal")).unwrap().len();
+    whole.machines.most_bytes(Role::Headworks, 0, Some(length)).unwrap();
+    let refused = wait_for(soon(), || Some(patch(2, SERVICES[1])).filter(|reply| reply.status == 503));
+    let refused = refused.expect("its disk is full, and it takes writes").text().to_string();
+    assert!(refused.contains("the disk of this seat is full or fails"), "{refused}");
+    says(&whole, "ERRO the disk refuses writes, and is tried again");
+    // The others are enough, and what they decide holds here too.
+    let change = Change::default().set("routes", "full", 3, route("/full/", SERVICES[1]));
+    whole.operator.change(&change, soon()).unwrap();
+    let shows = || {
+        let reply = call(at, "GET", "/api/cfg/get", "", b"", soon()).ok()?;
+        (reply.status == 200 && reply.text().contains("/full/") && reply.text().contains(r#""ver":3"#))
+            .then_some(())
+    };
+    assert!(wait_for(soon(), shows).is_some());
+    whole.machines.most_bytes(Role::Headworks, 0, None).unwrap();
+    says(&whole, "INFO the disk takes writes again");
+    assert_eq!(patch(4, SERVICES[0]).status, 200);
+    assert_eq!(whole.machines.stop(), Vec::<String>::new());
+}
--- a/penstock/tests/beside.rs
+++ b/penstock/tests/beside.rs
@@ -13,6 +13,12 @@
     Instant::now() + Duration::from_secs(12)
 }
 
+fn one_edge(folder: &TempDir) -> Whole {
+    let programs = beside(Path::new(env!("CARGO_BIN_EXE_penstock")), env!("CARGO"));
+    let size = Size { zones: 1, edges: 1, net: net() };
+    Whole::start(folder.path(), &programs, size, soon()).unwrap()
+}
+
 fn reads_go_to(whole: &mut Whole, ver: u64, svc: &str) {
     let change = Change::default().set("routes", "reads", ver, route(READS, svc));
     whole.operator.change(&change, soon()).unwrap();
@@ -25,9 +31,7 @@
 #[test]
 fn an_edge_serves_by_the_newest_whichever_of_its_programs_was_killed() {
     let folder = TempDir::new().unwrap();
-    let programs = beside(Path::new(env!("CARGO_BIN_EXE_penstock")), env!("CARGO"));
-    let size = Size { zones: 1, edges: 1, net: net() };
-    let mut whole = Whole::start(folder.path(), &programs, size, soon()).unwrap();
+    let mut whole = one_edge(&folder);
     assert!(served_by(&whole, SERVICES[0]));
     whole.machines.kill(Role::Sluice, 0);
     reads_go_to(&mut whole, 2, SERVICES[1]);
@@ -42,3 +46,18 @@
     assert!(served_by(&whole, SERVICES[0]));
     assert_eq!(whole.machines.stop(), Vec::<String>::new());
 }
+
+#[test]
+fn at_sighup_a_faulty_file_is_named_at_once_and_all_serve_on() {
+    let folder = TempDir::new().unwrap();
+    let mut whole = one_edge(&folder);
+    std::fs::write(whole.machines.file(Role::Penstock, 0, "yaml"), "node: [").unwrap();
+    for role in [Role::Headworks, Role::Sluice, Role::Penstock] {
+        whole.machines.tell_to_read(role, 0);
+    }
+    let named = || whole.machines.log(Role::Penstock, 0).contains("WARN settings not taken: ").then_some(());
+    assert!(wait_for(soon(), named).is_some(), "{}", whole.machines.log(Role::Penstock, 0));
+    reads_go_to(&mut whole, 2, SERVICES[1]);
+    assert!(served_by(&whole, SERVICES[1]));
+    assert_eq!(whole.machines.stop(), Vec::<String>::new());
+}
--- a/standins/src/system/machines.rs
+++ b/standins/src/system/machines.rs
@@ -11,7 +11,7 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::process::{Pid, Resource, Rlimit, Signal, kill_process, prlimit};
 use serde_json::json;
 
 use super::calls::call;
@@ -233,9 +233,23 @@
         self.signal(role, number, Signal::HUP);
     }
 
+    /// Lets no file of a program grow beyond so many bytes; none: beyond any. A program that does not ignore SIGXFSZ
+    /// is ended by the first write beyond.
+    ///
+    /// # Errors
+    /// It does not run, or the system refuses.
+    pub fn most_bytes(&self, role: Role, number: usize, most: Option<u64>) -> io::Result<()> {
+        let pid = self.pid(role, number).ok_or(io::ErrorKind::NotFound)?;
+        prlimit(Some(pid), Resource::Fsize, Rlimit { current: most, maximum: None })?;
+        Ok(())
+    }
+
+    fn pid(&self, role: Role, number: usize) -> Option<Pid> {
+        self.running.get(&(role, number)).and_then(|child| Pid::from_raw(child.id() as i32))
+    }
+
     fn signal(&self, role: Role, number: usize, signal: Signal) {
-        let pid = self.running.get(&(role, number)).and_then(|child| Pid::from_raw(child.id() as i32));
-        if let Some(pid) = pid {
+        if let Some(pid) = self.pid(role, number) {
             // One that has ended already is not there to be told.
             let _ = kill_process(pid, signal);
         }
