--- a/drill/src/scale/world.rs
+++ b/drill/src/scale/world.rs
@@ -308,7 +308,7 @@
                 Output::Write(number, _) => self.enter(now + SYNC, Event::Written(at, number)),
                 Output::Answer(call, reply) => _ = self.answers.insert(call, (now, reply)),
                 Output::Tell(links, down) => self.tell(at, links, down),
-                Output::Note(_) => {}
+                Output::Note(_) | Output::Notice(_) => {}
             }
         }
     }
