Drill: split by concern: links, checks, lines, asks, operators, agents and proxies

Checks stand apart from playing, proxies apart from agents, the harm apart from the cluster; nothing but uses and visibility has changed.

--- a/drill/src/cluster.rs
+++ b/drill/src/cluster.rs
@@ -6,15 +6,21 @@
 use std::net::SocketAddr;
 
 use headworks::calls::{Command, Reply};
-use headworks::core::letters::{Body, Duty, Letter, Life};
+use headworks::core::letters::{Duty, Letter, Life};
 use headworks::core::{Core, Input, Output, Own, Row, Setup};
-use headworks::limits::GRANT;
-use mains::items::{Item, Name};
+use mains::items::Name;
 use mains::messages::{Down, Up};
 
 use crate::chance::{Chance, Steady, mix};
 use crate::disk::Disk;
 use crate::edges::{Conn, Due, EDGES, Edge, Grants, Issued};
+pub use crate::harm::Bug;
+
+mod lines;
+mod links;
+mod watch;
+
+pub use self::lines::{assert_timeline, service, timeline};
 
 /// A millisecond, in microseconds.
 pub const MS: i64 = 1_000;
@@ -32,53 +38,6 @@
     pub text: String,
 }
 
-/// Deliberate harm done by the world around the programs, to show that the drill sees it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Bug {
-    /// A disk says that rows are there before they are.
-    Sync,
-    /// A seat with an empty disk counts at once.
-    Empty,
-    /// A start is not counted, so that ballots come twice.
-    Run,
-    /// Steady clocks step back now and then.
-    Clock,
-    /// A rebuilt seat hears nothing of earlier promises.
-    Floor,
-    /// Seats do not hear of newer lives.
-    Lives,
-    /// Dropped items are not on disk after a start.
-    Tombstone,
-    /// Promises are not on disk after a start.
-    Promise,
-    /// Granted terms are not on disk after a start.
-    Term,
-    /// An edge forgets what it showed.
-    Forget,
-    /// Acceptances arrive that were never sent.
-    Accepted,
-    /// The holder of the count counts nothing.
-    Count,
-}
-
-impl Bug {
-    /// All of them, by name.
-    pub const ALL: [(&'static str, Bug); 12] = [
-        ("sync", Bug::Sync),
-        ("empty", Bug::Empty),
-        ("run", Bug::Run),
-        ("clock", Bug::Clock),
-        ("floor", Bug::Floor),
-        ("lives", Bug::Lives),
-        ("tombstone", Bug::Tombstone),
-        ("promise", Bug::Promise),
-        ("term", Bug::Term),
-        ("forget", Bug::Forget),
-        ("accepted", Bug::Accepted),
-        ("count", Bug::Count),
-    ];
-}
-
 /// The names of so many zones, in order; two to a region.
 pub fn zones(count: usize) -> Vec<String> {
     let name = |at: usize| match u8::try_from(at) {
@@ -406,20 +365,6 @@
         (0..self.nodes.len()).filter(|at| self.nodes[*at].core.is_some()).collect()
     }
 
-    /// Cuts every link between two groups.
-    pub fn cut(&mut self, one: &[usize], other: &[usize]) {
-        for (a, b) in one.iter().flat_map(|a| other.iter().map(|b| (*a, *b))) {
-            self.cuts.extend([(a, b), (b, a)]);
-        }
-        let cuts = &self.cuts;
-        self.links.retain(|pair| !cuts.contains(pair));
-    }
-
-    /// All links are whole again.
-    pub fn heal(&mut self) {
-        self.cuts.clear();
-    }
-
     /// An operator's call at a machine; gives its number.
     pub fn call(&mut self, at: usize, command: Command) -> u64 {
         self.calls += 1;
@@ -533,64 +478,6 @@
         self.enter(when, Event::Synced(at, life, number));
     }
 
-    /// A number by chance for this pair, the same whatever happens elsewhere.
-    fn draw(&mut self, from: usize, to: usize) -> u64 {
-        let count = self.drawn.entry((from, to)).or_default();
-        *count += 1;
-        mix(&[self.seed, 3, from as u64, to as u64, *count])
-    }
-
-    pub(crate) fn way(&self, one: usize, other: usize) -> i64 {
-        if one / 2 == other / 2 { 900 } else { 55 * MS }
-    }
-
-    fn deliver(&mut self, from: usize, to: SocketAddr, letter: &Letter) {
-        let Some(to) = self.nodes.iter().position(|node| node.address == to) else { return };
-        let linked = self.links.contains(&(from, to)) && !self.cuts.contains(&(from, to));
-        if !linked || self.draw(from, to) % 1_000 < self.drops {
-            return;
-        }
-        let way = self.way(self.nodes[from].zone, self.nodes[to].zone);
-        let copies = 1 + u32::from(self.twice > 0 && self.draw(from, to) % 1_000 < self.twice);
-        for _ in 0..copies {
-            let late = if self.late > 0 { (self.draw(from, to) % self.late) as i64 } else { 0 };
-            let letter = Box::new(self.harmed(letter.clone()));
-            self.enter(self.now + way + late, Event::Letter(from, to, letter));
-        }
-    }
-
-    fn harmed(&self, mut letter: Letter) -> Letter {
-        match (self.bug, &mut letter.body) {
-            (Some(Bug::Floor), Body::Recorded { floor, .. }) => *floor = Default::default(),
-            (Some(Bug::Lives), _) => letter.lives.fill(Life::NONE),
-            (Some(Bug::Accepted), Body::Nack { ballot, .. }) => letter.body = Body::Accepted(*ballot),
-            _ => {}
-        }
-        letter
-    }
-
-    fn dial(&mut self) {
-        let mut pairs = Vec::new();
-        for at in self.live() {
-            let peers = self.nodes[at].peers.iter();
-            let known = peers.filter_map(|peer| self.nodes.iter().position(|node| node.address == *peer));
-            pairs.extend(known.map(|peer| (at, peer)));
-        }
-        for (at, peer) in pairs {
-            let up = self.nodes[peer].core.is_some() && at != peer;
-            let open = !self.cuts.contains(&(at, peer)) && !self.cuts.contains(&(peer, at));
-            if up && open && !self.links.contains(&(at, peer)) {
-                self.links.extend([(at, peer), (peer, at)]);
-                for (one, other) in [(at, peer), (peer, at)] {
-                    let address = self.nodes[other].address;
-                    self.feed(one, Input::LinkUp(address));
-                }
-            }
-        }
-        self.silent_conns();
-        self.enter(self.now + 100 * MS, Event::Dial);
-    }
-
     /// Lets the next event happen, if it comes before `end`.
     pub fn step(&mut self, end: i64) {
         let Some(entry) = self.events.first_entry().filter(|entry| entry.key().0 <= end) else {
@@ -660,143 +547,8 @@
         }
     }
 
-    /// A machine holds a duty at this instant, in this term.
-    pub fn holds(&self, at: usize, duty: Duty) -> Option<u64> {
-        let node = &self.nodes[at];
-        node.core.as_ref()?.holds(node.clock.at(self.now), duty)
-    }
-
-    /// Who holds a duty now.
-    pub fn holders(&self, duty: Duty) -> Vec<(usize, u64)> {
-        (0..self.nodes.len()).filter_map(|at| Some((at, self.holds(at, duty)?))).collect()
-    }
-
-    /// At most one holder of the count at any instant; two that poll for as long as a grant lasts at the most. Never two of
-    /// one term, and terms that rise.
-    fn check(&mut self, at: usize) {
-        let pollers = self.holders(Duty::Poll).len();
-        let since = *self.pollers.get_or_insert(self.now);
-        if pollers < 2 {
-            self.pollers = None;
-        } else if self.now - since > GRANT {
-            self.fault("duty", format!("{pollers} poll for {} ms", (self.now - since) / MS));
-        }
-        for duty in Duty::ALL {
-            let Some(term) = self.holds(at, duty) else { continue };
-            let first = *self.terms.entry((duty, term)).or_insert(at);
-            if first != at {
-                self.fault("duty", format!("{duty:?}: two holders of term {term}, {first} and {at}"));
-            }
-            let other = self.holders(duty).into_iter().find(|(other, _)| *other != at);
-            if let Some((other, _)) = other.filter(|_| duty == Duty::Count) {
-                self.fault("duty", format!("{duty:?} is held by {at} and {other}"));
-            }
-            let newest = self.terms.range((duty, 0)..=(duty, u64::MAX)).next_back().map(|((_, t), _)| *t);
-            if newest.is_some_and(|newest| newest > term) && duty == Duty::Count {
-                self.fault("duty", format!("{duty:?}: term {term} after {newest:?}"));
-            }
-        }
-    }
-
-    /// Notes what each machine knows to be chosen: one version has one content, and none goes back.
-    pub fn check_contents(&mut self) {
-        let mut faults = Vec::new();
-        for (at, node) in self.nodes.iter().enumerate() {
-            for item in node.core.iter().flat_map(Core::chosen) {
-                let key = (item.name.clone(), item.ver);
-                let first = self.contents.entry(key).or_insert_with(|| item.spec.clone());
-                if *first != item.spec {
-                    faults.push(("content", format!("two contents of {} {}", item.name, item.ver)));
-                }
-                let shown = self.shown.entry((at, node.life, item.name.clone())).or_default();
-                if *shown > item.ver {
-                    faults.push(("back", format!("machine {at}: {} {} after {shown}", item.name, item.ver)));
-                }
-                *shown = item.ver;
-            }
-        }
-        for (at, edge) in self.edges.iter().enumerate() {
-            for item in edge.known_items() {
-                let chosen = self.contents.get(&(item.name.clone(), item.ver));
-                if chosen.is_some_and(|spec| *spec != item.spec) {
-                    faults.push((
-                        "content",
-                        format!("edge {at}: another content of {} {}", item.name, item.ver),
-                    ));
-                }
-            }
-        }
-        faults.into_iter().for_each(|(rule, text)| self.fault(rule, text));
-    }
-
-    /// What a machine knows to be chosen.
-    pub fn chosen(&self, at: usize) -> BTreeMap<Name, Item> {
-        let items = self.nodes[at].core.iter().flat_map(Core::chosen);
-        items.map(|item| (item.name.clone(), item.clone())).collect()
-    }
-
-    /// All seats know the same to be chosen.
-    pub fn agree(&self) -> bool {
-        let seats = self.holding();
-        seats.iter().all(|at| self.chosen(*at) == self.chosen(seats[0]))
-    }
-
-    /// A line of a timeline: one column a machine. `.` is down, `r` rebuilds, `x` is set aside, `-` is out of touch, `o`
-    /// takes part; `P` and `C` are the duties; then the versions of the items by name.
-    pub fn line(&self, names: &[&str]) -> String {
-        let one = |node: &Node| {
-            let Some(core) = &node.core else { return ".".to_string() };
-            let now = node.clock.at(self.now);
-            let mut text = match core {
-                core if core.aside() => "x",
-                core if !core.takes_part() => "r",
-                core if !core.in_touch(now) => "-",
-                _ => "o",
-            }
-            .to_string();
-            text.extend(core.holds(now, Duty::Poll).map(|_| 'P'));
-            text.extend(core.holds(now, Duty::Count).map(|_| 'C'));
-            for name in names {
-                let found = core.chosen().find(|item| item.name.name == *name);
-                text.push_str(&found.map_or("_".to_string(), |item| item.ver.to_string()));
-            }
-            text
-        };
-        let columns: Vec<String> = self.nodes.iter().map(|node| format!("{:<6}", one(node))).collect();
-        let time = format!("{:>6}", format!("{:.1}s", self.now as f64 / 1e6));
-        format!("{time}  {}", columns.join("")).trim_end().to_string()
-    }
-
     /// Nothing goes between an edge and a machine, either way.
     pub(crate) fn apart(&self, edge: usize, node: usize) -> bool {
         self.cuts.contains(&(EDGES + edge, node)) || self.cuts.contains(&(node, EDGES + edge))
     }
 }
-
-/// A change of one service, whose content is told by a number.
-pub fn service(name: &str, ver: u64, content: u64) -> Command {
-    let text = format!(
-        r#"{{"upsert":{{"objs":[{{"type":"svcs","meta":{{"name":"{name}","ver":{ver}}},"spec":{{"hcheck":"/{content}"}}}}]}}}}"#
-    );
-    Command::Patch(text.into_bytes())
-}
-
-/// The whole text of a timeline.
-pub fn timeline(lines: &[String]) -> String {
-    let head = "        a    b    c    d    e    f";
-    std::iter::once(head).chain(lines.iter().map(String::as_str)).collect::<Vec<_>>().join("\n")
-}
-
-/// Compares a timeline with what is drawn; how wide the columns are does not matter.
-///
-/// # Panics
-/// They differ.
-#[track_caller]
-pub fn assert_timeline(lines: &[String], drawn: &str) {
-    let text = timeline(lines);
-    let words = |text: &str| -> Vec<String> {
-        let lines = text.lines().map(|line| line.split_whitespace().collect::<Vec<_>>().join(" "));
-        lines.filter(|line| !line.is_empty()).collect()
-    };
-    assert_eq!(words(&text), words(drawn), "\n{text}\n");
-}
--- /dev/null
+++ b/drill/src/cluster/links.rs
@@ -0,0 +1,84 @@
+//! The links between machines.
+
+use std::net::SocketAddr;
+
+use headworks::core::Input;
+use headworks::core::letters::{Body, Letter, Life};
+
+use super::{Cluster, Event, MS};
+use crate::chance::mix;
+use crate::harm::Bug;
+
+impl Cluster {
+    /// Cuts every link between two groups.
+    pub fn cut(&mut self, one: &[usize], other: &[usize]) {
+        for (a, b) in one.iter().flat_map(|a| other.iter().map(|b| (*a, *b))) {
+            self.cuts.extend([(a, b), (b, a)]);
+        }
+        let cuts = &self.cuts;
+        self.links.retain(|pair| !cuts.contains(pair));
+    }
+
+    /// All links are whole again.
+    pub fn heal(&mut self) {
+        self.cuts.clear();
+    }
+
+    /// A number by chance for this pair, the same whatever happens elsewhere.
+    pub(super) fn draw(&mut self, from: usize, to: usize) -> u64 {
+        let count = self.drawn.entry((from, to)).or_default();
+        *count += 1;
+        mix(&[self.seed, 3, from as u64, to as u64, *count])
+    }
+
+    pub(crate) fn way(&self, one: usize, other: usize) -> i64 {
+        if one / 2 == other / 2 { 900 } else { 55 * MS }
+    }
+
+    pub(super) fn deliver(&mut self, from: usize, to: SocketAddr, letter: &Letter) {
+        let Some(to) = self.nodes.iter().position(|node| node.address == to) else { return };
+        let linked = self.links.contains(&(from, to)) && !self.cuts.contains(&(from, to));
+        if !linked || self.draw(from, to) % 1_000 < self.drops {
+            return;
+        }
+        let way = self.way(self.nodes[from].zone, self.nodes[to].zone);
+        let copies = 1 + u32::from(self.twice > 0 && self.draw(from, to) % 1_000 < self.twice);
+        for _ in 0..copies {
+            let late = if self.late > 0 { (self.draw(from, to) % self.late) as i64 } else { 0 };
+            let letter = Box::new(self.harmed(letter.clone()));
+            self.enter(self.now + way + late, Event::Letter(from, to, letter));
+        }
+    }
+
+    pub(super) fn harmed(&self, mut letter: Letter) -> Letter {
+        match (self.bug, &mut letter.body) {
+            (Some(Bug::Floor), Body::Recorded { floor, .. }) => *floor = Default::default(),
+            (Some(Bug::Lives), _) => letter.lives.fill(Life::NONE),
+            (Some(Bug::Accepted), Body::Nack { ballot, .. }) => letter.body = Body::Accepted(*ballot),
+            _ => {}
+        }
+        letter
+    }
+
+    pub(super) fn dial(&mut self) {
+        let mut pairs = Vec::new();
+        for at in self.live() {
+            let peers = self.nodes[at].peers.iter();
+            let known = peers.filter_map(|peer| self.nodes.iter().position(|node| node.address == *peer));
+            pairs.extend(known.map(|peer| (at, peer)));
+        }
+        for (at, peer) in pairs {
+            let up = self.nodes[peer].core.is_some() && at != peer;
+            let open = !self.cuts.contains(&(at, peer)) && !self.cuts.contains(&(peer, at));
+            if up && open && !self.links.contains(&(at, peer)) {
+                self.links.extend([(at, peer), (peer, at)]);
+                for (one, other) in [(at, peer), (peer, at)] {
+                    let address = self.nodes[other].address;
+                    self.feed(one, Input::LinkUp(address));
+                }
+            }
+        }
+        self.silent_conns();
+        self.enter(self.now + 100 * MS, Event::Dial);
+    }
+}
--- /dev/null
+++ b/drill/src/cluster/watch.rs
@@ -0,0 +1,93 @@
+//! What is checked of the machines at each event.
+
+use std::collections::BTreeMap;
+
+use headworks::core::Core;
+use headworks::core::letters::Duty;
+use headworks::limits::GRANT;
+use mains::items::{Item, Name};
+
+use super::{Cluster, MS};
+
+impl Cluster {
+    /// A machine holds a duty at this instant, in this term.
+    pub fn holds(&self, at: usize, duty: Duty) -> Option<u64> {
+        let node = &self.nodes[at];
+        node.core.as_ref()?.holds(node.clock.at(self.now), duty)
+    }
+
+    /// Who holds a duty now.
+    pub fn holders(&self, duty: Duty) -> Vec<(usize, u64)> {
+        (0..self.nodes.len()).filter_map(|at| Some((at, self.holds(at, duty)?))).collect()
+    }
+
+    /// At most one holder of the count at any instant; two that poll for as long as a grant lasts at the most. Never two of
+    /// one term, and terms that rise.
+    pub(super) fn check(&mut self, at: usize) {
+        let pollers = self.holders(Duty::Poll).len();
+        let since = *self.pollers.get_or_insert(self.now);
+        if pollers < 2 {
+            self.pollers = None;
+        } else if self.now - since > GRANT {
+            self.fault("duty", format!("{pollers} poll for {} ms", (self.now - since) / MS));
+        }
+        for duty in Duty::ALL {
+            let Some(term) = self.holds(at, duty) else { continue };
+            let first = *self.terms.entry((duty, term)).or_insert(at);
+            if first != at {
+                self.fault("duty", format!("{duty:?}: two holders of term {term}, {first} and {at}"));
+            }
+            let other = self.holders(duty).into_iter().find(|(other, _)| *other != at);
+            if let Some((other, _)) = other.filter(|_| duty == Duty::Count) {
+                self.fault("duty", format!("{duty:?} is held by {at} and {other}"));
+            }
+            let newest = self.terms.range((duty, 0)..=(duty, u64::MAX)).next_back().map(|((_, t), _)| *t);
+            if newest.is_some_and(|newest| newest > term) && duty == Duty::Count {
+                self.fault("duty", format!("{duty:?}: term {term} after {newest:?}"));
+            }
+        }
+    }
+
+    /// Notes what each machine knows to be chosen: one version has one content, and none goes back.
+    pub fn check_contents(&mut self) {
+        let mut faults = Vec::new();
+        for (at, node) in self.nodes.iter().enumerate() {
+            for item in node.core.iter().flat_map(Core::chosen) {
+                let key = (item.name.clone(), item.ver);
+                let first = self.contents.entry(key).or_insert_with(|| item.spec.clone());
+                if *first != item.spec {
+                    faults.push(("content", format!("two contents of {} {}", item.name, item.ver)));
+                }
+                let shown = self.shown.entry((at, node.life, item.name.clone())).or_default();
+                if *shown > item.ver {
+                    faults.push(("back", format!("machine {at}: {} {} after {shown}", item.name, item.ver)));
+                }
+                *shown = item.ver;
+            }
+        }
+        for (at, edge) in self.edges.iter().enumerate() {
+            for item in edge.known_items() {
+                let chosen = self.contents.get(&(item.name.clone(), item.ver));
+                if chosen.is_some_and(|spec| *spec != item.spec) {
+                    faults.push((
+                        "content",
+                        format!("edge {at}: another content of {} {}", item.name, item.ver),
+                    ));
+                }
+            }
+        }
+        faults.into_iter().for_each(|(rule, text)| self.fault(rule, text));
+    }
+
+    /// What a machine knows to be chosen.
+    pub fn chosen(&self, at: usize) -> BTreeMap<Name, Item> {
+        let items = self.nodes[at].core.iter().flat_map(Core::chosen);
+        items.map(|item| (item.name.clone(), item.clone())).collect()
+    }
+
+    /// All seats know the same to be chosen.
+    pub fn agree(&self) -> bool {
+        let seats = self.holding();
+        seats.iter().all(|at| self.chosen(*at) == self.chosen(seats[0]))
+    }
+}
--- /dev/null
+++ b/drill/src/edges/agents.rs
@@ -0,0 +1,311 @@
+//! The agents of the edges and their connections.
+
+use std::net::SocketAddr;
+
+use headworks::core::Input;
+use headworks::limits::AGENT_SILENT;
+use mains::messages::{Down, Edge as Told, Standing, Up};
+use penstock::links::{HOMEWARD, OUT_OF_TOUCH, SILENT};
+use streamarch::Outcome;
+
+use super::{AGAIN, BEAT, CONNECT, Conn, Due, LOAD, Link};
+use crate::cluster::{Cluster, Event, MS};
+use crate::harm::Bug;
+
+impl Cluster {
+    pub(super) fn lose(&mut self, id: u64) {
+        if let Some(conn) = self.conns.get_mut(&id) {
+            conn.dead = true;
+        }
+    }
+
+    pub(super) fn connect(&mut self, at: usize, to: SocketAddr) -> u64 {
+        self.conn += 1;
+        let id = self.conn;
+        let node = self.nodes.iter().position(|node| node.address == to).unwrap_or(0);
+        let (life, node_life) = (self.edges[at].life, self.nodes[node].life);
+        let way = self.way(self.edges[at].zone, self.nodes[node].zone);
+        let conn = Conn { edge: at, life, node, node_life, up: false, dead: false, heard: self.now };
+        self.conns.insert(id, conn);
+        self.later(at, CONNECT, Due::Connect(id));
+        if !self.apart(at, node) {
+            let event = if self.nodes[node].core.is_some() { Event::Up(id) } else { Event::Lost(id) };
+            self.enter(self.now + 2 * way, event);
+        }
+        id
+    }
+
+    pub(super) fn conn_up(&mut self, id: u64) {
+        let Some(conn) = self.conns.get_mut(&id).filter(|conn| !conn.dead && !conn.up) else { return };
+        conn.up = true;
+        conn.heard = self.now;
+        let (at, node, node_life) = (conn.edge, conn.node, conn.node_life);
+        if self.nodes[node].core.is_none() || self.nodes[node].life != node_life {
+            return self.lost(at, id);
+        }
+        if self.edges[at].agent.count.is_some_and(|(count, ..)| count == id) {
+            return self.ask_time(at, id);
+        }
+        if let Some(link) = self.edges[at].agent.link.as_mut().filter(|link| link.conn == id) {
+            link.heard = self.now;
+        }
+        let zone = self.edges[at].zone;
+        let edge = Told {
+            node: format!("edge-{at}"),
+            zone: self.zones[zone].clone(),
+            region: format!("r{}", zone / 2),
+            http: SocketAddr::from(([10, 1, 0, at as u8], 8686)),
+        };
+        let standing = self.edges[at].agent.standing;
+        self.say(id, Up::Hello(edge));
+        self.ask_time(at, id);
+        self.say(id, Up::Beat(standing));
+    }
+
+    pub(super) fn say(&mut self, id: u64, up: Up) {
+        let Some(conn) = self.conns.get(&id).filter(|conn| conn.up && !conn.dead) else { return };
+        let (edge, node) = (conn.edge, conn.node);
+        if self.apart(edge, node) {
+            return self.lose(id);
+        }
+        let way = self.way(self.edges[edge].zone, self.nodes[node].zone);
+        self.enter(self.now + way, Event::ToSeat(id, up));
+    }
+
+    pub(super) fn at_seat(&mut self, id: u64, up: Up) {
+        let now = self.now;
+        let Some(conn) = self.conns.get_mut(&id).filter(|conn| !conn.dead) else { return };
+        let (edge, node, life) = (conn.edge, conn.node, conn.node_life);
+        conn.heard = now;
+        if self.apart(edge, node) {
+            return self.lose(id);
+        }
+        if self.nodes[node].life == life {
+            if matches!(up, Up::Beat(_) | Up::Hello(_)) && self.nodes[node].core.is_some() {
+                self.edges[edge].heard = now;
+            }
+            self.feed(node, Input::Agent(id, up));
+        }
+    }
+
+    pub(crate) fn tell(&mut self, id: u64, down: Down) {
+        let Some(conn) = self.conns.get(&id).filter(|conn| !conn.dead) else { return };
+        let (edge, node) = (conn.edge, conn.node);
+        if self.apart(edge, node) {
+            return self.lose(id);
+        }
+        let down = match down {
+            Down::Totals { batch, totals } if self.bug == Some(Bug::Count) => {
+                Down::Totals { batch, totals: totals.iter().map(|_| 1.0).collect() }
+            }
+            down => down,
+        };
+        let way = self.way(self.edges[edge].zone, self.nodes[node].zone);
+        self.enter(self.now + way, Event::ToEdge(id, down));
+    }
+
+    /// One end of a connection is gone; the other one hears of it, unless they are apart.
+    pub(crate) fn reset(&mut self, id: u64, by_edge: bool) {
+        let Some(conn) = self.conns.get_mut(&id) else { return };
+        conn.dead = true;
+        let (edge, node) = (conn.edge, conn.node);
+        if self.apart(edge, node) {
+            return;
+        }
+        let way = self.way(self.edges[edge].zone, self.nodes[node].zone);
+        self.enter(self.now + way, if by_edge { Event::Gone(id) } else { Event::Lost(id) });
+    }
+
+    pub(super) fn seat_lost(&mut self, id: u64) {
+        let Some(conn) = self.conns.remove(&id) else { return };
+        if self.nodes[conn.node].life == conn.node_life {
+            self.feed(conn.node, Input::AgentGone(id));
+        }
+    }
+
+    /// A machine closes connections on which it has heard nothing for long.
+    pub(crate) fn silent_conns(&mut self) {
+        let now = self.now;
+        let silent = |conn: &&Conn| {
+            let node = &self.nodes[conn.node];
+            conn.up && now - conn.heard >= AGENT_SILENT && !node.frozen && node.core.is_some()
+        };
+        let gone: Vec<u64> = self.conns.iter().filter(|(_, conn)| silent(conn)).map(|(id, _)| *id).collect();
+        for id in gone {
+            let conn = &self.conns[&id];
+            let (edge, life) = (conn.edge, conn.life);
+            // The agent sees it by its silence, or by the reset.
+            if self.edges[edge].life == life && self.edges[edge].up && !self.edges[edge].frozen {
+                self.lost(edge, id);
+            }
+            self.seat_lost(id);
+        }
+    }
+
+    /// An agent's connection is gone.
+    pub(super) fn lost(&mut self, at: usize, id: u64) {
+        self.reset(id, true);
+        let agent = &mut self.edges[at].agent;
+        if agent.link.as_ref().is_some_and(|link| link.conn == id) {
+            agent.link = None;
+            self.later(at, AGAIN, Due::Again);
+        } else if agent.count.is_some_and(|(count, ..)| count == id) {
+            agent.count = None;
+            self.later(at, AGAIN, Due::CountAgain);
+        } else if agent.homeward.is_some_and(|(home, _)| home == id) {
+            agent.homeward = None;
+        }
+    }
+
+    pub(super) fn agent_heard(&mut self, id: u64, message: Down) {
+        let (at, now) = (self.conns[&id].edge, self.now);
+        match message {
+            Down::Totals { batch, totals } => {
+                if let Some((life, batch)) = self.edges[at].agent.batches.remove(&batch) {
+                    self.totals(at, life, batch, Some(&totals));
+                }
+            }
+            Down::NotCounted(batch) => {
+                if let Some((life, batch)) = self.edges[at].agent.batches.remove(&batch) {
+                    self.totals(at, life, batch, None);
+                }
+            }
+            Down::Who(ref who) => {
+                let agent = &mut self.edges[at].agent;
+                let (in_touch, seats) = (who.in_touch, who.seats.clone());
+                if let Some((_, to)) = agent.homeward.filter(|(home, _)| *home == id && in_touch) {
+                    agent.homeward = None;
+                    let new = Link { conn: id, to, told: true, astray: None, heard: now };
+                    if let Some(old) = agent.link.replace(new) {
+                        self.reset(old.conn, true);
+                    }
+                }
+                let agent = &mut self.edges[at].agent;
+                let Some(link) = agent.link.as_mut().filter(|link| link.conn == id) else { return };
+                (link.told, link.heard) = (true, now);
+                link.astray = if in_touch { None } else { link.astray.or(Some(now)) };
+                if in_touch {
+                    agent.links.told(&seats);
+                    agent.links.settled();
+                }
+                self.pass_on(at, message);
+                self.open_count(at);
+            }
+            message => self.pass_on(at, message),
+        }
+    }
+
+    pub(super) fn ask_time(&mut self, at: usize, id: u64) {
+        let now = self.steady(at);
+        let agent = &mut self.edges[at].agent;
+        let time = agent.known.time(now).unwrap_or(0);
+        self.say(id, Up::Clock(time));
+    }
+
+    pub(super) fn pass_on(&mut self, at: usize, message: Down) {
+        let now = self.steady(at);
+        if let Some(message) = self.edges[at].agent.known.take(now, message) {
+            self.proxy_heard(at, message);
+        }
+    }
+
+    pub(super) fn open_link(&mut self, at: usize) {
+        if self.edges[at].agent.link.is_some() {
+            return;
+        }
+        let Some((to, _)) = self.edges[at].agent.links.advance() else { return };
+        let conn = self.connect(at, to);
+        self.edges[at].agent.link = Some(Link { conn, to, told: false, astray: None, heard: self.now });
+    }
+
+    pub(super) fn open_count(&mut self, at: usize) {
+        let holder = self.edges[at].agent.known.who().and_then(|who| who.holder);
+        if self.edges[at].agent.count.map(|(_, to, term)| (to, term)) == holder {
+            return;
+        }
+        if let Some((old, ..)) = self.edges[at].agent.count.take() {
+            self.reset(old, true);
+        }
+        let Some((to, term)) = holder else { return };
+        let conn = self.connect(at, to);
+        self.edges[at].agent.count = Some((conn, to, term));
+    }
+
+    pub(super) fn due(&mut self, at: usize, due: Due) {
+        match due {
+            Due::Again => self.open_link(at),
+            Due::CountAgain => self.open_count(at),
+            Due::Connect(id) => {
+                if self.conns.get(&id).is_some_and(|conn| !conn.up && conn.life == self.edges[at].life) {
+                    self.lost(at, id);
+                    self.conns.remove(&id);
+                }
+            }
+            Due::Look => {
+                self.later(at, BEAT, Due::Look);
+                self.stands(at);
+                let now = self.steady(at);
+                if let Some(message) = self.edges[at].agent.known.look(now) {
+                    self.proxy_heard(at, message);
+                }
+                let (now, agent) = (self.steady(at), &mut self.edges[at].agent);
+                if now - agent.asked_last >= 800 * MS {
+                    agent.asked_last = now;
+                    let ids = agent.count.map(|(id, ..)| id).into_iter();
+                    let ids: Vec<u64> = ids.chain(agent.link.as_ref().map(|link| link.conn)).collect();
+                    ids.into_iter().for_each(|id| self.ask_time(at, id));
+                }
+                let agent = &self.edges[at].agent;
+                let standing = agent.standing;
+                let Some(link) = &agent.link else { return };
+                let (conn, silent) = (link.conn, self.now - link.heard > SILENT);
+                let astray = link.astray.is_some_and(|since| self.now - since > OUT_OF_TOUCH);
+                self.say(conn, Up::Beat(standing));
+                if silent || astray {
+                    self.lost(at, conn);
+                }
+            }
+            Due::Home => {
+                self.later(at, HOMEWARD, Due::Home);
+                if let Some((old, _)) = self.edges[at].agent.homeward.take() {
+                    self.reset(old, true);
+                }
+                let agent = &self.edges[at].agent;
+                let linked = agent.link.as_ref().filter(|link| link.told).map(|link| link.to);
+                let home = agent.links.home().filter(|home| linked.is_some_and(|to| to != *home));
+                if let Some(home) = home {
+                    let conn = self.connect(at, home);
+                    self.edges[at].agent.homeward = Some((conn, home));
+                }
+            }
+            Due::Batch(number) => {
+                let proxy = &mut self.edges[at].proxy;
+                let batch = proxy.batches.iter_mut().find(|batch| batch.number == number && !batch.expired);
+                let Some(batch) = batch else { return };
+                batch.expired = true;
+                for name in batch.names.clone() {
+                    proxy.manifold.counted(name, Outcome::TimedOut, 0.0);
+                }
+                while proxy.batches.len() > 1_000 {
+                    proxy.batches.pop_front();
+                }
+                self.turn(at);
+            }
+            Due::Load => {
+                self.later(at, LOAD, Due::Load);
+                self.load(at);
+            }
+            Due::Wake => self.turn(at),
+        }
+    }
+
+    pub(super) fn stands(&mut self, at: usize) {
+        let standing = if self.edges[at].ready() { Standing::Ready } else { Standing::Away };
+        let agent = &mut self.edges[at].agent;
+        if std::mem::replace(&mut agent.standing, standing) != standing
+            && let Some(conn) = agent.link.as_ref().map(|link| link.conn)
+        {
+            self.say(conn, Up::Beat(standing));
+        }
+    }
+}
--- /dev/null
+++ b/drill/src/edges/proxies.rs
@@ -0,0 +1,251 @@
+//! The proxies of the edges.
+
+use culvert::engine::Ending;
+use mains::items::Name;
+use mains::messages::{Down, Up};
+use sluice::book::Book;
+use sluice::manifold::{Asked, Step};
+use streamarch::Outcome;
+
+use super::{BASE, Batch, COUNT_WAIT, Due, HOST, LIMITS, LOAD, PREFIX};
+use crate::chance::mix;
+use crate::cluster::{Cluster, SECOND};
+use crate::harm::Bug;
+
+impl Cluster {
+    pub(super) fn proxy_heard(&mut self, at: usize, message: Down) {
+        let (now, steady) = (self.local(at), self.steady(at));
+        let proxy = &mut self.edges[at].proxy;
+        match message {
+            Down::Who(who) => {
+                proxy.manifold.limiters(now, who.limiters);
+                proxy.manifold.alone(!who.in_touch);
+                proxy.manifold.count_held(who.holder.map(|(_, term)| term));
+            }
+            Down::Items(items) => {
+                if self.bug == Some(Bug::Forget) && mix(&[self.seed, 8, now as u64]).is_multiple_of(8) {
+                    proxy.book = Book::default();
+                }
+                let (touched, faults) = proxy.book.apply(items);
+                if touched.zones {
+                    let evacuated = proxy.book.evacuated().clone();
+                    proxy.yard.evacuate(now, &evacuated, touched.back, 4 * SECOND);
+                    self.list(at);
+                }
+                for fault in faults {
+                    self.fault("invalid", format!("edge {at}: {fault}"));
+                }
+                self.check_edge(at);
+            }
+            Down::Servers { version, servers } => {
+                let list = servers.first().and_then(|server| server.id[1..].split('-').next()?.parse().ok());
+                if proxy.yard.take(now, version, servers) {
+                    let list: u64 = list.unwrap_or(0);
+                    let before = std::mem::replace(&mut proxy.list, list);
+                    if before > list {
+                        self.fault("servers", format!("edge {at}: list {list} after {before}"));
+                    }
+                    self.list(at);
+                }
+            }
+            Down::Whole => proxy.told = true,
+            Down::Time(time) => {
+                proxy.ahead = proxy.ahead.max(time - steady);
+                proxy.manifold.jumped(time, time - now);
+            }
+            Down::Totals { .. } | Down::NotCounted(_) => {}
+        }
+        self.stands(at);
+    }
+
+    pub(super) fn list(&mut self, at: usize) {
+        let now = self.local(at);
+        let proxy = &mut self.edges[at].proxy;
+        let places: Vec<_> =
+            proxy.manifold.places().map(|(s, p, n)| (s.to_string(), p.to_vec(), n)).collect();
+        for (svc, pins, place) in places {
+            let entries = proxy.yard.entries(now, &svc, &pins);
+            proxy.manifold.listed(place, entries);
+        }
+    }
+
+    /// What an edge shows never goes back in its life, and is nothing that was refused for its contents.
+    pub(super) fn check_edge(&mut self, at: usize) {
+        let names: Vec<Name> = self.names.clone();
+        for name in names {
+            let before = self.edges[at].proxy.shown.get(&name).copied().unwrap_or(0);
+            let ver = match self.edges[at].shows(&name) {
+                Some(content) => match self.issued.contents.get(&content) {
+                    Some((_, _, false)) => {
+                        self.fault("invalid", format!("edge {at} shows {name} with content {content}"));
+                        continue;
+                    }
+                    Some((_, ver, true)) => *ver,
+                    None => continue,
+                },
+                // Dropped, at the lowest version that it can be.
+                None if before == 0 => 0,
+                None => {
+                    let dropped = self.issued.dropped.get(&name);
+                    let after = dropped.and_then(|vers| vers.range(before..).next().copied());
+                    after.unwrap_or(0)
+                }
+            };
+            if ver < before {
+                self.fault("back", format!("edge {at} shows {name} at {ver} after {before}"));
+            }
+            self.edges[at].proxy.shown.insert(name, ver);
+        }
+    }
+
+    /// The version of an item that an edge shows.
+    pub fn edge_shows(&self, at: usize, name: &Name) -> u64 {
+        self.edges[at].proxy.shown.get(name).copied().unwrap_or(0)
+    }
+
+    /// Requests come in.
+    pub(super) fn load(&mut self, at: usize) {
+        let now = self.local(at);
+        if self.load == 0 || !self.edges[at].ready() || !self.edges[at].proxy.yard.any() {
+            return;
+        }
+        self.tell_count(at);
+        for tenant in 0..LIMITS.len() {
+            // The second tenant asks at one edge, at twice its limit.
+            let rate = match tenant {
+                0 => self.load as f64,
+                _ if at == 0 => LIMITS[1].per_s * 2.0,
+                _ => continue,
+            };
+            let slot = (self.now / LOAD) as f64;
+            let due = (rate * LOAD as f64 / SECOND as f64 * slot) as u64
+                - (rate * LOAD as f64 / SECOND as f64 * (slot - 1.0).max(0.0)) as u64;
+            for _ in 0..due {
+                let proxy = &mut self.edges[at].proxy;
+                let Some(route) = proxy.book.route(HOST, PREFIX).cloned() else { return };
+                let named = proxy.book.tenant(&format!("key{tenant}")).cloned();
+                let Some(named) = named else { return };
+                if proxy.manifold.has(BASE, &[]).is_none() {
+                    let entries = proxy.yard.entries(now, BASE, &[]);
+                    proxy.manifold.open(BASE, &[], entries);
+                }
+                let request = proxy.keys.insert(tenant);
+                let tenant = Some((named.name.as_str(), &named.tenant));
+                let asked = Asked {
+                    request,
+                    route: &route,
+                    svc: BASE,
+                    tenant,
+                    pins: &[],
+                    deadline: now + 3 * SECOND,
+                };
+                self.grants.asked += 1;
+                if proxy.manifold.take(now, &asked).is_none() {
+                    proxy.keys.remove(request);
+                }
+            }
+        }
+        self.turn(at);
+    }
+
+    pub(super) fn tell_count(&mut self, at: usize) {
+        let holder = self.edges[at].agent.known.who().and_then(|who| who.holder);
+        self.edges[at].proxy.manifold.count_held(holder.map(|(_, term)| term));
+    }
+
+    /// The module decides; servers answer at once.
+    pub(super) fn turn(&mut self, at: usize) {
+        let now = self.local(at);
+        let mut steps = Vec::new();
+        for _ in 0..8 {
+            let proxy = &mut self.edges[at].proxy;
+            proxy.manifold.turn(now, &mut steps, |_, _| {});
+            if steps.is_empty() {
+                break;
+            }
+            for step in std::mem::take(&mut steps) {
+                let proxy = &mut self.edges[at].proxy;
+                match step {
+                    Step::Send { request, ticket, leg, .. } => {
+                        proxy.manifold.leg_written(now, ticket);
+                        proxy.manifold.leg_ended(now, ticket, leg, Outcome::Ok);
+                        let Some(tenant) = proxy.keys.remove(request) else { continue };
+                        if let Some((sent, most)) = self.grants.sent(self.now, tenant) {
+                            self.fault("quota", format!("tenant {tenant}: {sent} in 5 s, {most:.0} allowed"));
+                        }
+                    }
+                    Step::Answer(
+                        request,
+                        Ending::Declined { .. } | Ending::Failed | Ending::Expired { .. },
+                    ) => {
+                        proxy.keys.remove(request);
+                    }
+                    Step::Count(add) => proxy.adds.push(add),
+                    Step::Stop(..) | Step::Probe(..) => {}
+                }
+            }
+            self.send_adds(at);
+        }
+        let proxy = &mut self.edges[at].proxy;
+        if let Some(next) = proxy.manifold.next() {
+            let ahead = proxy.ahead;
+            let when = self.edges[at].clock.when(next - ahead).max(self.now + 1);
+            let proxy = &mut self.edges[at].proxy;
+            if proxy.wake <= self.now || when < proxy.wake {
+                proxy.wake = when;
+                self.later(at, when - self.now, Due::Wake);
+            }
+        }
+    }
+
+    pub(super) fn send_adds(&mut self, at: usize) {
+        let proxy = &mut self.edges[at].proxy;
+        if proxy.adds.is_empty() {
+            return;
+        }
+        let adds = std::mem::take(&mut proxy.adds);
+        proxy.batch += 1;
+        let (number, life) = (proxy.batch, proxy.life);
+        let names = adds.iter().map(|add| add.name).collect();
+        proxy.batches.push_back(Batch { number, names, expired: false });
+        self.later(at, COUNT_WAIT, Due::Batch(number));
+        let steady = self.steady(at);
+        let agent = &mut self.edges[at].agent;
+        let up = agent.count.filter(|(id, ..)| self.conns.get(id).is_some_and(|conn| conn.up));
+        let up = up.filter(|_| agent.known.time(steady).is_some());
+        let Some((id, ..)) = up else { return self.totals(at, life, number, None) };
+        agent.batch += 1;
+        let batch = agent.batch;
+        agent.batches.insert(batch, (life, number));
+        if agent.batches.len() > 2_000 {
+            agent.batches.pop_first();
+        }
+        let time = self.local(at);
+        self.say(id, Up::Adds { batch, time, adds });
+    }
+
+    pub(super) fn totals(&mut self, at: usize, life: u64, number: u64, totals: Option<&[f64]>) {
+        let proxy = &mut self.edges[at].proxy;
+        if proxy.life != life {
+            return;
+        }
+        let Some(place) = proxy.batches.iter().position(|batch| batch.number == number) else { return };
+        let Some(batch) = proxy.batches.remove(place) else { return };
+        match totals {
+            Some(_) if batch.expired => proxy.manifold.count_late(),
+            None if batch.expired => {}
+            totals => {
+                for (place, name) in batch.names.iter().enumerate() {
+                    match totals.and_then(|totals| totals.get(place)) {
+                        Some(total) => proxy.manifold.counted(*name, Outcome::Ok, *total),
+                        None => proxy.manifold.counted(*name, Outcome::ConnectFailed, 0.0),
+                    }
+                }
+            }
+        }
+        // What follows is decided on in the next turn of the loop.
+        let wake = self.now + 1;
+        self.edges[at].proxy.wake = wake;
+        self.later(at, 1, Due::Wake);
+    }
+}
--- a/drill/src/lib.rs
+++ b/drill/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod disk;
 pub mod draw;
 pub mod edges;
+pub mod harm;
 pub mod history;
 pub mod play;
 pub mod schedule;
--- /dev/null
+++ b/drill/src/play/asks.rs
@@ -0,0 +1,99 @@
+//! What operators ask, as calls.
+
+use headworks::calls::Command;
+use mains::items::{Kind, Name};
+use mains::platform::Server;
+
+use crate::edges::{BASE, HOST, LIMITS, PREFIX};
+use crate::history::DROPPED;
+use crate::schedule::Ask;
+
+pub(super) fn name(kind: Kind, name: impl ToString) -> Name {
+    Name { kind, name: name.to_string() }
+}
+
+pub(super) fn svc(item: u64) -> Name {
+    name(Kind::Service, format!("s{item}"))
+}
+
+pub(super) fn object(item: u64, ver: u64, content: u64) -> String {
+    format!(r#"{{"type":"svcs","meta":{{"name":"s{item}","ver":{ver}}},"spec":{{"hcheck":"/{content}"}}}}"#)
+}
+
+pub(super) fn route(route: &str, prefix: &str, ver: u64, content: u64, svc: &str) -> String {
+    format!(
+        r#"{{"type":"routes","meta":{{"name":"{route}","ver":{ver}}},"spec":{{"host":"{HOST}","prefix":"{prefix}",
+        "kind":"idem","timeout":"{content}ms","target_time":"500ms","svc":"{svc}","tries":2}}}}"#
+    )
+}
+
+pub(super) fn patch(objects: &[String]) -> Command {
+    Command::Patch(format!(r#"{{"upsert":{{"objs":[{}]}}}}"#, objects.join(",")).into_bytes())
+}
+
+/// The first call: what always stands.
+pub(super) fn first() -> Command {
+    let mut objects = vec![
+        format!(r#"{{"type":"svcs","meta":{{"name":"{BASE}","ver":1}},"spec":{{"hcheck":"/h"}}}}"#),
+        route("load", PREFIX, 1, 3_000, BASE),
+    ];
+    objects.extend(LIMITS.iter().enumerate().map(|(at, limit)| {
+        let (per_s, burst) = (limit.per_s, limit.burst);
+        format!(
+            r#"{{"type":"tenants","meta":{{"name":"t{at}","ver":1}},"spec":{{"apikeys":["key{at}"],"per_s":{per_s},"burst":{burst}}}}}"#
+        )
+    }));
+    patch(&objects)
+}
+
+impl Ask {
+    pub(super) fn command(self) -> Command {
+        match self {
+            Ask::Set(item, ver, content) => patch(&[object(item, ver, content)]),
+            Ask::Drop(item, ver) => {
+                let text = format!(r#"{{"remove":{{"svcs":[{{"name":"s{item}","ver":{ver}}}]}}}}"#);
+                Command::Patch(text.into_bytes())
+            }
+            Ask::Route(item, ver, content) => {
+                patch(&[route(&format!("r{item}"), &format!("/r{item}/"), ver, content, BASE)])
+            }
+            Ask::Two(ver, content, other) => patch(&[object(0, ver, content), object(1, ver, other)]),
+            Ask::Bad(ver, content) => {
+                patch(&[object(0, ver, content), route("r0", "/r0/", ver, content, "nowhere")])
+            }
+            Ask::Read => Command::Get,
+            Ask::Drain(on) => Command::Drain { zone: "c".to_string(), on },
+        }
+    }
+
+    /// The items that it writes: version and content.
+    pub(super) fn writes(self) -> Vec<(Name, u64, u64)> {
+        match self {
+            Ask::Set(item, ver, content) => vec![(svc(item), ver, content)],
+            Ask::Drop(item, ver) => vec![(svc(item), ver, DROPPED)],
+            Ask::Route(item, ver, content) => vec![(name(Kind::Route, format!("r{item}")), ver, content)],
+            Ask::Two(ver, content, other) => vec![(svc(0), ver, content), (svc(1), ver, other)],
+            Ask::Bad(..) | Ask::Read | Ask::Drain(_) => Vec::new(),
+        }
+    }
+}
+
+/// The items of the schedules.
+pub(super) fn names() -> Vec<Name> {
+    let routes = (0..2).map(|at| name(Kind::Route, format!("r{at}")));
+    (0..3).map(svc).chain(routes).collect()
+}
+
+/// The list of the platform: its number is in the servers' ids.
+pub(super) fn servers(list: u64, zones: &[String]) -> Vec<Server> {
+    let one = |at: u64| Server {
+        id: format!("i{list}-{at}"),
+        svc: BASE.to_string(),
+        addr: std::net::SocketAddr::from(([10, 128, 0, at as u8], 8080)),
+        zone: zones[at as usize % zones.len()].clone(),
+        slots: 100,
+        up: true,
+        cold: 0,
+    };
+    (0..6).map(one).collect()
+}
