--- a/drill/src/cluster.rs
+++ b/drill/src/cluster.rs
@@ -391,6 +391,11 @@
         let call = self.calls;
         if self.nodes[at].core.is_some() {
             let deadline = self.nodes[at].clock.at(self.now) + self.off(at) + headworks::limits::CALL;
+            // Each again and again, as if it were another: what is held for calls grows.
+            let times = if self.has(Bug::Calls) { 40 } else { 0 };
+            for time in 1..=times {
+                self.feed(at, Input::Call(call + (time << 40), command.clone(), deadline));
+            }
             self.feed(at, Input::Call(call, command, deadline));
         }
         call
@@ -483,8 +488,12 @@
         let now = self.now;
         let spent = 500 + self.draw(at, at) % self.sync.max(1);
         let node = &mut self.nodes[at];
+        let votes = rows.iter().all(|row| matches!(row, Row::Register(..)));
         node.disk.waiting.push_back((number, rows));
         let when = (now + spent as i64).max(node.disk.stalled);
+        if self.has(Bug::Written) && votes && self.draw(at, at).is_multiple_of(4) {
+            self.harm.unreported.insert((at, life, number));
+        }
         if self.has(Bug::Sync) {
             self.enter(now + 1, Event::Feed(at, life, Box::new(Input::Written(number))));
             return self.enter(when + 2 * SECOND, Event::Synced(at, life, number));
@@ -540,7 +549,7 @@
                     return self.enter(when, Event::Synced(at, life, number));
                 }
                 for number in node.disk.sync(number) {
-                    if !self.has(Bug::Written) || !self.draw(at, at).is_multiple_of(40) {
+                    if !self.harm.unreported.remove(&(at, life, number)) {
                         self.feed(at, Input::Written(number));
                     }
                 }
--- a/drill/src/harm.rs
+++ b/drill/src/harm.rs
@@ -1,6 +1,6 @@
 //! Deliberate harm done by the world around the programs; docs/core.md says which rule sees each.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use headworks::core::letters::{Ballot, Body, Duty, Letter, Life};
 use mains::items::{Item, Name};
@@ -46,13 +46,15 @@
     Totals,
     /// A letter for a seat that is out of reach is sent again without pause.
     Resend,
-    /// Some of what was written is never reported: what waits for it is held for good.
+    /// A call of the operators is taken again and again.
+    Calls,
+    /// A quarter of the votes that were written are never reported: what waits for it is held for good.
     Written,
 }
 
 impl Bug {
     /// All of them, by name.
-    pub const ALL: [(&'static str, Bug); 18] = [
+    pub const ALL: [(&'static str, Bug); 19] = [
         ("sync", Bug::Sync),
         ("empty", Bug::Empty),
         ("clock", Bug::Clock),
@@ -70,6 +72,7 @@
         ("twice", Bug::Twice),
         ("totals", Bug::Totals),
         ("resend", Bug::Resend),
+        ("calls", Bug::Calls),
         ("written", Bug::Written),
     ];
 }
@@ -83,6 +86,8 @@
     forgot: BTreeMap<(usize, usize, Ballot), Ballot>,
     /// Adds that came to a machine, by connection and batch.
     adds: BTreeMap<(u64, u64), Vec<Add>>,
+    /// Writes that are never reported: the machine, its life, their number.
+    pub(crate) unreported: BTreeSet<(usize, u64, u64)>,
     /// What each machine counted on its own.
     counts: HashMap<(usize, u64), f64>,
     /// What each edge's proxy was told last of each item.
--- a/drill/tests/bugs.rs
+++ b/drill/tests/bugs.rs
@@ -30,6 +30,7 @@
 #[test_case(Bug::Twice, ANY, 1..=2, &["starved"]; "adds count twice")]
 #[test_case(Bug::Totals, ANY, 1..=3, &["quota"]; "the totals of an old holder are believed")]
 #[test_case(Bug::Resend, ANY, 1..=1, &["letters"]; "letters are sent again without pause")]
+#[test_case(Bug::Calls, ANY, 1..=1, &["memory"]; "calls are taken again and again")]
 #[test_case(Bug::Written, ANY, 1..=1, &["memory"]; "what waits is held for good")]
 fn harm_is_found(bug: Bug, plan: Plan, mut seeds: RangeInclusive<u64>, rules: &[&str]) {
     let first = *seeds.start();
