--- a/drill/src/cluster.rs
+++ b/drill/src/cluster.rs
@@ -7,11 +7,11 @@
 
 use headworks::calls::{Command, Reply};
 use headworks::core::letters::{Duty, Letter, Life};
-use headworks::core::{Core, Input, Output, Own, Row, Setup};
+use headworks::core::{Core, Input, Output, Own, Row};
 use mains::items::Name;
 use mains::messages::{Down, Up};
 
-use crate::chance::{Chance, Steady, mix};
+use crate::chance::{Chance, Steady};
 use crate::disk::Disk;
 use crate::edges::{Conn, Due, EDGES, Edge, Grants, Issued};
 pub use crate::harm::Bug;
@@ -19,6 +19,7 @@
 
 mod lines;
 mod links;
+mod machines;
 mod watch;
 
 pub use self::lines::{assert_timeline, service, timeline};
@@ -219,172 +220,11 @@
         }
     }
 
-    /// A machine in a zone, not started, with an empty disk.
-    pub fn add(&mut self, zone: usize) -> usize {
-        let at = self.nodes.len();
-        let address = SocketAddr::from(([10, 0, zone as u8, at as u8], 7740));
-        let drawn = mix(&[self.seed, 1, at as u64]);
-        let clock = Steady { offset: (drawn % 1_000) as i64 * SECOND, ppm: (drawn >> 20) as i64 % 401 - 200 };
-        self.nodes.push(Node {
-            zone,
-            address,
-            core: None,
-            disk: Disk::default(),
-            life: 0,
-            clock,
-            frozen: false,
-            stood: 0,
-            slow: 0,
-            inbox: VecDeque::new(),
-            busy: 0,
-            peers: Vec::new(),
-            tick: 0,
-            told: Vec::new(),
-            notes: Vec::new(),
-            second: (0, 0),
-            most: 0,
-        });
-        at
-    }
-
     pub(crate) fn enter(&mut self, at: i64, event: Event) {
         self.order += 1;
         self.events.insert((at, self.order), event);
     }
 
-    /// Starts a machine's process with what is on its disk.
-    pub fn start(&mut self, at: usize) {
-        if self.nodes[at].core.is_some() {
-            return;
-        }
-        let seeds = self.seeds();
-        let bug = self.bug;
-        let node = &mut self.nodes[at];
-        let empty = node.disk.own.life == Life::NONE;
-        match bug {
-            Some(Bug::Empty) if empty => node.disk.own.life = Life::FIRST,
-            Some(Bug::Tombstone) => node.disk.forget_dropped(),
-            Some(Bug::Term) => node.disk.own.terms.clear(),
-            _ => {}
-        }
-        node.life += 1;
-        let setup = Setup {
-            zones: self.zones.clone(),
-            zone: self.zones[node.zone].clone(),
-            address: Some(node.address),
-            seeds,
-            seed: mix(&[self.seed, 2, at as u64, node.life]),
-            restored: node.disk.restore(),
-        };
-        let core = Core::new(node.clock.at(self.now), setup);
-        node.peers = core.peers();
-        node.core = Some(core);
-        (node.frozen, node.slow, node.busy) = (false, 0, 0);
-        if node.disk.full {
-            self.feed(at, Input::Full(true));
-        }
-        self.feed(at, Input::Tick);
-    }
-
-    /// Those that the settings name at a start: they stood in the operators' list then.
-    pub(crate) fn seeds(&self) -> Vec<SocketAddr> {
-        self.holding().into_iter().take(3).map(|at| self.nodes[at].address).collect()
-    }
-
-    /// Kills a machine's process; of what was on its way to disk, some may have got there.
-    pub fn kill(&mut self, at: usize) {
-        let kept = self.chance.below(self.nodes[at].disk.waiting.len() as u64 + 1) as usize;
-        self.end(at, kept);
-    }
-
-    /// A machine loses power, and with it all that was not synced.
-    pub fn power(&mut self, at: usize) {
-        self.end(at, 0);
-    }
-
-    fn end(&mut self, at: usize, kept: usize) {
-        let node = &mut self.nodes[at];
-        if node.core.take().is_none() {
-            return;
-        }
-        node.inbox.clear();
-        node.disk.cut(if node.disk.full { 0 } else { kept });
-        self.links.retain(|(a, b)| *a != at && *b != at);
-        let conns: Vec<u64> =
-            self.conns.iter().filter(|(_, conn)| conn.node == at).map(|(id, _)| *id).collect();
-        for id in conns {
-            self.reset(id, false);
-        }
-    }
-
-    /// A machine loses its disk; it is down then.
-    pub fn wipe(&mut self, at: usize) {
-        self.power(at);
-        self.nodes[at].disk = Disk::default();
-    }
-
-    /// A process is told to end: it gives back what it holds, and ends a little later.
-    pub fn stop(&mut self, at: usize) {
-        self.feed(at, Input::Stop);
-        let life = self.nodes[at].life;
-        self.enter(self.now + 300 * MS, Event::End(at, life));
-    }
-
-    /// A process stands still, or goes on with all that has come meanwhile.
-    pub fn freeze(&mut self, at: usize, frozen: bool) {
-        let runs = self.nodes[at].core.is_some();
-        let was = std::mem::replace(&mut self.nodes[at].frozen, frozen && runs);
-        if !was && frozen {
-            self.nodes[at].stood = self.now;
-        }
-        if was && !frozen {
-            if self.has(Bug::Stood) {
-                let node = &mut self.nodes[at];
-                node.clock.offset -= self.now - node.stood;
-            }
-            self.catch_up(at);
-        }
-    }
-
-    /// Each input takes a process so much longer.
-    pub fn slow(&mut self, at: usize, by: i64) {
-        if std::mem::replace(&mut self.nodes[at].slow, by) > 0 && by == 0 && !self.nodes[at].frozen {
-            self.catch_up(at);
-        }
-    }
-
-    fn catch_up(&mut self, at: usize) {
-        while let Some(input) = self.nodes[at].inbox.pop_front() {
-            self.handle(at, input);
-        }
-        self.nodes[at].busy = 0;
-        self.handle(at, Input::Tick);
-    }
-
-    /// A disk takes nothing more, or again.
-    pub fn fill(&mut self, at: usize, full: bool) {
-        if std::mem::replace(&mut self.nodes[at].disk.full, full) == full {
-            return;
-        }
-        self.feed(at, Input::Full(full));
-        let (life, last) =
-            (self.nodes[at].life, self.nodes[at].disk.waiting.back().map(|(number, _)| *number));
-        if let Some(last) = last.filter(|_| !full) {
-            self.enter(self.now + 2 * MS, Event::Synced(at, life, last));
-        }
-    }
-
-    /// The machine that has each seat last.
-    pub fn holding(&self) -> Vec<usize> {
-        let last = |zone| (0..self.nodes.len()).rfind(|at| self.nodes[*at].zone == zone);
-        (0..self.zones.len()).filter_map(last).collect()
-    }
-
-    /// The machines whose processes run.
-    pub fn live(&self) -> Vec<usize> {
-        (0..self.nodes.len()).filter(|at| self.nodes[*at].core.is_some()).collect()
-    }
-
     /// An operator's call at a machine; gives its number.
     pub fn call(&mut self, at: usize, command: Command) -> u64 {
         self.calls += 1;
