--- a/drill/src/cluster.rs
+++ b/drill/src/cluster.rs
@@ -6,21 +6,32 @@
 use std::net::SocketAddr;
 
 use headworks::calls::{Command, Reply};
-use headworks::core::letters::{Body, Duty, Letter, Life};
-use headworks::core::{Core, Input, Output, Own, Row, Setup};
-use headworks::limits::GRANT;
-use mains::items::{Item, Name};
+use headworks::core::letters::{Duty, Letter, Life};
+use headworks::core::{Core, Input, Output, Own, Row};
+use mains::items::Name;
 use mains::messages::{Down, Up};
 
-use crate::chance::{Chance, Steady, mix};
+use crate::chance::{Chance, Steady};
 use crate::disk::Disk;
 use crate::edges::{Conn, Due, EDGES, Edge, Grants, Issued};
+pub use crate::harm::Bug;
+use crate::harm::Harm;
+
+mod lines;
+mod links;
+mod machines;
+mod watch;
+
+pub use self::lines::{assert_timeline, service, timeline};
 
 /// A millisecond, in microseconds.
 pub const MS: i64 = 1_000;
 /// A second.
 pub const SECOND: i64 = 1_000_000;
 
+/// Stated: most events a second of one machine or edge. A play that goes in circles ends by it.
+pub const EVENTS: usize = 800;
+
 /// A rule that was broken.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Fault {
@@ -32,53 +43,6 @@
     pub text: String,
 }
 
-/// Deliberate harm done by the world around the programs, to show that the drill sees it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Bug {
-    /// A disk says that rows are there before they are.
-    Sync,
-    /// A seat with an empty disk counts at once.
-    Empty,
-    /// A start is not counted, so that ballots come twice.
-    Run,
-    /// Steady clocks step back now and then.
-    Clock,
-    /// A rebuilt seat hears nothing of earlier promises.
-    Floor,
-    /// Seats do not hear of newer lives.
-    Lives,
-    /// Dropped items are not on disk after a start.
-    Tombstone,
-    /// Promises are not on disk after a start.
-    Promise,
-    /// Granted terms are not on disk after a start.
-    Term,
-    /// An edge forgets what it showed.
-    Forget,
-    /// Acceptances arrive that were never sent.
-    Accepted,
-    /// The holder of the count counts nothing.
-    Count,
-}
-
-impl Bug {
-    /// All of them, by name.
-    pub const ALL: [(&'static str, Bug); 12] = [
-        ("sync", Bug::Sync),
-        ("empty", Bug::Empty),
-        ("run", Bug::Run),
-        ("clock", Bug::Clock),
-        ("floor", Bug::Floor),
-        ("lives", Bug::Lives),
-        ("tombstone", Bug::Tombstone),
-        ("promise", Bug::Promise),
-        ("term", Bug::Term),
-        ("forget", Bug::Forget),
-        ("accepted", Bug::Accepted),
-        ("count", Bug::Count),
-    ];
-}
-
 /// The names of so many zones, in order; two to a region.
 pub fn zones(count: usize) -> Vec<String> {
     let name = |at: usize| match u8::try_from(at) {
@@ -104,6 +68,7 @@
     pub clock: Steady,
     /// It stands still; what comes waits.
     pub frozen: bool,
+    stood: i64,
     /// Each input takes it this much longer.
     pub slow: i64,
     inbox: VecDeque<Input>,
@@ -127,6 +92,7 @@
     Feed(usize, u64, Box<Input>),
     End(usize, u64),
     Dial,
+    Resend(usize, u64, SocketAddr, Box<Letter>),
     Up(u64),
     ToSeat(u64, Up),
     ToEdge(u64, Down),
@@ -187,6 +153,11 @@
     /// ...of these items.
     pub names: Vec<Name>,
     pub(crate) conn: u64,
+    pub(crate) harm: Harm,
+    /// Events of this second.
+    events_of: (i64, usize),
+    /// Most events in a second.
+    pub busiest: usize,
 }
 
 impl Cluster {
@@ -228,6 +199,9 @@
             issued: Issued::default(),
             names: Vec::new(),
             conn: 0,
+            harm: Harm::default(),
+            events_of: (0, 0),
+            busiest: 0,
         };
         for zone in 0..seats {
             let at = cluster.add(zone);
@@ -246,186 +220,22 @@
         }
     }
 
-    /// A machine in a zone, not started, with an empty disk.
-    pub fn add(&mut self, zone: usize) -> usize {
-        let at = self.nodes.len();
-        let address = SocketAddr::from(([10, 0, zone as u8, at as u8], 7740));
-        let drawn = mix(&[self.seed, 1, at as u64]);
-        let clock = Steady { offset: (drawn % 1_000) as i64 * SECOND, ppm: (drawn >> 20) as i64 % 401 - 200 };
-        self.nodes.push(Node {
-            zone,
-            address,
-            core: None,
-            disk: Disk::default(),
-            life: 0,
-            clock,
-            frozen: false,
-            slow: 0,
-            inbox: VecDeque::new(),
-            busy: 0,
-            peers: Vec::new(),
-            tick: 0,
-            told: Vec::new(),
-            notes: Vec::new(),
-            second: (0, 0),
-            most: 0,
-        });
-        at
-    }
-
     pub(crate) fn enter(&mut self, at: i64, event: Event) {
         self.order += 1;
         self.events.insert((at, self.order), event);
     }
 
-    /// Starts a machine's process with what is on its disk.
-    pub fn start(&mut self, at: usize) {
-        if self.nodes[at].core.is_some() {
-            return;
-        }
-        let seeds = self.seeds();
-        let bug = self.bug;
-        let node = &mut self.nodes[at];
-        let empty = node.disk.own.life == Life::NONE;
-        match bug {
-            Some(Bug::Empty) if empty => node.disk.own.life = Life::FIRST,
-            Some(Bug::Run) if !empty && node.disk.own.run > 0 => node.disk.own.run -= 1,
-            Some(Bug::Promise) => node.disk.forget_promises(),
-            Some(Bug::Tombstone) => node.disk.forget_dropped(),
-            Some(Bug::Term) => node.disk.own.terms.clear(),
-            _ => {}
-        }
-        node.life += 1;
-        let setup = Setup {
-            zones: self.zones.clone(),
-            zone: self.zones[node.zone].clone(),
-            address: Some(node.address),
-            seeds,
-            seed: mix(&[self.seed, 2, at as u64, node.life]),
-            restored: node.disk.restore(),
-        };
-        let core = Core::new(node.clock.at(self.now), setup);
-        node.peers = core.peers();
-        node.core = Some(core);
-        (node.frozen, node.slow, node.busy) = (false, 0, 0);
-        if node.disk.full {
-            self.feed(at, Input::Full(true));
-        }
-        self.feed(at, Input::Tick);
-    }
-
-    /// Those that the settings name at a start: they stood in the operators' list then.
-    pub(crate) fn seeds(&self) -> Vec<SocketAddr> {
-        self.holding().into_iter().take(3).map(|at| self.nodes[at].address).collect()
-    }
-
-    /// Kills a machine's process; of what was on its way to disk, some may have got there.
-    pub fn kill(&mut self, at: usize) {
-        let kept = self.chance.below(self.nodes[at].disk.waiting.len() as u64 + 1) as usize;
-        self.end(at, kept);
-    }
-
-    /// A machine loses power, and with it all that was not synced.
-    pub fn power(&mut self, at: usize) {
-        self.end(at, 0);
-    }
-
-    fn end(&mut self, at: usize, kept: usize) {
-        let node = &mut self.nodes[at];
-        if node.core.take().is_none() {
-            return;
-        }
-        node.inbox.clear();
-        node.disk.cut(if node.disk.full { 0 } else { kept });
-        self.links.retain(|(a, b)| *a != at && *b != at);
-        let conns: Vec<u64> =
-            self.conns.iter().filter(|(_, conn)| conn.node == at).map(|(id, _)| *id).collect();
-        for id in conns {
-            self.reset(id, false);
-        }
-    }
-
-    /// A machine loses its disk; it is down then.
-    pub fn wipe(&mut self, at: usize) {
-        self.power(at);
-        self.nodes[at].disk = Disk::default();
-    }
-
-    /// A process is told to end: it gives back what it holds, and ends a little later.
-    pub fn stop(&mut self, at: usize) {
-        self.feed(at, Input::Stop);
-        let life = self.nodes[at].life;
-        self.enter(self.now + 300 * MS, Event::End(at, life));
-    }
-
-    /// A process stands still, or goes on with all that has come meanwhile.
-    pub fn freeze(&mut self, at: usize, frozen: bool) {
-        let runs = self.nodes[at].core.is_some();
-        let was = std::mem::replace(&mut self.nodes[at].frozen, frozen && runs);
-        if was && !frozen {
-            self.catch_up(at);
-        }
-    }
-
-    /// Each input takes a process so much longer.
-    pub fn slow(&mut self, at: usize, by: i64) {
-        if std::mem::replace(&mut self.nodes[at].slow, by) > 0 && by == 0 && !self.nodes[at].frozen {
-            self.catch_up(at);
-        }
-    }
-
-    fn catch_up(&mut self, at: usize) {
-        while let Some(input) = self.nodes[at].inbox.pop_front() {
-            self.handle(at, input);
-        }
-        self.nodes[at].busy = 0;
-        self.handle(at, Input::Tick);
-    }
-
-    /// A disk takes nothing more, or again.
-    pub fn fill(&mut self, at: usize, full: bool) {
-        if std::mem::replace(&mut self.nodes[at].disk.full, full) == full {
-            return;
-        }
-        self.feed(at, Input::Full(full));
-        let (life, last) =
-            (self.nodes[at].life, self.nodes[at].disk.waiting.back().map(|(number, _)| *number));
-        if let Some(last) = last.filter(|_| !full) {
-            self.enter(self.now + 2 * MS, Event::Synced(at, life, last));
-        }
-    }
-
-    /// The machine that has each seat last.
-    pub fn holding(&self) -> Vec<usize> {
-        let last = |zone| (0..self.nodes.len()).rfind(|at| self.nodes[*at].zone == zone);
-        (0..self.zones.len()).filter_map(last).collect()
-    }
-
-    /// The machines whose processes run.
-    pub fn live(&self) -> Vec<usize> {
-        (0..self.nodes.len()).filter(|at| self.nodes[*at].core.is_some()).collect()
-    }
-
-    /// Cuts every link between two groups.
-    pub fn cut(&mut self, one: &[usize], other: &[usize]) {
-        for (a, b) in one.iter().flat_map(|a| other.iter().map(|b| (*a, *b))) {
-            self.cuts.extend([(a, b), (b, a)]);
-        }
-        let cuts = &self.cuts;
-        self.links.retain(|pair| !cuts.contains(pair));
-    }
-
-    /// All links are whole again.
-    pub fn heal(&mut self) {
-        self.cuts.clear();
-    }
-
     /// An operator's call at a machine; gives its number.
     pub fn call(&mut self, at: usize, command: Command) -> u64 {
         self.calls += 1;
         let call = self.calls;
         if self.nodes[at].core.is_some() {
-            let deadline = self.nodes[at].clock.at(self.now) + headworks::limits::CALL;
+            let deadline = self.nodes[at].clock.at(self.now) + self.off(at) + headworks::limits::CALL;
+            // Each again and again, as if it were another: what is held for calls grows.
+            let times = if self.has(Bug::Calls) { 40 } else { 0 };
+            for time in 1..=times {
+                self.feed(at, Input::Call(call + (time << 40), command.clone(), deadline));
+            }
             self.feed(at, Input::Call(call, command, deadline));
         }
         call
@@ -435,7 +245,7 @@
     pub fn ask(&mut self, at: usize, command: Command) -> Option<Reply> {
         let call = self.call(at, command);
         let end = self.now + SECOND;
-        while self.now < end && !self.answers.contains_key(&call) {
+        while self.now < end && !self.answers.contains_key(&call) && !self.stuck() {
             self.step(end);
         }
         self.reply(call)
@@ -463,19 +273,13 @@
 
     fn handle(&mut self, at: usize, input: Input) {
         let now = self.now;
-        let seed = self.seed;
+        let off = self.off(at);
         let node = &mut self.nodes[at];
         let Some(core) = node.core.as_mut() else { return };
         let mut out = Vec::new();
-        let mut local = node.clock.at(now);
-        if self.bug == Some(Bug::Clock)
-            && mix(&[seed, 9, at as u64, (now / (700 * MS)) as u64]).is_multiple_of(4)
-        {
-            local -= 900 * MS;
-        }
-        core.take(local, input, &mut out);
-        let next = node.clock.when(core.next());
-        if next <= now && self.bug != Some(Bug::Clock) {
+        core.take(node.clock.at(now) + off, input, &mut out);
+        let next = node.clock.when(core.next() - off);
+        if next <= now {
             self.fault("turn", format!("machine {at} wants to be called again at once, without end"));
         }
         let node = &mut self.nodes[at];
@@ -524,71 +328,22 @@
         let now = self.now;
         let spent = 500 + self.draw(at, at) % self.sync.max(1);
         let node = &mut self.nodes[at];
+        let votes = rows.iter().all(|row| matches!(row, Row::Register(..)));
         node.disk.waiting.push_back((number, rows));
         let when = (now + spent as i64).max(node.disk.stalled);
-        if self.bug == Some(Bug::Sync) && self.draw(at, at).is_multiple_of(3) {
+        if self.has(Bug::Written) && votes && self.draw(at, at).is_multiple_of(4) {
+            self.harm.unreported.insert((at, life, number));
+        }
+        if self.has(Bug::Sync) {
             self.enter(now + 1, Event::Feed(at, life, Box::new(Input::Written(number))));
-            return self.enter(now + 200 * MS, Event::Synced(at, life, number));
+            return self.enter(when + 2 * SECOND, Event::Synced(at, life, number));
         }
         self.enter(when, Event::Synced(at, life, number));
     }
 
-    /// A number by chance for this pair, the same whatever happens elsewhere.
-    fn draw(&mut self, from: usize, to: usize) -> u64 {
-        let count = self.drawn.entry((from, to)).or_default();
-        *count += 1;
-        mix(&[self.seed, 3, from as u64, to as u64, *count])
-    }
-
-    pub(crate) fn way(&self, one: usize, other: usize) -> i64 {
-        if one / 2 == other / 2 { 900 } else { 55 * MS }
-    }
-
-    fn deliver(&mut self, from: usize, to: SocketAddr, letter: &Letter) {
-        let Some(to) = self.nodes.iter().position(|node| node.address == to) else { return };
-        let linked = self.links.contains(&(from, to)) && !self.cuts.contains(&(from, to));
-        if !linked || self.draw(from, to) % 1_000 < self.drops {
-            return;
-        }
-        let way = self.way(self.nodes[from].zone, self.nodes[to].zone);
-        let copies = 1 + u32::from(self.twice > 0 && self.draw(from, to) % 1_000 < self.twice);
-        for _ in 0..copies {
-            let late = if self.late > 0 { (self.draw(from, to) % self.late) as i64 } else { 0 };
-            let letter = Box::new(self.harmed(letter.clone()));
-            self.enter(self.now + way + late, Event::Letter(from, to, letter));
-        }
-    }
-
-    fn harmed(&self, mut letter: Letter) -> Letter {
-        match (self.bug, &mut letter.body) {
-            (Some(Bug::Floor), Body::Recorded { floor, .. }) => *floor = Default::default(),
-            (Some(Bug::Lives), _) => letter.lives.fill(Life::NONE),
-            (Some(Bug::Accepted), Body::Nack { ballot, .. }) => letter.body = Body::Accepted(*ballot),
-            _ => {}
-        }
-        letter
-    }
-
-    fn dial(&mut self) {
-        let mut pairs = Vec::new();
-        for at in self.live() {
-            let peers = self.nodes[at].peers.iter();
-            let known = peers.filter_map(|peer| self.nodes.iter().position(|node| node.address == *peer));
-            pairs.extend(known.map(|peer| (at, peer)));
-        }
-        for (at, peer) in pairs {
-            let up = self.nodes[peer].core.is_some() && at != peer;
-            let open = !self.cuts.contains(&(at, peer)) && !self.cuts.contains(&(peer, at));
-            if up && open && !self.links.contains(&(at, peer)) {
-                self.links.extend([(at, peer), (peer, at)]);
-                for (one, other) in [(at, peer), (peer, at)] {
-                    let address = self.nodes[other].address;
-                    self.feed(one, Input::LinkUp(address));
-                }
-            }
-        }
-        self.silent_conns();
-        self.enter(self.now + 100 * MS, Event::Dial);
+    /// More events in a second than a play may have: it goes no further.
+    pub fn stuck(&self) -> bool {
+        self.events_of.1 > EVENTS * (self.nodes.len() + self.edges.len())
     }
 
     /// Lets the next event happen, if it comes before `end`.
@@ -599,6 +354,15 @@
         };
         let ((at, _), event) = entry.remove_entry();
         self.now = self.now.max(at);
+        let second = self.now / SECOND;
+        if self.events_of.0 != second {
+            self.events_of = (second, 0);
+        }
+        self.events_of.1 += 1;
+        self.busiest = self.busiest.max(self.events_of.1);
+        if self.stuck() {
+            self.fault("turn", format!("{} events in a second", self.events_of.1));
+        }
         self.happen(event);
     }
 
@@ -611,7 +375,8 @@
             Event::Letter(from, to, letter) => {
                 if !self.cuts.contains(&(from, to)) {
                     let address = self.nodes[from].address;
-                    self.feed(to, Input::Letter(address, *letter));
+                    let letter = self.harmed(from, to, *letter);
+                    self.feed(to, Input::Letter(address, letter));
                 }
             }
             Event::Synced(at, life, number) => {
@@ -624,7 +389,9 @@
                     return self.enter(when, Event::Synced(at, life, number));
                 }
                 for number in node.disk.sync(number) {
-                    self.feed(at, Input::Written(number));
+                    if !self.harm.unreported.remove(&(at, life, number)) {
+                        self.feed(at, Input::Written(number));
+                    }
                 }
             }
             Event::Tick(at, tick) if self.nodes[at].tick == tick && !self.nodes[at].frozen => {
@@ -644,6 +411,11 @@
             Event::End(at, life) if self.runs(at, life) => self.kill(at),
             Event::End(..) => {}
             Event::Dial => self.dial(),
+            Event::Resend(from, life, to, letter) if self.runs(from, life) => {
+                self.sent(from, 1);
+                self.deliver(from, to, &letter);
+            }
+            Event::Resend(..) => {}
             other => self.edge_event(other),
         }
     }
@@ -655,148 +427,13 @@
 
     /// Lets time pass until then.
     pub fn run_to(&mut self, end: i64) {
-        while self.now < end {
+        while self.now < end && !self.stuck() {
             self.step(end);
         }
     }
 
-    /// A machine holds a duty at this instant, in this term.
-    pub fn holds(&self, at: usize, duty: Duty) -> Option<u64> {
-        let node = &self.nodes[at];
-        node.core.as_ref()?.holds(node.clock.at(self.now), duty)
-    }
-
-    /// Who holds a duty now.
-    pub fn holders(&self, duty: Duty) -> Vec<(usize, u64)> {
-        (0..self.nodes.len()).filter_map(|at| Some((at, self.holds(at, duty)?))).collect()
-    }
-
-    /// At most one holder of the count at any instant; two that poll for as long as a grant lasts at the most. Never two of
-    /// one term, and terms that rise.
-    fn check(&mut self, at: usize) {
-        let pollers = self.holders(Duty::Poll).len();
-        let since = *self.pollers.get_or_insert(self.now);
-        if pollers < 2 {
-            self.pollers = None;
-        } else if self.now - since > GRANT {
-            self.fault("duty", format!("{pollers} poll for {} ms", (self.now - since) / MS));
-        }
-        for duty in Duty::ALL {
-            let Some(term) = self.holds(at, duty) else { continue };
-            let first = *self.terms.entry((duty, term)).or_insert(at);
-            if first != at {
-                self.fault("duty", format!("{duty:?}: two holders of term {term}, {first} and {at}"));
-            }
-            let other = self.holders(duty).into_iter().find(|(other, _)| *other != at);
-            if let Some((other, _)) = other.filter(|_| duty == Duty::Count) {
-                self.fault("duty", format!("{duty:?} is held by {at} and {other}"));
-            }
-            let newest = self.terms.range((duty, 0)..=(duty, u64::MAX)).next_back().map(|((_, t), _)| *t);
-            if newest.is_some_and(|newest| newest > term) && duty == Duty::Count {
-                self.fault("duty", format!("{duty:?}: term {term} after {newest:?}"));
-            }
-        }
-    }
-
-    /// Notes what each machine knows to be chosen: one version has one content, and none goes back.
-    pub fn check_contents(&mut self) {
-        let mut faults = Vec::new();
-        for (at, node) in self.nodes.iter().enumerate() {
-            for item in node.core.iter().flat_map(Core::chosen) {
-                let key = (item.name.clone(), item.ver);
-                let first = self.contents.entry(key).or_insert_with(|| item.spec.clone());
-                if *first != item.spec {
-                    faults.push(("content", format!("two contents of {} {}", item.name, item.ver)));
-                }
-                let shown = self.shown.entry((at, node.life, item.name.clone())).or_default();
-                if *shown > item.ver {
-                    faults.push(("back", format!("machine {at}: {} {} after {shown}", item.name, item.ver)));
-                }
-                *shown = item.ver;
-            }
-        }
-        for (at, edge) in self.edges.iter().enumerate() {
-            for item in edge.known_items() {
-                let chosen = self.contents.get(&(item.name.clone(), item.ver));
-                if chosen.is_some_and(|spec| *spec != item.spec) {
-                    faults.push((
-                        "content",
-                        format!("edge {at}: another content of {} {}", item.name, item.ver),
-                    ));
-                }
-            }
-        }
-        faults.into_iter().for_each(|(rule, text)| self.fault(rule, text));
-    }
-
-    /// What a machine knows to be chosen.
-    pub fn chosen(&self, at: usize) -> BTreeMap<Name, Item> {
-        let items = self.nodes[at].core.iter().flat_map(Core::chosen);
-        items.map(|item| (item.name.clone(), item.clone())).collect()
-    }
-
-    /// All seats know the same to be chosen.
-    pub fn agree(&self) -> bool {
-        let seats = self.holding();
-        seats.iter().all(|at| self.chosen(*at) == self.chosen(seats[0]))
-    }
-
-    /// A line of a timeline: one column a machine. `.` is down, `r` rebuilds, `x` is set aside, `-` is out of touch, `o`
-    /// takes part; `P` and `C` are the duties; then the versions of the items by name.
-    pub fn line(&self, names: &[&str]) -> String {
-        let one = |node: &Node| {
-            let Some(core) = &node.core else { return ".".to_string() };
-            let now = node.clock.at(self.now);
-            let mut text = match core {
-                core if core.aside() => "x",
-                core if !core.takes_part() => "r",
-                core if !core.in_touch(now) => "-",
-                _ => "o",
-            }
-            .to_string();
-            text.extend(core.holds(now, Duty::Poll).map(|_| 'P'));
-            text.extend(core.holds(now, Duty::Count).map(|_| 'C'));
-            for name in names {
-                let found = core.chosen().find(|item| item.name.name == *name);
-                text.push_str(&found.map_or("_".to_string(), |item| item.ver.to_string()));
-            }
-            text
-        };
-        let columns: Vec<String> = self.nodes.iter().map(|node| format!("{:<6}", one(node))).collect();
-        let time = format!("{:>6}", format!("{:.1}s", self.now as f64 / 1e6));
-        format!("{time}  {}", columns.join("")).trim_end().to_string()
-    }
-
     /// Nothing goes between an edge and a machine, either way.
     pub(crate) fn apart(&self, edge: usize, node: usize) -> bool {
         self.cuts.contains(&(EDGES + edge, node)) || self.cuts.contains(&(node, EDGES + edge))
     }
 }
-
-/// A change of one service, whose content is told by a number.
-pub fn service(name: &str, ver: u64, content: u64) -> Command {
-    let text = format!(
-        r#"{{"upsert":{{"objs":[{{"type":"svcs","meta":{{"name":"{name}","ver":{ver}}},"spec":{{"hcheck":"/{content}"}}}}]}}}}"#
-    );
-    Command::Patch(text.into_bytes())
-}
-
-/// The whole text of a timeline.
-pub fn timeline(lines: &[String]) -> String {
-    let head = "        a    b    c    d    e    f";
-    std::iter::once(head).chain(lines.iter().map(String::as_str)).collect::<Vec<_>>().join("\n")
-}
-
-/// Compares a timeline with what is drawn; how wide the columns are does not matter.
-///
-/// # Panics
-/// They differ.
-#[track_caller]
-pub fn assert_timeline(lines: &[String], drawn: &str) {
-    let text = timeline(lines);
-    let words = |text: &str| -> Vec<String> {
-        let lines = text.lines().map(|line| line.split_whitespace().collect::<Vec<_>>().join(" "));
-        lines.filter(|line| !line.is_empty()).collect()
-    };
-    assert_eq!(words(&text), words(drawn), "\n{text}\n");
-}
