Core: a seat is not held for good by a life that it began and lost

Cause: a seat that lost its disk began a life that few others wrote down, lost the disk or the process again, and began another one with a lower mark. When one of those few came back, the abandoned life set the seat aside for good, and one more seat down left no majority. A seat that hears of a newer life at its own address now gives its own up and rebuilds, with its disk. One that is set aside tells its address no more as that of the newer life. Ruled out: links, lost letters, the disk's half rebuilding.

--- a/drill/src/play/rules.rs
+++ b/drill/src/play/rules.rs
@@ -88,6 +88,7 @@
         self.operators();
         self.platform();
         self.settle();
+        self.mend();
         self.cluster.check_contents();
         self.check_acknowledged();
         self.check_bad();
--- a/headworks/src/core/seats.rs
+++ b/headworks/src/core/seats.rs
@@ -27,6 +27,8 @@
     aside: bool,
     /// Rises whenever a life or an address has changed.
     revision: u64,
+    /// The newer life is one that this machine itself began and never ended: nobody else has it.
+    abandoned: bool,
 }
 
 /// What a letter has changed.
@@ -47,7 +49,7 @@
         if let Some(place) = places.get_mut(usize::from(me.seat)) {
             *place = Place { life: me.life, address: Some(address), sure: true, heard: None, hears: true };
         }
-        Seats { me, address, seeds, places, aside: false, revision: 0 }
+        Seats { me, address, seeds, places, aside: false, revision: 0, abandoned: false }
     }
 
     /// Takes in what was on disk about the others.
@@ -92,10 +94,22 @@
         self.aside
     }
 
+    /// It is set aside by a life that it began itself before its disk was lost again, and that nobody leads.
+    pub fn abandoned(&self) -> bool {
+        self.abandoned
+    }
+
+    /// Gives its life up, to begin one after the newest that is known.
+    pub fn end(&mut self) {
+        self.me.life = Life::NONE;
+        (self.aside, self.abandoned) = (false, false);
+    }
+
     /// Begins a life.
     pub fn begin(&mut self, life: Life) {
         self.me.life = life;
-        self.places[usize::from(self.me.seat)].life = life;
+        let place = &mut self.places[usize::from(self.me.seat)];
+        (place.life, place.sure) = (life, true);
     }
 
     /// The newest lives that are known.
@@ -174,13 +188,19 @@
     fn learned(&mut self, seat: Seat, life: Life, address: Option<SocketAddr>) -> bool {
         let own = seat == self.me.seat;
         let Some(place) = self.places.get_mut(usize::from(seat)) else { return false };
+        if own && life >= place.life {
+            let newer = life > place.life;
+            place.life = life;
+            // One that rebuilds has no life yet, and takes a newer one than this.
+            self.aside |= newer && self.me.life != Life::NONE;
+            // Danger: were its own address told with the newer life, the others would take it for the newer one's.
+            place.sure &= !self.aside;
+            // Danger: a life that was recorded by few, and lost with the disk, may come after the one that was begun in
+            // its place. Its seat would be set aside by it, and be held by nobody.
+            let abandoned = self.aside && address == Some(self.address);
+            return (abandoned && !std::mem::replace(&mut self.abandoned, abandoned)) || newer;
+        }
         if life > place.life {
-            if own {
-                // One that rebuilds has no life yet, and takes a newer one than this.
-                self.aside = self.me.life != Life::NONE;
-                place.life = life;
-                return true;
-            }
             let sure = address.is_some();
             *place = Place { life, address: address.or(place.address), sure, heard: None, hears: false };
             return true;
--- a/headworks/src/core/standing.rs
+++ b/headworks/src/core/standing.rs
@@ -8,6 +8,7 @@
 use super::duties::{Ballots, Lost, Verdict};
 use super::letters::{Ballot, Beat, Body, Duty, Life, Moved, Seat, Speaker, Term, Told};
 use super::post::After;
+use super::repair::Rebuild;
 use super::servers;
 use super::{Core, Output, Row};
 use crate::limits;
@@ -108,6 +109,13 @@
     /// The table of seats has changed.
     pub(super) fn seats_changed(&mut self, now: i64, out: &mut Vec<Output>) {
         out.push(Output::Peers(self.seats.peers()));
+        if self.seats.abandoned() {
+            // It still has its disk, and so takes no more from the others than it lacks.
+            out.push(Output::Note("the newer life of this seat was never ended: rebuilding".to_string()));
+            self.seats.end();
+            self.rebuild = Some(Rebuild::default());
+            return self.tell_who(now, true, out);
+        }
         if self.seats.aside() {
             out.push(Output::Notice("this seat has a newer life: stepping aside".to_string()));
             return self.tell_who(now, true, out);
