Core: proposers of one register get out of each other's way

Cause: a refused round began anew after 1 ms and up to 240 ms by chance, while a round over regions takes 220 ms. Who only finishes what others began now waits 250 ms at the least, and the span drawn by chance doubles with each refusal, from 60 to 480 ms. Ruled out: disks, lives, links (all four seats were whole and in touch, four rounds open on one register).

--- a/headworks/src/core/agreement.rs
+++ b/headworks/src/core/agreement.rs
@@ -329,8 +329,10 @@
             Body::Nack { ballot, seen } => {
                 let Some(number) = self.number_of(ballot) else { return };
                 self.round = self.round.max(seen.round);
-                let tries = self.rounds.get(&number).map_or(1, |round| u64::from(round.tries().min(4)));
-                let pause = limits::PAUSE + self.draw(60_000 * tries) as i64;
+                let Some(round) = self.rounds.get(&number) else { return };
+                // Danger: proposers of one register that all begin anew at once refuse each other for seconds.
+                let (least, most) = round.pause();
+                let pause = least + self.draw(most) as i64;
                 let Some(round) = self.rounds.get_mut(&number) else { return };
                 let steps = round.refused(now, by.0, seen, pause, &self.seats);
                 self.steps(now, number, steps, out);
--- a/headworks/src/core/rounds.rs
+++ b/headworks/src/core/rounds.rs
@@ -129,11 +129,6 @@
         self.told
     }
 
-    /// Times that it has begun.
-    pub fn tries(&self) -> u32 {
-        self.tries
-    }
-
     fn resend(&self, now: i64) -> i64 {
         now + if self.want.large() { limits::RESEND_LARGE } else { limits::RESEND }
     }
@@ -250,6 +245,13 @@
         steps
     }
 
+    /// How long to wait after a refusal: at the least, and by chance. The more often, the longer; and who only finishes
+    /// what was found gives way, as the one that refuses it by a higher proposal finishes it as well.
+    pub fn pause(&self) -> (i64, u64) {
+        let least = if matches!(self.want, Want::Finish(_)) { limits::YIELD } else { limits::PAUSE };
+        (least, limits::SPREAD << self.tries.saturating_sub(1).min(limits::SPREADS))
+    }
+
     /// A seat has promised something to a higher proposal. `pause` is how long to wait, if it begins again.
     pub fn refused(&mut self, now: i64, seat: Seat, seen: Ballot, pause: i64, seats: &Seats) -> Vec<Step> {
         self.seen = self.seen.max(seen);
--- a/headworks/src/limits.rs
+++ b/headworks/src/limits.rs
@@ -27,8 +27,14 @@
 pub const RESEND: i64 = 300 * MS;
 /// ...and those with large contents after this in all.
 pub const RESEND_LARGE: i64 = 900 * MS;
-/// A round that was refused waits for this at the least, and for more by chance, before it begins anew.
+/// A round that was refused waits for this at the least, and for more by chance, before it begins anew...
 pub const PAUSE: i64 = MS;
+/// ...one that only finishes what others began for this...
+pub const YIELD: i64 = 250 * MS;
+/// ...by chance this much at first, and twice as much after each refusal...
+pub const SPREAD: u64 = 60_000;
+/// ...so many times.
+pub const SPREADS: u32 = 3;
 /// Contents of this many bytes are large.
 pub const LARGE: usize = 20_000;
 /// A value that was accepted and not heard to be chosen is finished after this...
