Core: a round that only finishes what is chosen by now ends without letters

Cause: readings and repairs that waited for another round of their seat began their own all the same, though what they were to finish had been chosen meanwhile. Their prepares refused rounds of other seats, writes among them. Now they end at once: a reading is answered, as it is when it finds nothing open.

--- a/drill/tests/schedules.rs
+++ b/drill/tests/schedules.rs
@@ -25,3 +25,11 @@
     assert_eq!(play(&schedule), play(&again));
     assert!(Schedule::read("drill 1\n1.0 fly 3\n").unwrap_err().to_string().contains("line 2"));
 }
+
+#[test]
+fn readings_that_wait_to_finish_what_is_chosen_by_then_keep_no_write_out() {
+    let outcome = play(&draw(7_000_861, Plan { cores: 4, edges: 2, ..Plan::default() }));
+    assert!(outcome.faults.is_empty(), "{:?}", outcome.faults);
+    // 4.7 s while they began rounds all the same.
+    assert!((1..2_000_000).contains(&outcome.recovered), "{} us", outcome.recovered);
+}
--- a/headworks/src/core/agreement.rs
+++ b/headworks/src/core/agreement.rs
@@ -139,13 +139,17 @@
             // Two rounds of one process for one item would only hinder each other.
             let free = names.iter().all(|name| !busy.contains(name));
             busy.extend(names);
-            if round.waits() && round.wake <= now && free {
+            let due = round.waits() && round.wake <= now;
+            if due && free && self.finished(number) {
+                // Danger: it would only refuse others at work on these registers.
+                self.steps(now, number, vec![Step::Outcome(Outcome::Done), Step::Over], out);
+            } else if due && free {
                 self.round += 1;
                 let ballot = Ballot { round: duties::over(round.seen, self.round), by: self.seats.me() };
                 self.round = ballot.round;
                 let step = self.rounds.get_mut(&number).map(|round| round.begin(now, ballot));
                 self.steps(now, number, step.into_iter().collect(), out);
-            } else if round.waits() && round.wake <= now {
+            } else if due {
                 if let Some(round) = self.rounds.get_mut(&number) {
                     round.wake = now + limits::RESEND / 10;
                 }
@@ -156,6 +160,15 @@
         }
     }
 
+    /// A round that only finishes what was found, and all of that is known to be chosen by now.
+    fn finished(&self, number: u64) -> bool {
+        let Some(round) = self.rounds.get(&number).filter(|round| round.finishes()) else { return false };
+        match self.finishing.get(&number) {
+            Some(reading) => reading.open(&self.news).is_empty(),
+            None => !round.names().iter().any(|name| self.unfinished.holds(name)),
+        }
+    }
+
     fn over(&mut self, now: i64, number: u64, reply: Option<Reply>, out: &mut Vec<Output>) {
         let reading = self.finishing.remove(&number).map(|reading| reading.call);
         if let (Some(call), Some(reply)) = (self.calls.remove(&number).or(reading), reply) {
--- a/headworks/src/core/repair.rs
+++ b/headworks/src/core/repair.rs
@@ -113,6 +113,11 @@
         self.since.entry(name.clone()).or_insert(now);
     }
 
+    /// It is not known to be chosen.
+    pub fn holds(&self, name: &Name) -> bool {
+        self.since.contains_key(name)
+    }
+
     /// It is chosen by now.
     pub fn finished(&mut self, name: &Name) {
         self.since.remove(name);
--- a/headworks/src/core/rounds.rs
+++ b/headworks/src/core/rounds.rs
@@ -245,10 +245,15 @@
         steps
     }
 
+    /// It only finishes what others began.
+    pub fn finishes(&self) -> bool {
+        matches!(self.want, Want::Finish(_))
+    }
+
     /// How long to wait after a refusal: at the least, and by chance. The more often, the longer; and who only finishes
     /// what was found gives way, as the one that refuses it by a higher proposal finishes it as well.
     pub fn pause(&self) -> (i64, u64) {
-        let least = if matches!(self.want, Want::Finish(_)) { limits::YIELD } else { limits::PAUSE };
+        let least = if self.finishes() { limits::YIELD } else { limits::PAUSE };
         (least, limits::SPREAD << self.tries.saturating_sub(1).min(limits::SPREADS))
     }
 
