Core: an edge that falls silent as it begins to serve counts among the limiters

Cause: an edge that had not said yet that it serves was not counted among those that did lately. Ruled out: the limiters' clock, two holders, the size of the burst.

--- a/headworks/src/core/members.rs
+++ b/headworks/src/core/members.rs
@@ -42,6 +42,10 @@
     spread: (BTreeMap<String, Told>, u64),
     /// Edges that served, and when that was last so.
     lately: BTreeMap<String, i64>,
+    /// Edges that have not said yet that they serve...
+    starting: BTreeSet<String>,
+    /// ...and those that served and say that they do no more.
+    left: BTreeSet<String>,
     serving: Serving,
 }
 
@@ -190,6 +194,13 @@
             }
         }
         self.serving = serving;
+        self.left.extend(away.iter().filter(|node| self.lately.contains_key(*node)).cloned());
+        self.left.retain(|node| away.contains(node));
+        // Danger: one that falls silent before it has said that it serves may serve by then, and use its slices.
+        let heard = |node: &String| away.contains(node) || self.serving.nodes.contains_key(node);
+        let silent: Vec<String> = self.starting.iter().filter(|node| !heard(node)).cloned().collect();
+        self.lately.extend(silent.into_iter().map(|node| (node, now)));
+        self.starting = away.difference(&self.left).cloned().collect();
         self.lately.extend(self.serving.nodes.keys().map(|node| (node.clone(), now)));
         // Who says that it leaves uses no slice any more.
         self.lately.retain(|node, at| now - *at <= limits::LATELY && !away.contains(node));
@@ -397,4 +408,17 @@
         members.expire(limits::LATELY + 1, true);
         assert_eq!(members.lately(), 0);
     }
+
+    #[test]
+    fn an_edge_that_falls_silent_before_it_says_that_it_serves_counts_for_a_while() {
+        let mut members = Members::default();
+        members.hello(0, 1, edge("a"));
+        members.beat(0, 1, Standing::Away);
+        members.expire(0, true);
+        assert_eq!((members.all().len(), members.lately()), (1, 0));
+        members.expire(limits::LEASE + 1, true);
+        assert_eq!((members.all().len(), members.lately()), (0, 1));
+        members.expire(limits::LEASE + limits::LATELY + 2, true);
+        assert_eq!(members.lately(), 0);
+    }
 }
