--- a/standins/src/system/machines.rs
+++ b/standins/src/system/machines.rs
@@ -11,7 +11,7 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::process::{Pid, Resource, Rlimit, Signal, kill_process, prlimit};
 use serde_json::json;
 
 use super::calls::call;
@@ -170,7 +170,8 @@
         std::fs::write(self.file(role, number, "yaml"), settings.to_string())
     }
 
-    fn file(&self, role: Role, number: usize, end: &str) -> PathBuf {
+    /// A program's settings file (`yaml`), or what it has written (`log`).
+    pub fn file(&self, role: Role, number: usize, end: &str) -> PathBuf {
         self.plan.folder.join(format!("{}-{number}.{end}", role.program()))
     }
 
@@ -224,10 +225,33 @@
 
     /// Tells a program to end (SIGTERM).
     pub fn tell_to_end(&self, role: Role, number: usize) {
-        let pid = self.running.get(&(role, number)).and_then(|child| Pid::from_raw(child.id() as i32));
-        if let Some(pid) = pid {
+        self.signal(role, number, Signal::TERM);
+    }
+
+    /// Tells a program that its settings file may have changed (SIGHUP).
+    pub fn tell_to_read(&self, role: Role, number: usize) {
+        self.signal(role, number, Signal::HUP);
+    }
+
+    /// Lets no file of a program grow beyond so many bytes; none: beyond any. A program that does not ignore SIGXFSZ
+    /// is ended by the first write beyond.
+    ///
+    /// # Errors
+    /// It does not run, or the system refuses.
+    pub fn most_bytes(&self, role: Role, number: usize, most: Option<u64>) -> io::Result<()> {
+        let pid = self.pid(role, number).ok_or(io::ErrorKind::NotFound)?;
+        prlimit(Some(pid), Resource::Fsize, Rlimit { current: most, maximum: None })?;
+        Ok(())
+    }
+
+    fn pid(&self, role: Role, number: usize) -> Option<Pid> {
+        self.running.get(&(role, number)).and_then(|child| Pid::from_raw(child.id() as i32))
+    }
+
+    fn signal(&self, role: Role, number: usize, signal: Signal) {
+        if let Some(pid) = self.pid(role, number) {
             // One that has ended already is not there to be told.
-            let _ = kill_process(pid, Signal::TERM);
+            let _ = kill_process(pid, signal);
         }
     }
 
@@ -265,7 +289,7 @@
     }
 
     /// What a program has written so far.
-    fn log(&self, role: Role, number: usize) -> String {
+    pub fn log(&self, role: Role, number: usize) -> String {
         // Where there is none, nothing was written.
         std::fs::read_to_string(self.file(role, number, "log")).unwrap_or_default()
     }
