--- a/drill/src/play.rs
+++ b/drill/src/play.rs
@@ -24,7 +24,7 @@
 /// ...within this, re-sends included...
 pub const TAKEN: i64 = 2 * SECOND;
 /// ...and the first one after trouble this long after they do...
-pub const RECOVERED: i64 = 8 * SECOND;
+pub const RECOVERED: i64 = 6 * SECOND;
 /// ...and each duty is done, but for spells of at most this.
 pub const VACANT: i64 = 6 * SECOND;
 /// Stated: an edge that was heard nowhere for this long is a member nowhere.
