--- a/weir/src/judge.rs
+++ b/weir/src/judge.rs
@@ -14,8 +14,8 @@
 
 const SECOND: f64 = 1e6;
 /// Share of tries that waited or were turned away: above the first there is too much, below the second there is room.
-const TOO_MUCH: f64 = 0.25;
-const ROOM: f64 = 0.17;
+const TOO_MUCH: f64 = 0.22;
+const ROOM: f64 = 0.15;
 /// Chance alone makes a share of few tries large: so many times its spread it must lie above.
 const SURE: f64 = 3.5;
 /// A fall is by as much as the share lies above, within these; and no sooner after another than servers show it.
