--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -28,7 +28,7 @@
 const SHARERS: f64 = 20.0;
 const USED_LEAST: f64 = 8.0;
 
-/// Danger: gateways that refuse each for itself refuse any. By the level all share, the last in the order wait.
+/// Danger: gateways that refuse each for itself refuse any. By the shared level the last in the order wait.
 pub fn waits(request: &Request) -> bool {
     request.place >= 1.0 - request.waits
 }
