Sluice: clients are told how long they may stay idle

The proxies' own closes were traced: all of them were idle connections closed at the configured 15 s, and a client's next request crossed that close. Change: answers that are not the last of their connection say Keep-Alive with a second less than the limit. The limit itself stays.

--- a/sluice/src/host/clients.rs
+++ b/sluice/src/host/clients.rs
@@ -25,6 +25,9 @@
 /// A request ends so long before its client gives up: the way back takes time.
 const MARGIN: Micros = 12 * MS;
 
+/// An idle connection is kept for so much longer than its client is told.
+const STAY_LESS: Micros = SECOND;
+
 /// An answer of the proxy's own.
 struct Own {
     status: u16,
@@ -301,12 +304,13 @@
 
     fn answer_own(&mut self, now: Micros, key: WireKey, own: &Own) {
         let seconds = format!("{:.3}", own.stay_away as f64 / 1e6);
-        let lines = [("Content-Type", "text/plain"), ("Retry-After", seconds.as_str())];
-        let lines = if own.stay_away > 0 { &lines[..] } else { &lines[..1] };
+        let mut lines = vec![("Content-Type", "text/plain")];
+        lines.extend((own.stay_away > 0).then_some(("Retry-After", seconds.as_str())));
         let body = format!("{}\n", own.text);
         let Some(close) = self.answering(now, key) else { return };
+        lines.extend(may_stay(&self.stay, close));
         if let Some(out) = self.wires.output(key) {
-            framing::write_answer(out, own.status, lines, body.as_bytes(), close);
+            framing::write_answer(out, own.status, &lines, body.as_bytes(), close);
         }
     }
 
@@ -318,7 +322,8 @@
         let bodiless = matches!(head.status, 204 | 304);
         let length = (!bodiless).then_some(("Content-Length", length.as_str()));
         let lines = head.headers.iter().filter(|(name, _)| !concerns_connection(name));
-        framing::write_head(out, head.status, length.into_iter().chain(lines), close);
+        let lines = length.into_iter().chain(lines).chain(may_stay(&self.stay, close));
+        framing::write_head(out, head.status, lines, close);
         out.extend_from_slice(body);
     }
 
@@ -382,6 +387,17 @@
     }
 }
 
+/// What clients are told of how long they may stay idle. Guards the request that crosses the close of its connection: one
+/// that cannot be repeated fails by that, and its client can't tell whether it was read.
+pub(super) fn stay(idle: Micros) -> String {
+    format!("timeout={}", (idle - STAY_LESS).max(0) / SECOND)
+}
+
+/// The line that says so, unless the answer is the last of its connection.
+fn may_stay(stay: &str, close: bool) -> Option<(&'static str, &str)> {
+    (!close).then_some(("Keep-Alive", stay))
+}
+
 /// The service that a request goes to, by chance where the route has several.
 fn choose(route: &Route) -> Option<String> {
     let all: f64 = route.services().map(|(_, weight)| weight).sum();
--- a/sluice/src/host/feeding.rs
+++ b/sluice/src/host/feeding.rs
@@ -133,6 +133,7 @@
             self.limits.request_bytes = limits.body_bytes;
             self.limits.acquirer_first = limits.hdr.0;
             self.limits.acquirer_idle = limits.idle.0;
+            self.stay = clients::stay(limits.idle.0);
         }
         if touched.zones {
             self.yard.evacuate(now, self.book.evacuated(), touched.back, WARMUP + COLD_LAG);
--- a/sluice/src/host/mod.rs
+++ b/sluice/src/host/mod.rs
@@ -146,6 +146,8 @@
     clock: Clock,
     settings: Settings,
     limits: Limits,
+    /// What clients are told of how long they may stay idle.
+    stay: String,
     log: Logger,
     ring: Ring,
     wires: Wires,
@@ -215,6 +217,7 @@
         info!(log, "serving on {http}");
         Ok(Host {
             clock,
+            stay: clients::stay(limits.acquirer_idle),
             limits,
             log,
             ring,
--- a/sluice/tests/clients.rs
+++ b/sluice/tests/clients.rs
@@ -144,3 +144,28 @@
         assert_eq!(bench.answer(client).body, format!("of {id}").into_bytes());
     }
 }
+
+#[test]
+fn a_client_idle_for_as_long_as_it_was_told_is_served_on_its_connection() {
+    let mut bench = Bench::new(&["a"]);
+    let spec = r#"{"hdr_bytes":16384,"body_bytes":1048576,"hdr":"3000ms","idle":"15000ms"}"#;
+    bench.tell(Down::Items(vec![item(Kind::Limits, "", 2, spec)]));
+    bench.settle();
+    let client = bench.client();
+    for id in ["one", "two", "three"] {
+        bench.send(client, ask("POST /m/1", id, "Content-Length: 3\r\n", "abc"));
+        let at = bench.served();
+        bench.serve(&at);
+        let answer = bench.answer(client);
+        let told = answer.headers.get("Keep-Alive").and_then(|line| line.strip_prefix("timeout="));
+        let told: i64 = told.expect("how long it may stay").parse().unwrap();
+        assert!((10..15).contains(&told), "{told}");
+        bench.pass(told * 1_000 + 500);
+        assert!(bench.clients[client].open());
+    }
+    // An answer of the proxy's own says it too, and one that is the last of its connection does not.
+    bench.send(client, ask("GET /none/", "four", "", ""));
+    assert!(bench.answer(client).headers.has("Keep-Alive"));
+    bench.send(client, ask("GET /none/", "five", "Connection: close\r\n", ""));
+    assert!(!bench.answer(client).headers.has("Keep-Alive"));
+}
