Weir, sluice: a node short of itself turns away the lowest tier first

Cause: make_room, 'no room' and late turns refused whoever came last; a proxy late with what it takes refused nobody and let every request wait. Now a level of the node's own (weir/src/spillway.rs, without I/O) joins the service's in the same order. It goes by how long what a turn takes has waited: the turn before it, where a wait brought all at once (earlier still where a wait did not bring all), and waits that end late. Two late steps of 0.2 s lower the rate that is let through; turns that grow let less through at once. From 0.8 of its connections, bytes or descriptors on ever less is let through, and who is refused is closed. The connection that makes room is of the lowest tier among those alike; where bodies fill the memory the lowest tier's goes, whoever came last. All of it is decided before anything is sent on. Ruled out: a bound on requests held (the wait is before they are read), and a mean of turns alone (at three times the load turns triple each time, and are a second long before a step is over).

--- a/mains/src/wires.rs
+++ b/mains/src/wires.rs
@@ -77,9 +77,13 @@
     dirty: Vec<WireKey>,
     scratch: Vec<u8>,
     accepting: bool,
+    /// When the last wait ended, and whether it brought all that was there.
+    woken: (i64, bool),
 }
 
 const SIGNALS: Token = Token(1_000);
+/// Most events that one wait brings.
+const EVENTS: usize = 256;
 /// Bytes asked of a socket at a time.
 const READ: usize = 32 * 1024;
 /// Connections that may wait with the system to be taken.
@@ -102,13 +106,14 @@
         poll.registry().register(&mut signals, SIGNALS, Interest::READABLE)?;
         Ok(Wires {
             poll,
-            events: Events::with_capacity(256),
+            events: Events::with_capacity(EVENTS),
             signals,
             listeners: Vec::new(),
             wires: SlotMap::with_key(),
             dirty: Vec::new(),
             scratch: vec![0; READ],
             accepting: true,
+            woken: (0, true),
         })
     }
 
@@ -177,6 +182,11 @@
         self.wires.get_mut(key)
     }
 
+    /// When the last wait ended, before anything was read; and whether it brought all that was there.
+    pub fn woken(&self) -> (i64, bool) {
+        self.woken
+    }
+
     /// How many there are.
     pub fn len(&self) -> usize {
         self.wires.len()
@@ -239,6 +249,7 @@
         let mut events = std::mem::replace(&mut self.events, Events::with_capacity(0));
         let waited = self.poll.poll(&mut events, span);
         let now = clock();
+        self.woken = (now, events.iter().count() < EVENTS);
         for event in &events {
             match event.token() {
                 SIGNALS => happenings.extend(self.signals.pending().map(Happening::Signal)),
--- a/sluice/src/host/clients.rs
+++ b/sluice/src/host/clients.rs
@@ -9,10 +9,6 @@
 use crate::manifold::Asked;
 use crate::shedding::Asker;
 
-/// Most connections of clients at a time; what is beyond makes room.
-const CLIENTS: usize = 2_600;
-/// Most bytes of requests that are held for all clients together.
-const HELD: usize = 64 * 1024 * 1024;
 /// Taken in from a client while its request is out.
 const AHEAD: usize = 4 * 1024;
 /// Taken in at a time while a request is coming in.
@@ -52,26 +48,14 @@
             looked_at: false,
             told_to_go_on: false,
             held: 0,
+            band: 0,
         };
         self.roles.insert(key, Role::Client(Box::new(client)));
         if let Some(wire) = self.wires.get_mut(key) {
             wire.most = WINDOW;
         }
         self.arm(now, key);
-        if self.clients > CLIENTS {
-            self.make_room(now);
-        }
-    }
-
-    /// The connection that can best be spared goes.
-    fn make_room(&mut self, now: Micros) {
-        let clients = self.roles.iter().filter_map(|(key, role)| match role {
-            Role::Client(client) => Some((client.visit.spared(now, &self.limits)?, key)),
-            _ => None,
-        });
-        if let Some((_, key)) = clients.min() {
-            self.client_gone(now, key);
-        }
+        self.make_room(now);
     }
 
     fn client(&mut self, key: WireKey) -> Option<&mut Client> {
@@ -174,9 +158,12 @@
             let length = client.incoming.length;
             client.visit.uploading(now, length);
         }
-        if self.held > HELD {
-            self.client(key).into_iter().for_each(|client| client.last = true);
-            return self.answer_own(now, key, &away(503, STAY_AWAY, "no room"));
+        if let Some(spared) = self.no_room() {
+            self.client(spared).into_iter().for_each(|client| client.last = true);
+            self.answer_own(now, spared, &away(503, STAY_AWAY, "no room"));
+            if spared == key {
+                return;
+            }
         }
         self.arm(now, key);
         if self.wires.get(key).is_some_and(|wire| wire.input.len() < wire.most) {
@@ -209,7 +196,9 @@
             return false;
         }
         let tenant = tenant.map(|known| (known.name.as_str(), &known.tenant));
-        self.manifold.waits(now, &Asker { id, route, svc, tenant })
+        let asker = Asker { id, route, svc, tenant };
+        client.band = asker.band();
+        self.manifold.waits(now, &asker)
     }
 
     /// A whole request was read.
@@ -270,6 +259,7 @@
         let tenant = tenant.as_ref().map(|t| (t.name.as_str(), &t.tenant));
         let id = self.requests[request].id.clone();
         let asked = Asked { request, id: &id, route: &route, svc: &svc, tenant, pins: &pins, deadline };
+        let band = asked.asker().band();
         match self.manifold.take(now, &asked) {
             Some(ticket) => self.requests[request].ticket = ticket,
             None => {
@@ -277,7 +267,7 @@
                 return Err(away(503, STAY_AWAY, "no room"));
             }
         }
-        self.client(key).into_iter().for_each(|client| client.request = Some(request));
+        self.client(key).into_iter().for_each(|client| (client.request, client.band) = (Some(request), band));
         Ok(())
     }
 
@@ -303,6 +293,9 @@
         let seconds = format!("{:.3}", own.stay_away as f64 / 1e6);
         let lines = [("Content-Type", "text/plain"), ("Retry-After", seconds.as_str())];
         let lines = if own.stay_away > 0 { &lines[..] } else { &lines[..1] };
+        // Where room is short, who is refused takes none up: a new try takes a new connection all the same.
+        let crowded = self.manifold.shedding().node().crowded();
+        self.client(key).into_iter().for_each(|client| client.last |= crowded);
         let body = format!("{}\n", own.text);
         let Some(close) = self.answering(now, key) else { return };
         if let Some(out) = self.wires.output(key) {
--- a/sluice/src/host/feeding.rs
+++ b/sluice/src/host/feeding.rs
@@ -115,6 +115,7 @@
             Down::Whole => self.told = true,
             Down::Time(time) => {
                 self.clock.raise(time);
+                self.looked = self.clock.now();
                 self.manifold.jumped(time, time - now);
             }
             Down::Levels { age, levels } => self.manifold.shedding().levels(now, age, levels),
--- a/sluice/src/host/mod.rs
+++ b/sluice/src/host/mod.rs
@@ -4,6 +4,7 @@
 mod clients;
 mod feeding;
 mod legs;
+mod room;
 
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
@@ -82,6 +83,8 @@
     looked_at: bool,
     /// Its bytes among those held for all.
     held: usize,
+    /// The band of its last request.
+    band: usize,
 }
 
 /// A connection to a server.
@@ -174,6 +177,8 @@
     /// Connections whose input is to be looked at again.
     again: Vec<WireKey>,
     standing: Standing,
+    /// Nothing that came before this is waiting to be taken.
+    looked: Micros,
 }
 
 /// What a proxy wants of its settings.
@@ -240,6 +245,7 @@
             batch: 0,
             again: Vec::new(),
             standing: Standing::Away,
+            looked: now,
             settings,
         })
     }
@@ -273,6 +279,8 @@
         let until = if busy { now } else { due.unwrap_or(Micros::MAX).min(now + longest) };
         let clock = self.clock.clone();
         self.wires.wait(Some(until), || clock.now(), happenings).wrap_err("waiting")?;
+        let came = happenings.iter().filter(|h| matches!(h, Happening::Came(_) | Happening::Accepted(..)));
+        self.feel(now, until, came.count());
         self.turn(happenings);
         Ok(())
     }
--- /dev/null
+++ b/sluice/src/host/room.rs
@@ -0,0 +1,74 @@
+//! How late and how full this node is, and who goes first where it has no more room.
+
+use std::cmp::Reverse;
+
+use culvert::visits::Stage;
+
+use super::*;
+
+/// Most connections of clients at a time; what is beyond makes room.
+const CLIENTS: usize = 2_600;
+/// Most bytes of requests that are held for all clients together.
+const HELD: usize = 64 * 1024 * 1024;
+/// Descriptors that are no connections, and those that are kept for files.
+const OTHERS: usize = 240;
+/// A wait that was over so soon brought what was there before it began.
+const AT_ONCE: Micros = 300;
+
+impl Host {
+    /// Most connections of all kinds.
+    fn descriptors(&self) -> usize {
+        (self.settings.limits.nofile as usize).saturating_sub(OTHERS).max(1)
+    }
+
+    /// How late the loop is with what it takes now, and how full it is. What a wait brought at once may have come during
+    /// the whole turn before it; where a wait did not bring all, since earlier still. One that ends late kept what was due.
+    pub(super) fn feel(&mut self, began: Micros, until: Micros, count: usize) {
+        let (woken, all) = self.wires.woken();
+        let at_once = woken - began <= AT_ONCE;
+        let behind = if at_once { began - self.looked } else { 0 };
+        let late = if until > began { (woken - until).max(0) } else { 0 };
+        if all {
+            self.looked = woken;
+        }
+        let shares = [
+            self.clients as f64 / CLIENTS as f64,
+            self.held as f64 / HELD as f64,
+            self.wires.len() as f64 / self.descriptors() as f64,
+        ];
+        let node = self.manifold.shedding().node();
+        node.takes(count, behind.max(late));
+        node.filled(shares.into_iter().fold(0.0, f64::max));
+    }
+
+    /// A connection was taken: if there are too many, the one that can best be spared goes. Among those alike it is one
+    /// whose last request was of the lowest tier.
+    pub(super) fn make_room(&mut self, now: Micros) {
+        if self.clients <= CLIENTS && self.wires.len() < self.descriptors() {
+            return;
+        }
+        let spared = |client: &Client| {
+            let (rank, since) = client.visit.spared(now, &self.limits)?;
+            Some((rank, Reverse(client.band), since))
+        };
+        let clients = self.roles.iter().filter_map(|(key, role)| match role {
+            Role::Client(client) => Some((spared(client)?, key)),
+            _ => None,
+        });
+        if let Some((_, key)) = clients.min() {
+            self.client_gone(now, key);
+        }
+    }
+
+    /// If more is held than there is room for: the request that goes for it, of those whose body is still coming. It is of
+    /// the lowest tier, and among those alike the largest.
+    pub(super) fn no_room(&self) -> Option<WireKey> {
+        let coming = self.roles.iter().filter_map(|(key, role)| match role {
+            Role::Client(client) if client.visit.stage == Stage::Partial => {
+                Some(((client.band, client.held), key))
+            }
+            _ => None,
+        });
+        coming.max().filter(|_| self.held > HELD).map(|(_, key)| key)
+    }
+}
--- a/sluice/src/manifold/mod.rs
+++ b/sluice/src/manifold/mod.rs
@@ -84,7 +84,8 @@
 }
 
 impl<'a> Asked<'a> {
-    fn asker(&self) -> Asker<'a> {
+    /// What its turn goes by.
+    pub fn asker(&self) -> Asker<'a> {
         let Asked { id, route, svc, tenant, .. } = *self;
         Asker { id, route, svc, tenant }
     }
--- a/sluice/src/shedding.rs
+++ b/sluice/src/shedding.rs
@@ -9,6 +9,7 @@
 use weir::gauge::{Report, Sign};
 use weir::judge::Level;
 use weir::order;
+use weir::spillway::Spillway;
 
 /// A tenant that was over its quota within this is asked for its quota first.
 const OVER: Micros = 2_000_000;
@@ -26,6 +27,13 @@
     pub tenant: Option<(&'a str, &'a Tenant)>,
 }
 
+impl Asker<'_> {
+    /// Its band of the order.
+    pub fn band(&self) -> usize {
+        order::band(tier(self.route, self.tenant), self.route.prio)
+    }
+}
+
 /// Where a request stands under overload.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Turn {
@@ -53,15 +61,16 @@
 #[derive(Debug, Default)]
 pub struct Shedding {
     gate: Gate,
+    node: Spillway,
     /// Tenants that were over their quota, and when that was last so.
     over: BTreeMap<String, Micros>,
 }
 
 impl Shedding {
-    /// Where a request stands now.
+    /// Where a request stands now: by its service's load, and by this node's own.
     pub fn turn(&self, now: Micros, asker: &Asker<'_>) -> Turn {
-        let band = order::band(tier(asker.route, asker.tenant), asker.route.prio);
-        let waits = 1.0 - self.gate.border(now, asker.svc);
+        let band = asker.band();
+        let waits = 1.0 - self.gate.border(now, asker.svc).min(self.node.border());
         Turn { band, place: order::place(band, asker.id), waits }
     }
 
@@ -74,7 +83,14 @@
 
     /// A request has its turn.
     pub fn came(&mut self, svc: &str, turn: &Turn) {
-        self.gate.came(svc, turn.band, !turn.waiting());
+        let sent = !turn.waiting();
+        self.gate.came(svc, turn.band, sent);
+        self.node.came(turn.band, sent);
+    }
+
+    /// What this node knows of its own load.
+    pub fn node(&mut self) -> &mut Spillway {
+        &mut self.node
     }
 
     /// A request was refused for its tenant's quota; `counted`: it had its turn before.
@@ -109,6 +125,7 @@
     /// What home is to be told; due once a [`weir::STEP`].
     pub fn load(&mut self, now: Micros) -> Vec<Report> {
         self.over.retain(|_, at| now - *at <= OVER);
+        self.node.step(now);
         self.gate.step(now)
     }
 }
--- /dev/null
+++ b/sluice/tests/room.rs
@@ -0,0 +1,72 @@
+//! A proxy that is short of itself: late with what comes, or full of what it holds. The lowest tier goes first, and
+//! nothing that was refused has gone on to a server.
+
+mod common;
+
+use common::{Bench, ask, route};
+use mains::messages::Down;
+use test_case::test_case;
+
+/// A proxy with routes of the highest and of the lowest tier.
+fn tiers(servers: &[&str]) -> Bench {
+    let mut bench = Bench::new(servers);
+    let tier =
+        |prefix: &str, kind, prio: u32| route(prefix, 1, kind, &format!(r#","public":true,"prio":{prio}"#));
+    let routes = vec![tier("/high/", "idem", 0), tier("/low/", "idem", 3), tier("/up/", "upload", 0)];
+    bench.tell(Down::Items([routes, vec![tier("/guests/", "upload", 3)]].concat()));
+    bench.settle();
+    bench
+}
+
+/// Requests come in small heaps, each so late; gives the shares of the higher and the lower tier that went on.
+fn heaps(bench: &mut Bench, late: i64) -> [f64; 2] {
+    let mut on = [0.0; 2];
+    for heap in 0..30 {
+        let clients: Vec<usize> = (0..8).map(|_| bench.client()).collect();
+        bench.settle();
+        let ask_one = |(n, client): (usize, usize)| {
+            let (kind, id) = (usize::from(n >= 2), format!("{heap}-{n}"));
+            let text = ask(["GET /high/1", "GET /low/1"][kind], &id, "", "");
+            assert_eq!(bench.clients[client].write(text.as_bytes()), text.len());
+            (kind, id, client)
+        };
+        let asked: Vec<(usize, String, usize)> = clients.into_iter().enumerate().map(ask_one).collect();
+        bench.late(late);
+        let mut ran = Vec::new();
+        while let Some(at) = bench.take() {
+            ran.push(at.id().to_string());
+            bench.serve(&at);
+        }
+        for (kind, id, client) in asked {
+            let answer = bench.answer(client);
+            assert_eq!(answer.status == 200, ran.contains(&id), "{id}: {}", answer.status);
+            assert!(answer.status == 200 || answer.status == 503, "{id}: {}", answer.status);
+            // The first heaps are the proxy's to learn.
+            on[kind] += f64::from(u8::from(heap >= 10 && answer.status == 200));
+            bench.clients[client].close();
+        }
+    }
+    [on[0] / 40.0, on[1] / 120.0]
+}
+
+#[test_case(80, false; "late")]
+#[test_case(5, true; "in good time")]
+fn a_proxy_that_is_late_refuses_the_lower_tier_first(late: i64, all: bool) {
+    let mut bench = tiers(&["a"; 6]);
+    let [high, low] = heaps(&mut bench, late);
+    assert!(high >= 0.95, "{high:.2} {low:.2}");
+    assert_eq!(low >= 0.95, all, "{high:.2} {low:.2}");
+}
+
+#[test]
+fn where_bodies_fill_the_memory_the_lowest_tier_goes_whoever_came_last() {
+    let mut bench = tiers(&["a"]);
+    let part = "x".repeat(33 << 20);
+    let length = format!("Content-Length: {}\r\n", 34 << 20);
+    let guest = bench.ask(ask("POST /guests/1", "guest", &length, &part));
+    let first = bench.ask(ask("POST /up/1", "first", &length, &part));
+    assert_eq!(bench.answer(guest).status, 503);
+    bench.send(first, "x".repeat(1 << 20));
+    let at = bench.until("request at a server", |bench| bench.take());
+    assert_eq!((at.id(), bench.count()), ("first", 1));
+}
--- a/weir/src/lib.rs
+++ b/weir/src/lib.rs
@@ -2,13 +2,14 @@
 //!
 //! Each limiter counts what it saw of a service ([`gauge`]) and tells its home. The home sums up, judges by what servers
 //! did how much a second they bear, and tells a level ([`judge`]). Every limiter turns away what lies beyond it ([`gate`])
-//! by the same order ([`order`]): the lowest tiers first, and by a steady number within the tier on the border. Times are
-//! whole microseconds of a clock that never goes back.
+//! by the same order ([`order`]): the lowest tiers first, and by a steady number within the tier on the border. A node
+//! sheds for its own load by that order as well ([`spillway`]). Times are whole microseconds of a clock that never goes back.
 
 pub mod gate;
 pub mod gauge;
 pub mod judge;
 pub mod order;
+pub mod spillway;
 
 /// Microseconds on the host's clock, or a span of them.
 pub type Micros = i64;
