Sluice: the end of one request takes no other along that is being judged

Cause: each engine numbers what it holds for itself, and the manifold kept where a judged request goes by the judging engine's number alone. A request of any service that was refused, failed or whose client left took the entry of the same number along: the judged one was let through by the count and then forgotten, and its client had no answer until it gave up. With a level refusing many this is frequent; without one it needs a refusal or a client that leaves while another request waits for its tenant's count. It also gave refusals for a quota to the wrong tenant. Found in reading, for Retry-After. Ruled out: the table of connections, which goes by engine and number.

--- a/sluice/src/manifold/mod.rs
+++ b/sluice/src/manifold/mod.rs
@@ -291,7 +291,7 @@
             },
             Order::StopLeg { key, leg } => steps.push(Step::Stop(Ticket { engine: at, key }, leg)),
             Order::Answer { key, ending } => {
-                let onward = self.onward.remove(key);
+                let onward = if at == 0 { self.onward.remove(key) } else { None };
                 match (ending, onward) {
                     (Ending::Declined { over_quota: true, .. }, Some(onward)) => {
                         let counted = (self.basins[onward.basin].svc.as_str(), onward.turn.band);
@@ -338,7 +338,9 @@
     pub fn left(&mut self, now: Micros, ticket: Ticket, steps: &mut Vec<Step>) {
         let basin = &mut self.basins[ticket.engine];
         basin.requests.remove(ticket.key);
-        self.onward.remove(ticket.key);
+        if ticket.engine == 0 {
+            self.onward.remove(ticket.key);
+        }
         let mut orders = std::mem::take(&mut self.orders);
         basin.engine.client_left(now, ticket.key, &mut orders);
         for order in orders.drain(..) {
--- a/sluice/src/manifold/tests.rs
+++ b/sluice/src/manifold/tests.rs
@@ -209,3 +209,41 @@
     }
     assert_eq!((bench.manifold.positions, bench.sent), (3, 4));
 }
+
+/// Engines number what they hold each for itself.
+#[test_case::test_case(true; "clients leave")]
+#[test_case::test_case(false; "they are refused")]
+fn the_end_of_one_request_takes_no_other_along_that_is_being_judged(leave: bool) {
+    let mut bench = Bench::new(4);
+    bench.manifold.open("empty", &[], Vec::new());
+    let (limited, route, deadline) = (tenant(100.0), route("idem"), START + 3 * SECOND);
+    let mut take = |svc, tenant| {
+        let request = bench.keys.insert(());
+        let asked = Asked { request, id: "i", route: &route, svc, tenant, pins: &[], deadline };
+        bench.manifold.take(START, &asked).unwrap()
+    };
+    let judged: Vec<Ticket> = (0..40).map(|_| take("s", Some(("t", &limited)))).collect();
+    let others: Vec<Ticket> = (0..40).map(|_| take("empty", None)).collect();
+    assert!(judged.iter().zip(&others).all(|(one, other)| one.key == other.key && one.engine == 0));
+    let (mut steps, mut counts) = (Vec::new(), Vec::new());
+    if leave {
+        others.into_iter().for_each(|other| bench.manifold.left(START, other, &mut steps));
+    }
+    bench.manifold.turn(START, &mut steps, |_, _| {});
+    for step in steps {
+        match step {
+            Step::Send { ticket, leg, .. } => {
+                bench.sent += 1;
+                assert!(bench.manifold.leg_ended(START, ticket, leg, Outcome::Ok));
+            }
+            Step::Count(add) => counts.push(add),
+            Step::Answer(_, Ending::Declined { over_quota: false, .. }) => assert!(!leave),
+            other => panic!("{other:?}"),
+        }
+    }
+    // Some were let through by the slice; the others wait for the count.
+    assert!((1..40).contains(&bench.sent), "{}", bench.sent);
+    counts.into_iter().for_each(|add| bench.manifold.counted(add.name, Outcome::Ok, add.units));
+    bench.settle();
+    assert_eq!(bench.sent, 40);
+}
