Sluice: silence is judged by a route's aim, probes wait as long as requests may

The engines were young, so no further try was in their budget. Ruled out: connections that broke (2, before anything was sent), a bound on further tries that is too low (the first requests of an engine earn none). Change: an engine is told the aim of the route that it is opened for; no server is suspected sooner, and a probe waits half of it, longer to other regions. The limiter in service keeps its 0.3 s.

--- a/drill/src/edges/proxies.rs
+++ b/drill/src/edges/proxies.rs
@@ -132,7 +132,7 @@
                 let Some(named) = named else { return };
                 if proxy.manifold.has(BASE, &[]).is_none() {
                     let entries = proxy.yard.entries(now, BASE, &[]);
-                    proxy.manifold.open(BASE, &[], entries);
+                    proxy.manifold.open(BASE, &[], route.target_time.0, entries);
                 }
                 let request = proxy.keys.insert(tenant);
                 let tenant = Some((named.name.as_str(), &named.tenant));
--- a/limiter/src/config/file.rs
+++ b/limiter/src/config/file.rs
@@ -317,6 +317,7 @@
             may_tell: allow.peer_messages.0,
             max_retry_after: allow.max_retry_after_us.micros(),
             least_away: 0,
+            silent_least: 0,
             cold_from: rules.cold_from.0,
             cold_for: rules.cold_us.micros(),
             fall_multiple: rules.fall_multiple.0,
--- a/sluice/src/host/clients.rs
+++ b/sluice/src/host/clients.rs
@@ -241,7 +241,7 @@
         if self.manifold.has(&svc, &pins).is_none() {
             let entries = self.yard.entries(now, &svc, &pins);
             self.pool_listed(entries.iter().map(|entry| entry.server).collect());
-            self.manifold.open(&svc, &pins, entries);
+            self.manifold.open(&svc, &pins, route.target_time.0, entries);
         }
         let lines = lines(&head.headers, tenant.as_ref().map(|t| t.name.as_str()));
         let ticket = Ticket { engine: 0, key: AuthorisationKey::default() };
--- a/sluice/src/host/legs.rs
+++ b/sluice/src/host/legs.rs
@@ -14,6 +14,8 @@
 const ANSWER: u64 = 32 * 1024 * 1024;
 /// Most connections to servers, idle ones included.
 const LEGS: usize = 1_000;
+/// There and back twice to a server of another region: a connection, and what is asked on it.
+const FARTHEST: Micros = 250 * MS;
 /// An idle connection is given up so long before its server would close it.
 const EARLY: Micros = 1_500 * MS;
 
@@ -300,7 +302,9 @@
             // Writing to a vector cannot fail.
             let _ = write!(out, "GET {path} HTTP/1.1\r\nHost: {address}\r\nX-Want-Instance: {id}\r\n\r\n");
         }
-        self.deadlines.enter(now + self.limits.probe_wait, Due::Probe(key));
+        let way = if self.yard.far(server) { FARTHEST } else { 0 };
+        let wait = self.limits.probe_wait.max(self.manifold.probe_wait(engine)) + way;
+        self.deadlines.enter(now + wait, Due::Probe(key));
     }
 
     pub(super) fn probe_due(&mut self, now: Micros, key: WireKey) {
--- a/sluice/src/manifold/mod.rs
+++ b/sluice/src/manifold/mod.rs
@@ -94,6 +94,8 @@
 struct Basin {
     /// Its service; none where tenants are judged.
     svc: String,
+    /// Within which its answers are of use.
+    aim: Micros,
     engine: Engine,
     requests: SecondaryMap<AuthorisationKey, RequestKey>,
     /// Those whose turn has not come: the module refuses them.
@@ -103,7 +105,7 @@
 impl Basin {
     fn new(svc: &str, engine: Engine) -> Basin {
         let (requests, waiting) = (SecondaryMap::new(), SecondaryMap::new());
-        Basin { svc: svc.to_string(), engine, requests, waiting }
+        Basin { svc: svc.to_string(), aim: 0, engine, requests, waiting }
     }
 }
 
@@ -367,6 +369,11 @@
         }
     }
 
+    /// A probe waits for a slot as requests do: an answer that takes no longer than this is none of a silent server.
+    pub fn probe_wait(&self, engine: usize) -> Micros {
+        self.basins[engine].aim / 2
+    }
+
     /// A probe ended.
     pub fn probed(&mut self, engine: usize, server: ServerId, outcome: Outcome) {
         self.basins[engine].engine.probe_ended(server, outcome, None);
--- a/sluice/src/manifold/placing.rs
+++ b/sluice/src/manifold/placing.rs
@@ -48,7 +48,7 @@
     RetryBudget { earn: bounds.retry_ratio * RETRY_SHARE, most: most.max(1.0), unrun: 1.0 }
 }
 
-fn placing(limiters: u32, seed: u64, most: usize, bounds: &Bounds) -> Engine {
+fn placing(limiters: u32, seed: u64, most: usize, bounds: &Bounds, aim: Micros) -> Engine {
     let plans = vec![Plan { price: 1.0, ..Plan::default() }];
     let retries = retries(limiters, bounds);
     let settings = Settings {
@@ -57,6 +57,8 @@
         may_probe: true,
         max_attempts: 8,
         retries,
+        // What takes no longer than is of use to its client is no silence.
+        silent_least: aim,
         ..settings(limiters)
     };
     Engine::new(settings, seed, most)
@@ -79,11 +81,11 @@
         self.places.iter().find(|((s, p), _)| s == svc && p == pins).map(|(_, at)| *at)
     }
 
-    /// An engine for a service in these regions, which knows these servers.
-    pub fn open(&mut self, svc: &str, pins: &[String], entries: Vec<ServerEntry>) -> usize {
+    /// An engine for a service in these regions, which knows these servers. `aim`: of the route that it is opened for.
+    pub fn open(&mut self, svc: &str, pins: &[String], aim: Micros, entries: Vec<ServerEntry>) -> usize {
         let at = self.basins.len();
-        let engine = placing(self.limiters, self.seed.wrapping_add(at as u64), MOST, &self.bounds);
-        self.basins.push(Basin::new(svc, engine));
+        let engine = placing(self.limiters, self.seed.wrapping_add(at as u64), MOST, &self.bounds, aim);
+        self.basins.push(Basin { aim, ..Basin::new(svc, engine) });
         self.places.insert((svc.to_string(), pins.to_vec()), at);
         self.listed(at, entries);
         at
--- a/sluice/src/manifold/tests.rs
+++ b/sluice/src/manifold/tests.rs
@@ -48,7 +48,7 @@
         let mut manifold = Manifold::new(7, Bounds::default());
         manifold.limiters(START - FIRST, limiters);
         manifold.limiters(START, limiters);
-        manifold.open("s", &[], (1..=20).map(server).collect());
+        manifold.open("s", &[], 500 * MS, (1..=20).map(server).collect());
         let (keys, counts) = (SlotMap::with_key(), BTreeMap::new());
         Bench { manifold, keys, now: START, counts, sent: 0, refused: 0, count_answers: true }
     }
@@ -215,7 +215,7 @@
 #[test_case::test_case(false; "they are refused")]
 fn the_end_of_one_request_takes_no_other_along_that_is_being_judged(leave: bool) {
     let mut bench = Bench::new(4);
-    bench.manifold.open("empty", &[], Vec::new());
+    bench.manifold.open("empty", &[], 500 * MS, Vec::new());
     let (limited, route, deadline) = (tenant(100.0), route("idem"), START + 3 * SECOND);
     let mut take = |svc, tenant| {
         let request = bench.keys.insert(());
--- a/sluice/src/yard.rs
+++ b/sluice/src/yard.rs
@@ -149,6 +149,12 @@
         self.servers.values().filter(allowed).map(entry).collect()
     }
 
+    /// A server is in another region.
+    pub fn far(&self, number: ServerId) -> bool {
+        let there = self.get(number).and_then(|known| self.zones.get(&known.server.zone));
+        there != self.zones.get(&self.zone)
+    }
+
     /// Where a server is reached, and its id.
     pub fn reach(&self, number: ServerId) -> Option<(SocketAddr, &str)> {
         self.get(number).map(|known| (known.server.addr, known.server.id.as_str()))
--- a/sluice/tests/common/mod.rs
+++ b/sluice/tests/common/mod.rs
@@ -88,6 +88,8 @@
     pub lines: Vec<Line>,
     /// Reads nothing on its connections.
     pub deaf: bool,
+    /// All its slots are taken: health checks wait for one.
+    pub full: bool,
     /// Whole requests that came, health checks aside.
     pub count: usize,
 }
@@ -383,7 +385,7 @@
         let addr = listener.local_addr().unwrap();
         let (id, zone) = (id.to_string(), zone.to_string());
         let listed = Server { id, svc: "s".into(), addr, zone, slots: 4, up: true, cold: 0 };
-        Stub { listener, listed, lines: Vec::new(), deaf: false, count: 0 }
+        Stub { listener, listed, lines: Vec::new(), deaf: false, full: false, count: 0 }
     }
 
     /// Nobody listens where it is listed.
@@ -400,6 +402,9 @@
             line.end.look();
             while let Some((request, length)) = framing::request(&line.end.input, &limits()).unwrap() {
                 line.end.input.drain(..length);
+                if request.target == "/healthz" && self.full {
+                    continue;
+                }
                 if request.target == "/healthz" {
                     let well = lines(200, &format!("X-Instance-Id: {}", self.listed.id), "");
                     line.end.write(well.as_bytes());
--- a/sluice/tests/quota.rs
+++ b/sluice/tests/quota.rs
@@ -76,7 +76,7 @@
                 manifold.limiters(START - early, proxies as u32);
             }
             manifold.count_held(Some(1));
-            manifold.open("s", &[], servers());
+            manifold.open("s", &[], 500 * MS, servers());
             let far = if at.is_multiple_of(3) { MS } else { 55 * MS };
             Proxy { manifold, keys: SlotMap::with_key(), far, cut: false, calls: Vec::new() }
         };
--- a/sluice/tests/servers.rs
+++ b/sluice/tests/servers.rs
@@ -233,6 +233,19 @@
     assert!(answer.headers.has("X-Own"));
 }
 
+#[test]
+fn an_answer_about_its_aim_is_no_silence_though_checks_wait_for_a_slot_too() {
+    let mut bench = Bench::new(&["a", "a"]);
+    bench.stubs.iter_mut().for_each(|stub| stub.full = true);
+    // The first of its kind: nothing is usual yet. Its route aims at half a second.
+    let client = bench.ask(ask(IDEM, "one", "", ""));
+    let at = bench.served();
+    bench.pass(650);
+    assert!(bench.clients[client].input.is_empty(), "given up for its silence");
+    bench.serve(&at);
+    assert_eq!((bench.answer(client).status, bench.count()), (200, 1));
+}
+
 #[test_case(IDEM, 1; "idem, one server")]
 #[test_case(IDEM, 2; "idem, two servers")]
 #[test_case(MUTATING, 2; "mutating")]
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -178,6 +178,9 @@
     pub max_retry_after: Micros,
     /// While the counter is lost, clients refused for their quota are told to stay away for about this at the least.
     pub least_away: Micros,
+    /// A server that owes answers is suspected of silence no sooner than after this, whatever is usual: before any answer
+    /// nothing is.
+    pub silent_least: Micros,
     /// A cold server starts with this share of its capacity or more...
     pub cold_from: f64,
     /// ...and is warm no later than this.
--- a/src/policy/servers.rs
+++ b/src/policy/servers.rs
@@ -198,7 +198,8 @@
         let now = self.now;
         self.due(now + TICK, Due::Tick);
         let usual = self.means.iter().copied().fold(0.0, f64::max);
-        let patience = ((usual * SILENT_MULTIPLE) as Micros).max(SILENT_MIN);
+        let least = self.settings.silent_least.max(SILENT_MIN);
+        let patience = ((usual * SILENT_MULTIPLE) as Micros).max(least);
         let ready = self.servers.values().filter(|s| s.ready).count();
         let mut suspects = self.servers.values().filter(|s| s.suspect.is_some()).count();
         let mut trials = Vec::new();
