Core: the seat that counted does so again at once after all were killed

Change: a voter also writes down the newest term that it has seen to be held. Nobody but that holder can have a grant of it then, so that the same seat and life, in the same run or a later one, is granted at once; its seat bids without waiting. Who holds a grant of this run may renew it.

--- a/headworks/src/core/duties.rs
+++ b/headworks/src/core/duties.rs
@@ -3,6 +3,10 @@
 //!
 //! A grant lasts a fixed time at the voter, counted from the bid's arrival; the holder counts from when it sent the bid,
 //! and stops earlier. So at any instant at most one holder acts, with no clock compared to another.
+//!
+//! A voter that has started anew does not know how long its last grant goes on, but by its disk to whom it can be: to the
+//! newest term's bidder and to nobody else, if that one was seen to hold the duty. The same seat gets it again at once: what
+//! held it before is the same process, or one that has ended.
 
 use std::collections::BTreeMap;
 
@@ -26,7 +30,7 @@
 pub struct Verdict {
     /// The bid is granted.
     pub granted: bool,
-    /// The term is new here: it goes to disk before the answer goes out.
+    /// The term is new here, or is seen to be held for the first time: it goes to disk before the answer goes out.
     pub save: bool,
     /// Newest term here.
     pub newest: u64,
@@ -61,6 +65,8 @@
     vain: bool,
     /// The newest one before it that was not in vain.
     before: Term,
+    /// The newest term that was seen to be held by its bidder, as it is on disk.
+    kept: Term,
     /// The term that is granted now...
     holds: Term,
     /// ...until then.
@@ -74,34 +80,46 @@
     free: i64,
     /// No bid before then.
     next: i64,
-    /// Nothing is granted before then: what this seat granted before it started may still hold, where that matters.
+    /// Nothing is granted before then but to whom it was granted last: what this seat granted before it started may still
+    /// hold, where that matters.
     quiet: i64,
+    /// This seat held the duty as it ended, and bids for it ahead of all others.
+    again: bool,
+}
+
+/// The same process, or one that was started after it had ended.
+fn follows(by: Speaker, before: Speaker) -> bool {
+    (by.seat, by.life) == (before.seat, before.life) && by.run >= before.run
 }
 
 impl Ballots {
-    /// Of a seat that starts now, or takes part from now on.
-    pub fn new(duty: Duty, seat: Seat, seats: usize, term: Term, now: i64) -> Ballots {
+    /// Of a seat that starts now, or takes part from now on. `term`, `kept`: the newest that it has granted, and the newest
+    /// that it has seen to be held, as they are on its disk.
+    pub fn new(duty: Duty, me: Speaker, seats: usize, (term, kept): (Term, Term), now: i64) -> Ballots {
         // The two duties begin at opposite seats, so that they normally land on different ones.
         let first = match duty {
             Duty::Poll => 0,
             Duty::Count => seats / 2,
         };
-        let rank = (usize::from(seat) + seats - first) % seats;
+        let rank = (usize::from(me.seat) + seats - first) % seats;
         // Two that poll for a moment harm nobody, as lists are ordered by their terms; two that count would.
         let quiet = now + if duty == Duty::Poll { limits::START } else { limits::GRANT };
+        let again = duty == Duty::Count && kept.number > 0 && kept == term && follows(me, kept.by);
         Ballots {
             rank: rank as i64,
             term,
             vain: false,
             before: Term::default(),
+            kept,
             holds: term,
             granted: i64::MIN,
             mine: None,
             holder: None,
             newest: term.number,
             free: quiet,
-            next: quiet,
+            next: if again { now + limits::START } else { quiet },
             quiet,
+            again,
         }
     }
 
@@ -115,6 +133,11 @@
         self.term
     }
 
+    /// Newest term that was seen to be held.
+    pub fn kept(&self) -> Term {
+        self.kept
+    }
+
     /// Takes in what another seat has granted, in place of what was lost.
     pub fn adopt(&mut self, term: Term) {
         if term > self.term {
@@ -132,12 +155,14 @@
             self.holder = Some((wanted, now + limits::GRANT));
             self.free = self.free.max(now + limits::GRANT);
         }
-        let other = self.granted > now && self.holds.by != by;
+        let other = self.granted > now && !follows(by, self.holds.by);
         let fresh = term > self.term.number;
         // Danger: a seat that hears the holder no more grants itself a newer term in vain. Were the holder's own refused
         // for that afterwards, a few of those would cost it the duty.
         let known = wanted == if self.vain { self.before } else { self.term };
-        let granted = now >= self.quiet && !other && (fresh || known);
+        let kept = self.kept.number > 0 && self.kept == self.term && follows(by, self.kept.by);
+        let same = kept || self.granted > now && follows(by, self.holds.by);
+        let granted = (now >= self.quiet || same) && !other && (fresh || known);
         if granted && fresh {
             self.before = if self.vain { self.before } else { self.term };
             (self.term, self.vain) = (wanted, false);
@@ -147,7 +172,9 @@
             self.granted = now + limits::GRANT;
             self.free = self.free.max(self.granted);
         }
-        Verdict { granted, save: granted && fresh, newest: self.newest }
+        let held = granted && holds && self.kept != wanted;
+        self.kept = if held { wanted } else { self.kept };
+        Verdict { granted, save: granted && (fresh || held), newest: self.newest }
     }
 
     /// A bidder or holder gives its term back. `vain`: it never won it, and never will.
@@ -218,6 +245,7 @@
         if !may || now < self.wake() {
             return (None, None);
         }
+        self.again = false;
         let term = self.newest.max(self.term.number) + 1;
         let rounds = BTreeMap::from([(now, BTreeMap::new())]);
         self.mine = Some(Mine { term, since: now, until: 0, rounds });
@@ -241,6 +269,7 @@
         match &self.mine {
             Some(mine) if mine.until > 0 => self.next.min(mine.until),
             Some(mine) => self.next.min(mine.since + limits::BID),
+            None if self.again => self.next,
             None => self.next.max(self.quiet).max(self.free + self.rank * limits::BID_STEP),
         }
     }
@@ -254,6 +283,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use test_case::test_case;
 
     const STEP: i64 = limits::GRANT + 1;
 
@@ -263,7 +293,7 @@
 
     #[test]
     fn a_term_in_vain_costs_the_holder_no_vote_and_one_that_may_be_won_does() {
-        let voter = || Ballots::new(Duty::Count, 1, 6, Term::default(), 0);
+        let voter = || Ballots::new(Duty::Count, by(1), 6, Default::default(), 0);
         let mut ballots = voter();
         assert!(ballots.vote(STEP, by(0), 4, false).granted);
         // The holder is heard no more; this seat bids, does not win, and hears the holder again.
@@ -290,4 +320,29 @@
             assert!(!ballots.vote(6 * STEP, by(0), 4, true).granted);
         }
     }
+
+    /// Who asks a voter that has just started, and whether it may grant before its own earlier grants are surely over. `seen`:
+    /// the newest term, of seat 3 in its second run, was seen to be held.
+    #[test_case(true, 3, 1, 2, true; "the same process")]
+    #[test_case(true, 3, 1, 3, true; "the same seat, started anew")]
+    #[test_case(true, 3, 1, 1, false; "a process that has ended")]
+    #[test_case(true, 3, 2, 1, false; "another machine in its place")]
+    #[test_case(true, 4, 1, 9, false; "another seat")]
+    #[test_case(false, 3, 1, 3, false; "a bid that may have been in vain while another one held the duty")]
+    fn a_voter_that_started_anew_grants_at_once_to_nobody_but_the_last_holder(
+        seen: bool,
+        seat: Seat,
+        life: u32,
+        run: u32,
+        granted: bool,
+    ) {
+        let held = Term { number: 7, by: Speaker { run: 2, ..by(3) } };
+        let kept = if seen { held } else { Term { number: 6, ..held } };
+        let mut voter = Ballots::new(Duty::Count, by(1), 6, (held, kept), 0);
+        let bidder = Speaker { seat, life: Life { number: life, ..Life::FIRST }, run };
+        assert_eq!(voter.vote(limits::START, bidder, 8, false).granted, granted);
+        assert_eq!(voter.vote(limits::START + 1, bidder, 8, true).granted, granted, "and then holds it");
+        // The others have their turn as its grant ends, or as those do that it may have forgotten.
+        assert_eq!(voter.vote(limits::GRANT, by(5), 9, false).granted, !granted);
+    }
 }
--- a/headworks/src/core/mod.rs
+++ b/headworks/src/core/mod.rs
@@ -57,7 +57,7 @@
     pub run: u32,
     /// The floor under all promises.
     pub floor: Ballot,
-    /// Newest term of each duty that it has granted.
+    /// Newest term of each duty that it has granted; behind these the newest of each that it has seen to be held.
     pub terms: Vec<Term>,
     /// The newest lives of all seats...
     pub lives: Vec<Life>,
@@ -230,7 +230,8 @@
             unfinished.begun(now, &item.name);
         }
         let term = |at: usize| own.terms.get(at).copied().unwrap_or_default();
-        let duties = [0, 1].map(|at| Ballots::new(Duty::ALL[at], seat, count, term(at), now));
+        let terms = |duty: Duty| (term(duty as usize), term(Duty::ALL.len() + duty as usize));
+        let duties = Duty::ALL.map(|duty| Ballots::new(duty, me, count, terms(duty), now));
         Core {
             zones: setup.zones,
             run: own.run,
--- a/headworks/src/core/post.rs
+++ b/headworks/src/core/post.rs
@@ -2,7 +2,8 @@
 
 use std::net::SocketAddr;
 
-use super::letters::{Body, Duty, Letter, Life};
+use super::duties::Ballots;
+use super::letters::{Body, Letter, Life, Term};
 use super::{Core, Output, Own, Row};
 
 /// What is done once rows are on disk.
@@ -38,13 +39,18 @@
         out.push(Output::Write(number, rows));
     }
 
+    /// Newest term of each duty that was granted here.
+    fn terms(&self) -> impl Iterator<Item = Term> {
+        self.duties.iter().map(Ballots::term)
+    }
+
     /// What is written down about this seat and the others.
     pub(super) fn own(&self) -> Own {
         Own {
             life: self.seats.me().life,
             run: self.run,
             floor: self.registers.floor(),
-            terms: Duty::ALL.iter().map(|duty| self.duties[*duty as usize].term()).collect(),
+            terms: self.terms().chain(self.duties.iter().map(Ballots::kept)).collect(),
             lives: self.seats.lives(),
             addresses: self.seats.addresses(),
         }
@@ -81,7 +87,7 @@
                         life,
                         floor: self.registers.highest(),
                         all: (!same).then(|| self.registers.held().cloned().collect()),
-                        terms: self.own().terms,
+                        terms: self.terms().collect(),
                     };
                     self.send(vec![to], body, out);
                 }
--- a/headworks/src/core/standing.rs
+++ b/headworks/src/core/standing.rs
@@ -216,9 +216,10 @@
         }
         self.seats.begin(life);
         let count = self.seats.count();
+        let me = self.seats.me();
         self.duties = Duty::ALL.map(|duty| {
             let term = self.duties[duty as usize].term();
-            Ballots::new(duty, me, count, term, now)
+            Ballots::new(duty, me, count, (term, Term::default()), now)
         });
         let names: Vec<_> = self.registers.held().map(|(_, item)| item.name.clone()).collect();
         names.iter().for_each(|name| self.settle(now, name));
@@ -343,7 +344,7 @@
         }
         let verdict = self.duties[duty as usize].vote(now, by, term, holds);
         let body = Body::Vote { duty, term, at, granted: verdict.granted, newest: verdict.newest };
-        if verdict.save {
+        if verdict.save && !self.full {
             // A term must never be granted twice, not even after all were killed at once.
             self.write(vec![Row::Own(self.own())], Some(After::Vote(from, body)), out);
         } else {
