Sluice: long answers go on as they come

Cause: the proxy took every answer in whole, up to 32 MB each and without any bound on all of them together; a client that took one in slowly, for more than 4 s, lost it. Change: a final answer that is longer than 128 KiB, by its head or by what has come, goes on as it comes, a window of 64 KiB at a time; the server is not read while its client has not taken in what came before. What breaks off ends its client's connection before the length, or without the last chunk. Silence ends one at its request's deadline, not sooner; behind it what still moves has up to 20 s. When to relay and when to give up is in `answers.rs`; `culvert/src/relay.rs` is shared with the limiter. Answers up to 128 KiB take today's path; that is what one that is relayed may hold too, and what breaks off can still be tried elsewhere. Failures, which may not be the last word, are kept up to 2 MiB. A client that takes its answer in, however slowly, is no longer given up after 4 s. Ruled out: reading while the client is behind, up to a window in all: the same throughput on loopback, and a buffer that is never empty must be moved about.

--- a/culvert/src/framing.rs
+++ b/culvert/src/framing.rs
@@ -463,6 +463,11 @@
         self.message.as_ref().is_some_and(|(_, reader)| reader.whole())
     }
 
+    /// Whether its body is known to be longer than this: it says so, or so much has come.
+    pub fn longer(&self, than: u64) -> bool {
+        matches!(self.extent, Extent::Length(length) if length > than) || self.length > than
+    }
+
     /// Whether the connection's end makes it whole.
     pub fn ends_with_connection(&self) -> bool {
         self.message.as_ref().is_some_and(|(_, reader)| reader.until_close())
--- a/culvert/src/relay.rs
+++ b/culvert/src/relay.rs
@@ -15,12 +15,13 @@
 }
 
 impl Relay {
-    /// Writes the head of an answer for the client, and what has come of the body. `close`: it is the last of the
-    /// client's connection.
-    pub fn begin(
+    /// Writes the head of an answer for the client, with these of its lines, and what has come of the body. `close`: it
+    /// is the last of the client's connection.
+    pub fn begin<'a>(
         (head, extent): (&AnswerHead, Extent),
         reader: BodyReader,
         come: &[u8],
+        lines: impl Iterator<Item = (&'a str, &'a str)>,
         close: bool,
         out: &mut Vec<u8>,
     ) -> Relay {
@@ -35,8 +36,11 @@
                 ("Transfer-Encoding", coding)
             }
         };
-        let kind = head.headers.get("Content-Type").map(|kind| ("Content-Type", kind));
-        write_head(out, head.status, [framing].into_iter().chain(kind), close);
+        let mut all = vec![framing];
+        for line in lines {
+            all.push(line);
+        }
+        write_head(out, head.status, all.into_iter(), close);
         let chunked = !matches!(extent, Extent::Length(_));
         let mut relay = Relay { reader, chunked, reusable: head.reusable(), data: come.to_vec() };
         relay.put(out);
@@ -110,7 +114,8 @@
             if incoming.head().is_some() {
                 let extent = incoming.extent;
                 let (head, reader, come) = std::mem::take(&mut incoming).into_parts()?;
-                relay = Some(Relay::begin((&head, extent), reader, &come, false, &mut out));
+                let lines = head.headers.iter().filter(|(name, _)| *name == "Content-Type");
+                relay = Some(Relay::begin((&head, extent), reader, &come, lines, false, &mut out));
             }
         }
         let mut relay = relay?;
--- a/limiter/src/net/host/acquirers.rs
+++ b/limiter/src/net/host/acquirers.rs
@@ -4,7 +4,7 @@
 
 use super::*;
 use crate::engine::{Authorisation, Ending};
-use crate::net::framing::{Extent, Request};
+use crate::net::framing::Request;
 
 impl Host {
     pub(super) fn accept(&mut self) {
@@ -189,10 +189,7 @@
             if waits.is_some() {
                 connection.visit.uploading(now, length);
             }
-            let long = match incoming.extent {
-                Extent::Length(length) => length > self.limits.kept_bytes,
-                Extent::Chunked | Extent::UntilClose => length > self.limits.kept_bytes,
-            };
+            let long = incoming.longer(self.limits.kept_bytes);
             // Or all that clients have under way is more than may be held.
             let crowded = length > self.limits.body_bytes as u64 && self.partial > self.limits.partial_bytes;
             if waits == Some(true) && length == 0 && !std::mem::replace(&mut connection.told_to_go_on, true) {
--- a/limiter/src/net/host/relaying.rs
+++ b/limiter/src/net/host/relaying.rs
@@ -1,7 +1,6 @@
 //! Long answers on their way from a server's connection to a client's.
 
 use super::*;
-use crate::net::framing::Extent;
 
 impl Host {
     /// A long answer is the final one: it begins, and goes on as it comes.
@@ -33,7 +32,8 @@
         client.closing = close;
         client.source = Some(key);
         client.visit.answering(now);
-        let relay = Relay::begin((&head, extent), reader, &come, close, &mut client.output);
+        let kind = head.headers.get("Content-Type").map(|kind| ("Content-Type", kind));
+        let relay = Relay::begin((&head, extent), reader, &come, kind.into_iter(), close, &mut client.output);
         self.arm(to);
         if let Some(connection) = self.connections.get_mut(key) {
             connection.reading = Reading::Relay(relay, to);
@@ -85,9 +85,7 @@
             _ = self.close(key);
             return;
         }
-        let short = self.limits.body_bytes as u64;
-        let long =
-            matches!(incoming.extent, Extent::Length(length) if length > short) || incoming.length > short;
+        let long = incoming.longer(self.limits.body_bytes as u64);
         match (incoming.whole(), incoming.head().map(|head| head.status)) {
             (_, Some(200)) if long && matches!(errand, Errand::Leg(..)) => self.begin_relay(key, incoming),
             (true, _) => self.answer_came(key, errand, incoming),
--- a/mains/src/wires.rs
+++ b/mains/src/wires.rs
@@ -53,6 +53,8 @@
     marked: bool,
     /// When something last came, in microseconds.
     pub heard: i64,
+    /// When the other side last took in something that had waited for it.
+    pub took: i64,
 }
 
 impl Wire {
@@ -65,6 +67,11 @@
     pub fn backlog(&self) -> usize {
         self.output.len() - self.written
     }
+
+    /// More may be there than was read, for want of room.
+    pub fn waits(&self) -> bool {
+        self.unread
+    }
 }
 
 /// All connections of a program.
@@ -156,6 +163,7 @@
             unread: false,
             marked: false,
             heard: now,
+            took: now,
         });
         let interest = Interest::READABLE | Interest::WRITABLE;
         match self.poll.registry().register(&mut self.wires[key].stream, token(key), interest) {
@@ -182,6 +190,11 @@
         self.wires.len()
     }
 
+    /// Bytes that all of them hold: what came and was not taken, what is not written, and room kept for more.
+    pub fn held(&self) -> usize {
+        self.wires.values().map(|wire| wire.input.capacity() + wire.output.capacity()).sum()
+    }
+
     /// There are none.
     pub fn is_empty(&self) -> bool {
         self.wires.is_empty()
@@ -257,8 +270,11 @@
                         wire.up = true;
                         happenings.push(Happening::Up(key));
                     }
-                    if event.is_writable() && wire.backlog() > 0 {
+                    let waited = wire.backlog();
+                    if event.is_writable() && waited > 0 {
                         self.flush(key, happenings);
+                        let wire = self.wires.get_mut(key).filter(|wire| wire.backlog() < waited);
+                        wire.into_iter().for_each(|wire| wire.took = now);
                     }
                     if event.is_readable() || event.is_read_closed() || event.is_error() {
                         let whole = event.is_read_closed() || event.is_error();
--- a/sluice/src/answers.rs
+++ b/sluice/src/answers.rs
@@ -1,7 +1,8 @@
 //! What a server's answer stands for. Without any input or output.
 
-use culvert::framing::{AnswerHead, Extent};
-use streamarch::Outcome;
+use culvert::framing::{AnswerHead, Extent, Incoming};
+use culvert::limits::Limits;
+use streamarch::{Micros, Outcome};
 
 /// What a whole answer stands for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -57,6 +58,39 @@
     }
 }
 
+/// What is done with an answer that is not whole yet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Course {
+    /// It is waited for, and goes on whole.
+    Kept,
+    /// It goes on as it comes. That is the end of its request: what breaks off now can't be tried again, so that short
+    /// answers, which are most, are kept.
+    Relayed,
+    /// It is too long for what is never passed on before it is whole.
+    Refused,
+}
+
+/// Says it by the answer's head, and by how much has come.
+pub fn course(verdict: Verdict, incoming: &Incoming<AnswerHead>, limits: &Limits) -> Course {
+    match verdict {
+        Verdict::Final if incoming.longer(limits.body_bytes as u64) => Course::Relayed,
+        Verdict::Final => Course::Kept,
+        _ if incoming.longer(limits.kept_bytes) => Course::Refused,
+        _ => Course::Kept,
+    }
+}
+
+/// When an answer that is being relayed is given up: not before its request's deadline, however silent its server is;
+/// and behind it as long as it still moves, for a while.
+pub fn ends(deadline: Micros, heard: Micros, limits: &Limits) -> Micros {
+    deadline.max(heard + limits.answer_rest).min(deadline + limits.upload_longest)
+}
+
+/// Whether a header line of an answer goes on.
+pub fn passes(name: &str) -> bool {
+    !concerns_connection(name)
+}
+
 /// Whether a header line concerns one connection only, or is the proxy's own to write.
 pub fn concerns_connection(name: &str) -> bool {
     const LINES: [&str; 9] = [
@@ -103,6 +137,42 @@
         assert_eq!(judge(&head, extent, "i"), verdict);
     }
 
+    fn coming(text: &str, come: usize, limits: &Limits) -> Incoming<AnswerHead> {
+        let mut incoming = Incoming::default();
+        let mut input = format!("HTTP/1.1 200 OK\r\n{text}\r\n\r\n").into_bytes();
+        match text.starts_with("Content") {
+            true => input.extend(vec![b'x'; come]),
+            false => culvert::framing::write_chunk(&mut input, &vec![b'x'; come]),
+        }
+        incoming.read(&mut input, 1_000, limits).unwrap();
+        incoming
+    }
+
+    #[test_case(Verdict::Final, "Content-Length: 11", 0, Course::Relayed; "long by its head")]
+    #[test_case(Verdict::Final, "Content-Length: 10", 9, Course::Kept; "short")]
+    #[test_case(Verdict::Final, "Transfer-Encoding: chunked", 11, Course::Relayed; "long by what has come")]
+    #[test_case(Verdict::Final, "Transfer-Encoding: chunked", 10, Course::Kept; "perhaps short")]
+    #[test_case(Verdict::Failure, "Content-Length: 20", 11, Course::Kept; "a failure that may not be the last word")]
+    #[test_case(Verdict::Failure, "Content-Length: 21", 0, Course::Refused; "a long one")]
+    #[test_case(Verdict::Foreign, "Transfer-Encoding: chunked", 21, Course::Refused; "a long one of another request")]
+    fn what_is_final_and_long_goes_on_as_it_comes(
+        verdict: Verdict,
+        text: &str,
+        come: usize,
+        expected: Course,
+    ) {
+        let limits = Limits { body_bytes: 10, kept_bytes: 20, ..Limits::default() };
+        assert_eq!(course(verdict, &coming(text, come, &limits), &limits), expected);
+    }
+
+    #[test]
+    fn silence_ends_an_answer_at_its_deadline_and_what_moves_has_some_more_time() {
+        let limits = Limits { answer_rest: 300, upload_longest: 20_000, ..Limits::default() };
+        assert_eq!(ends(5_000, 0, &limits), 5_000, "however long it was silent");
+        assert_eq!(ends(5_000, 4_900, &limits), 5_200);
+        assert_eq!(ends(5_000, 24_900, &limits), 25_000);
+    }
+
     #[test_case("timeout=5, max=100", Some(5); "with more")]
     #[test_case("max=3", None; "without")]
     #[test_case("timeout=x", None; "no number")]
--- a/sluice/src/host/clients.rs
+++ b/sluice/src/host/clients.rs
@@ -5,7 +5,7 @@
 use culvert::visits::Stage;
 
 use super::*;
-use crate::answers::concerns_connection;
+use crate::answers::{concerns_connection, passes};
 use crate::manifold::Asked;
 use crate::shedding::Asker;
 
@@ -52,6 +52,7 @@
             looked_at: false,
             told_to_go_on: false,
             held: 0,
+            source: None,
         };
         self.roles.insert(key, Role::Client(Box::new(client)));
         if let Some(wire) = self.wires.get_mut(key) {
@@ -95,6 +96,13 @@
         let closing = self.lifecycle.closing_idle(now, &self.limits);
         let Some(Role::Client(client)) = self.roles.get_mut(key) else { return };
         client.armed = Micros::MAX;
+        // A client that takes its answer in, or waits for more of it, has not gone away.
+        let wire = self.wires.get(key);
+        let waits = client.source.is_some() && wire.is_some_and(|wire| wire.backlog() == 0);
+        let took = wire.map_or(0, |wire| if waits { now } else { wire.took });
+        if took > client.visit.since {
+            client.visit.progress(took);
+        }
         match client.visit.deadline(closing, &self.limits) {
             Some(at) if at <= now => self.client_gone(now, key),
             Some(_) if closing && client.visit.stage == Stage::Idle => {
@@ -109,6 +117,7 @@
         if let Some(Role::Client(client)) = self.roles.remove(key) {
             self.clients -= 1;
             self.held -= client.held;
+            client.source.into_iter().for_each(|source| self.close_leg(source));
             if let Some(request) = client.request.and_then(|request| self.requests.remove(request)) {
                 let mut steps = std::mem::take(&mut self.steps);
                 self.manifold.left(now, request.ticket, &mut steps);
@@ -317,13 +326,13 @@
         let length = body.len().to_string();
         let bodiless = matches!(head.status, 204 | 304);
         let length = (!bodiless).then_some(("Content-Length", length.as_str()));
-        let lines = head.headers.iter().filter(|(name, _)| !concerns_connection(name));
+        let lines = head.headers.iter().filter(|(name, _)| passes(name));
         framing::write_head(out, head.status, length.into_iter().chain(lines), close);
         out.extend_from_slice(body);
     }
 
     /// An answer is to be written now; tells whether it is the last.
-    fn answering(&mut self, now: Micros, key: WireKey) -> Option<bool> {
+    pub(super) fn answering(&mut self, now: Micros, key: WireKey) -> Option<bool> {
         let last = self.lifecycle.last_answers(now, &self.limits);
         let client = self.client(key)?;
         client.request = None;
@@ -336,9 +345,14 @@
 
     pub(super) fn answer_written(&mut self, now: Micros, key: WireKey) {
         let Some(Role::Client(client)) = self.roles.get_mut(key) else { return };
-        if client.visit.stage != Stage::Answering {
+        // What was written may have been an earlier part of it.
+        if client.visit.stage != Stage::Answering || self.wires.get(key).is_some_and(|w| w.backlog() > 0) {
             return;
         }
+        if let Some(source) = client.source {
+            client.visit.progress(now);
+            return self.relay_on(source);
+        }
         let last = client.last;
         client.visit.written(now, last);
         client.incoming = Incoming::default();
--- a/sluice/src/host/legs.rs
+++ b/sluice/src/host/legs.rs
@@ -4,14 +4,13 @@
 
 use culvert::engine::Ending;
 use culvert::framing::Extent;
-use streamarch::Outcome;
 
 use super::clients::has_body;
 use super::*;
-use crate::answers::{judge, kept};
+use crate::answers::{Course, course, judge, kept};
 
-/// Most bytes of one server's answer that is taken in whole.
-const ANSWER: u64 = 32 * 1024 * 1024;
+/// Taken in at a time of an answer: a short one with its head.
+pub(super) const ANSWER_ROOM: usize = SHORT + 16 * 1024;
 /// Most connections to servers, idle ones included.
 const LEGS: usize = 1_000;
 /// An idle connection is given up so long before its server would close it.
@@ -92,8 +91,10 @@
             verdict: None,
             bodiless: false,
             until: 0,
+            relay: None,
         };
         self.roles.insert(key, Role::Leg(Box::new(leg)));
+        self.wires.get_mut(key).into_iter().for_each(|wire| wire.most = ANSWER_ROOM);
         self.pool.opened(server);
         self.deadlines.enter(now + CONNECT, Due::Connect(key));
         Ok(key)
@@ -163,14 +164,20 @@
             else {
                 return;
             };
+            if leg.relay.is_some() {
+                return self.relay_came(now, key);
+            }
             let Some(errand) = leg.state.errand() else {
                 // Nothing is out on it: what came belongs to no request.
-                return self.close_leg(key);
+                if !wire.input.is_empty() {
+                    self.close_leg(key);
+                }
+                return;
             };
             if wire.input.is_empty() && leg.verdict.is_none() {
                 return;
             }
-            if leg.incoming.read(&mut wire.input, ANSWER, &self.limits).is_err() {
+            if leg.incoming.read(&mut wire.input, self.limits.answer_bytes, &self.limits).is_err() {
                 return self.leg_done(now, key, errand, Verdict::Garbled);
             }
             let Some(head) = leg.incoming.head() else { return };
@@ -187,7 +194,12 @@
                 return self.leg_done(now, key, errand, verdict);
             }
             if !leg.incoming.whole() && !leg.bodiless {
-                return;
+                let own = if matches!(errand, Errand::Leg(..)) { verdict } else { Verdict::Failure };
+                return match course(own, &leg.incoming, &self.limits) {
+                    Course::Relayed => self.begin_relay(now, key, errand),
+                    Course::Refused => self.leg_done(now, key, errand, Verdict::Garbled),
+                    Course::Kept => self.again.extend(wire.waits().then_some(key)),
+                };
             }
             if verdict != Verdict::Foreign {
                 return self.leg_done(now, key, errand, verdict);
@@ -197,6 +209,13 @@
         }
     }
 
+    /// How long an idle connection may be used behind this answer.
+    pub(super) fn patience(&self, head: &AnswerHead) -> Micros {
+        let told = head.headers.get("Keep-Alive").and_then(kept);
+        let told = told.map_or(Micros::MAX, |seconds| Micros::from(seconds) * SECOND - EARLY);
+        told.min(self.limits.leg_idle)
+    }
+
     /// The answer on a connection is whole, or will never be good.
     fn leg_done(&mut self, now: Micros, key: WireKey, errand: Errand, verdict: Verdict) {
         let (Some(Role::Leg(leg)), Some(wire)) = (self.roles.get_mut(key), self.wires.get_mut(key)) else {
@@ -210,9 +229,10 @@
         let reusable = parts.as_ref().is_some_and(|(head, ..)| head.reusable()) && !bodiless;
         let keep = reusable && sent && wire.input.is_empty() && verdict != Verdict::Garbled;
         leg.state = LegState::Idle;
-        let told = parts.as_ref().and_then(|(head, ..)| head.headers.get("Keep-Alive")).and_then(kept);
-        let told = told.map_or(Micros::MAX, |seconds| Micros::from(seconds) * SECOND - EARLY);
-        leg.until = now + told.min(self.limits.leg_idle);
+        let patience = parts.as_ref().map_or(0, |(head, ..)| self.patience(head));
+        if let Some(Role::Leg(leg)) = self.roles.get_mut(key) {
+            leg.until = now + patience;
+        }
         if let Errand::Leg(_, ticket, _) = errand {
             self.legs.remove(&(ticket.engine, ticket.key));
         }
@@ -273,6 +293,9 @@
     /// A connection to a server broke, never came up, or the server closed it.
     pub(super) fn leg_broken(&mut self, now: Micros, key: WireKey) {
         let Some(Role::Leg(leg)) = self.roles.get(key) else { return };
+        if leg.relay.is_some() {
+            return self.cut(now, key);
+        }
         let (errand, server, outcome) = (leg.state.errand(), leg.server, leg.state.broken());
         self.close_leg(key);
         match errand {
--- a/sluice/src/host/mod.rs
+++ b/sluice/src/host/mod.rs
@@ -4,6 +4,7 @@
 mod clients;
 mod feeding;
 mod legs;
+mod relaying;
 
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
@@ -26,8 +27,9 @@
 use signal_hook::consts::{SIGHUP, SIGTERM};
 use slog::{Logger, info};
 use slotmap::{SecondaryMap, SlotMap};
-use streamarch::{Micros, ServerId};
+use streamarch::{Micros, Outcome, ServerId};
 
+use self::relaying::Passage;
 use crate::answers::Verdict;
 use crate::book::Book;
 use crate::manifold::{Manifold, RequestKey, Step, Ticket};
@@ -43,6 +45,11 @@
 const CONNECT: Micros = 350 * MS;
 /// A batch of adds without totals by then has timed out.
 const COUNT_WAIT: Micros = 300 * MS;
+/// Longest answer that is taken in whole before it goes on, in bytes: what one that is relayed may hold as well, its
+/// window on either side. Danger: longer ones that break off can't be tried at another server, shorter ones can.
+const SHORT: usize = 128 * 1024;
+/// Longest answer that is relayed, in bytes: none of it is held, but there is an end to what is believed.
+const ANSWER: u64 = 1024 * 1024 * 1024;
 /// From SIGTERM on, clients that ask where to go are sent elsewhere; who comes all the same is served so long.
 const NOTICE: Micros = 2_200 * MS;
 /// What is left of the grace period at the end.
@@ -82,6 +89,8 @@
     looked_at: bool,
     /// Its bytes among those held for all.
     held: usize,
+    /// The server's connection from which its answer is being relayed.
+    source: Option<WireKey>,
 }
 
 /// A connection to a server.
@@ -94,6 +103,8 @@
     bodiless: bool,
     /// Idle, it may be used until then.
     until: Micros,
+    /// The answer that is being relayed from it.
+    relay: Option<Passage>,
 }
 
 /// A request whose final answer is owed.
@@ -122,6 +133,8 @@
     Connect(WireKey),
     Visit(WireKey),
     Probe(WireKey),
+    /// An answer that is being relayed from this connection.
+    Relay(WireKey),
     Batch,
     Retire,
     Warm,
@@ -203,6 +216,8 @@
             notice: NOTICE,
             drain: settings.bounds.grace.0 - GRACE_LEFT,
             connect: CONNECT,
+            body_bytes: SHORT,
+            answer_bytes: ANSWER,
             ..Limits::default()
         };
         let now = clock.now();
@@ -244,6 +259,17 @@
         })
     }
 
+    /// Bytes of messages that are held, the room kept for them included.
+    pub fn holds(&self) -> usize {
+        let of = |role: &Role| match role {
+            Role::Client(client) => client.incoming.body.capacity(),
+            Role::Leg(leg) => leg.incoming.body.capacity(),
+            Role::Check | Role::Feed => 0,
+        };
+        let bodies = self.requests.values().map(|request| request.body.capacity());
+        self.wires.held() + self.roles.values().map(of).sum::<usize>() + bodies.sum::<usize>()
+    }
+
     /// Runs until told to end.
     ///
     /// # Errors
@@ -392,6 +418,7 @@
             Due::Connect(_) => {}
             Due::Visit(key) => self.visit_due(now, key),
             Due::Probe(key) => self.probe_due(now, key),
+            Due::Relay(key) => self.relay_due(now, key),
             Due::Batch => self.batch_due(now),
             Due::Retire => self.retire(now),
             Due::Warm => self.list(now),
--- /dev/null
+++ b/sluice/src/host/relaying.rs
@@ -0,0 +1,119 @@
+//! Long answers on their way from a server's connection to a client's. What comes of one goes on when the client has
+//! taken in what came before, so that no more than a window of it is held.
+
+use culvert::relay::Relay;
+
+use super::legs::ANSWER_ROOM;
+use super::*;
+use crate::answers::{ends, passes};
+
+/// An answer on its way.
+pub(super) struct Passage {
+    relay: Relay,
+    to: WireKey,
+    /// When the answer is due.
+    deadline: Micros,
+    /// Whether the server's connection may be used again, and until when after.
+    patience: Option<Micros>,
+}
+
+impl Host {
+    /// A long answer is the final one: it begins. From here on there is no other try, and no other answer.
+    pub(super) fn begin_relay(&mut self, now: Micros, key: WireKey, errand: Errand) {
+        let Some(Role::Leg(leg)) = self.roles.get_mut(key) else { return };
+        let incoming = std::mem::take(&mut leg.incoming);
+        let sent = leg.state.broken() == Outcome::Reset;
+        (leg.verdict, leg.state) = (None, LegState::Relaying);
+        let (extent, parts) = (incoming.extent, incoming.into_parts());
+        let (Some((head, reader, come)), Errand::Leg(request, ticket, number)) = (parts, errand) else {
+            return self.close_leg(key);
+        };
+        self.legs.remove(&(ticket.engine, ticket.key));
+        let answers = self.manifold.leg_ended(now, ticket, number, Outcome::Ok);
+        let request = answers.then(|| self.requests.remove(request)).flatten();
+        let to = request.as_ref().map(|request| (request.client, request.deadline));
+        let begins = to.and_then(|(to, deadline)| Some((to, deadline, self.answering(now, to)?)));
+        let Some((to, deadline, close)) = begins else { return self.close_leg(key) };
+        let Some(out) = self.wires.output(to) else { return self.close_leg(key) };
+        let lines = head.headers.iter().filter(|(name, _)| passes(name));
+        let relay = Relay::begin((&head, extent), reader, &come, lines, close, out);
+        let patience = (relay.reusable() && sent).then(|| self.patience(&head));
+        if let Some(Role::Leg(leg)) = self.roles.get_mut(key) {
+            leg.relay = Some(Passage { relay, to, deadline, patience });
+        }
+        if let Some(Role::Client(client)) = self.roles.get_mut(to) {
+            client.source = Some(key);
+        }
+        self.deadlines.enter(deadline.max(now), Due::Relay(key));
+        self.relay_came(now, key);
+    }
+
+    /// More has come of an answer that is being relayed.
+    pub(super) fn relay_came(&mut self, now: Micros, key: WireKey) {
+        let (Some(Role::Leg(leg)), Some(wire)) = (self.roles.get_mut(key), self.wires.get_mut(key)) else {
+            return;
+        };
+        let Some(passage) = &mut leg.relay else { return };
+        let (to, mut input) = (passage.to, std::mem::take(&mut wire.input));
+        let Some(out) = self.wires.output(to) else { return };
+        let passed = passage.relay.pass(&mut input, out);
+        let (held_up, clean) = (!out.is_empty(), input.is_empty());
+        if let Some(wire) = self.wires.get_mut(key) {
+            wire.input = input;
+            wire.most = if held_up { 0 } else { self.limits.relay_window };
+        }
+        match passed {
+            Err(_) => self.cut(now, key),
+            Ok(()) if passage.relay.whole() => self.relay_whole(now, key, clean),
+            Ok(()) => {}
+        }
+    }
+
+    /// All of it has come: the server's connection is free of the client's.
+    fn relay_whole(&mut self, now: Micros, key: WireKey, clean: bool) {
+        let Some(Role::Leg(leg)) = self.roles.get_mut(key) else { return };
+        let Some(passage) = leg.relay.take() else { return };
+        leg.state = LegState::Idle;
+        let (server, patience) = (leg.server, passage.patience.filter(|_| clean));
+        leg.until = now + patience.unwrap_or(0);
+        if let Some(Role::Client(client)) = self.roles.get_mut(passage.to) {
+            client.source = None;
+        }
+        if !(patience.is_some() && self.pool.rest(server, key, now)) {
+            self.close_leg(key);
+        } else if let Some(wire) = self.wires.get_mut(key) {
+            wire.input = Vec::new();
+            wire.most = ANSWER_ROOM;
+            self.again.push(key);
+        }
+    }
+
+    /// The client has taken in what came so far: more may come.
+    pub(super) fn relay_on(&mut self, source: WireKey) {
+        if let Some(wire) = self.wires.get_mut(source) {
+            wire.most = self.limits.relay_window;
+            self.again.push(source);
+        }
+    }
+
+    /// An answer that was begun breaks off. Its end was never written, and never is: its client's connection goes.
+    pub(super) fn cut(&mut self, now: Micros, key: WireKey) {
+        let Some(Role::Leg(leg)) = self.roles.get_mut(key) else { return };
+        let Some(passage) = leg.relay.take() else { return };
+        self.close_leg(key);
+        self.client_gone(now, passage.to);
+    }
+
+    /// An answer may have been on its way for too long.
+    pub(super) fn relay_due(&mut self, now: Micros, key: WireKey) {
+        let (Some(Role::Leg(leg)), Some(wire)) = (self.roles.get(key), self.wires.get(key)) else { return };
+        let Some(passage) = &leg.relay else { return };
+        // Where the client is slow the server is not asked for more; how slow that may be is the client's own limit.
+        let held_up = self.wires.get(passage.to).is_some_and(|client| client.backlog() > 0);
+        let until = ends(passage.deadline, if held_up { now } else { wire.heard }, &self.limits);
+        match until > now {
+            true => self.deadlines.enter(until, Due::Relay(key)),
+            false => self.cut(now, key),
+        }
+    }
+}
