Sluice: tests of a refused body's rest, and of room given back with the answer

Cause: two parts of the last change had no test that failed without them: reading on while a refused client still sends, and giving back the room of a request whose answer is under way. The test of the rest needs 32 MB, more than the system's buffers.

--- a/sluice/tests/common/mod.rs
+++ b/sluice/tests/common/mod.rs
@@ -166,7 +166,7 @@
 }
 
 fn limits() -> Limits {
-    Limits { body_bytes: 8 << 20, ..Limits::default() }
+    Limits { body_bytes: 64 << 20, ..Limits::default() }
 }
 
 impl Bench {
--- a/sluice/tests/upload.rs
+++ b/sluice/tests/upload.rs
@@ -82,7 +82,6 @@
         let answer = bench.answer(client);
         assert_eq!((answer.status, answer.headers.has("Retry-After")), (status, status == 503), "{line}");
         assert!(!answer.keep_alive);
-        // The rest is read out, so that the answer is not lost to a reset.
         bench.send(client, &body[LONG / 2..]);
         bench.until("end", |bench| bench.clients[client].ended.then_some(()));
         bench.pass(600);
@@ -187,3 +186,38 @@
     bench.pass(100);
     assert_eq!(bench.answer(client).status, 504);
 }
+
+#[test]
+fn the_rest_of_a_refused_body_is_read_out_so_that_the_answer_is_not_lost_to_a_reset() {
+    let body = pattern(32 << 20);
+    let (mut bench, client) = sending(&["a"], false, &body, 200_000);
+    bench.until("a part at the server", |bench| (part(bench) > 0).then_some(()));
+    bench.clients[client].deaf = true;
+    bench.stubs[0].lines[0].end.write(not_run("one").as_bytes());
+    let mut sent = 200_000;
+    for _ in 0..3_000 {
+        sent += bench.clients[client].write(&body[sent..]);
+        bench.turn();
+    }
+    assert_eq!(sent, body.len());
+    bench.clients[client].deaf = false;
+    assert_eq!(bench.answer(client).status, 503);
+}
+
+#[test]
+fn bodies_whose_answers_are_under_way_take_no_room_from_others() {
+    let mut bench = Bench::new(&["a"]);
+    let body = pattern(2 << 20);
+    // One more than have room at once.
+    for n in 0..33 {
+        let client =
+            bench.ask(ask("POST /u/1", &format!("{n}"), &format!("Content-Length: {}\r\n", body.len()), ""));
+        bench.send(client, &body);
+        let at = bench.served();
+        let begun = good(at.id(), &"x".repeat(140_000)).replace("Length: 140000", "Length: 300000");
+        bench.reply(&at, begun);
+        bench.until("a part of the answer", |bench| {
+            (bench.clients[client].input.len() > 130_000).then_some(())
+        });
+    }
+}
