Merge long messages through the proxy

Long answers and long bodies of requests go on as they come, through bounded windows; short ones keep their path. The test of a full memory holds many bodies that are kept whole, as longer ones are not held any more.

--- a/mains/src/wires.rs
+++ b/mains/src/wires.rs
@@ -65,6 +65,11 @@
     pub fn backlog(&self) -> usize {
         self.output.len() - self.written
     }
+
+    /// More may be there than was read, for want of room.
+    pub fn waits(&self) -> bool {
+        self.unread
+    }
 }
 
 /// All connections of a program.
@@ -192,6 +197,11 @@
         self.wires.len()
     }
 
+    /// Bytes that all of them hold: what came and was not taken, what is not written, and room kept for more.
+    pub fn held(&self) -> usize {
+        self.wires.values().map(|wire| wire.input.capacity() + wire.output.capacity()).sum()
+    }
+
     /// There are none.
     pub fn is_empty(&self) -> bool {
         self.wires.is_empty()
--- a/sluice/src/host/clients.rs
+++ b/sluice/src/host/clients.rs
@@ -5,12 +5,12 @@
 use culvert::visits::Stage;
 
 use super::*;
-use crate::answers::concerns_connection;
+use crate::answers::{concerns_connection, passes};
 use crate::manifold::Asked;
 use crate::shedding::Asker;
 
 /// Taken in from a client while its request is out.
-const AHEAD: usize = 4 * 1024;
+pub(super) const AHEAD: usize = 4 * 1024;
 /// Taken in at a time while a request is coming in.
 const WINDOW: usize = 128 * 1024;
 /// Where the module gives no advice, and for requests that came before the configuration did.
@@ -24,8 +24,15 @@
 /// An idle connection is kept for so much longer than its client is told.
 const STAY_LESS: Micros = SECOND;
 
+/// A body that goes on while it comes.
+pub(super) struct Coming {
+    pub(super) extent: Extent,
+    /// The time that it is given to come.
+    pub(super) more: Micros,
+}
+
 /// An answer of the proxy's own.
-struct Own {
+pub(super) struct Own {
     status: u16,
     stay_away: Micros,
     text: &'static str,
@@ -52,6 +59,8 @@
             told_to_go_on: false,
             held: 0,
             band: 0,
+            source: None,
+            upload: None,
         };
         self.roles.insert(key, Role::Client(Box::new(client)));
         if let Some(wire) = self.wires.get_mut(key) {
@@ -61,7 +70,7 @@
         self.make_room(now);
     }
 
-    fn client(&mut self, key: WireKey) -> Option<&mut Client> {
+    pub(super) fn client(&mut self, key: WireKey) -> Option<&mut Client> {
         match self.roles.get_mut(key) {
             Some(Role::Client(client)) => Some(client),
             _ => None,
@@ -69,7 +78,7 @@
     }
 
     /// Enters the deadline of a visit, if it is earlier than the one entered.
-    fn arm(&mut self, now: Micros, key: WireKey) {
+    pub(super) fn arm(&mut self, now: Micros, key: WireKey) {
         let closing = self.lifecycle.closing_idle(now, &self.limits);
         let Some(Role::Client(client)) = self.roles.get_mut(key) else { return };
         if let Some(at) = client.visit.deadline(closing, &self.limits).filter(|at| *at < client.armed) {
@@ -82,6 +91,15 @@
         let closing = self.lifecycle.closing_idle(now, &self.limits);
         let Some(Role::Client(client)) = self.roles.get_mut(key) else { return };
         client.armed = Micros::MAX;
+        // A client that waits for more of its answer has not gone away.
+        if client.source.is_some() && self.wires.get(key).is_some_and(|wire| wire.backlog() == 0) {
+            client.visit.progress(now);
+        }
+        // Nor one whose body is not asked for, where the server is slow.
+        let over = client.visit.deadline(closing, &self.limits).is_some_and(|at| at <= now);
+        if over && client.upload.is_some() && self.wires.get(key).is_some_and(|wire| wire.waits()) {
+            client.visit.held_up(now);
+        }
         match client.visit.deadline(closing, &self.limits) {
             Some(at) if at <= now => self.client_gone(now, key),
             Some(_) if closing && client.visit.stage == Stage::Idle => {
@@ -96,16 +114,20 @@
         if let Some(Role::Client(client)) = self.roles.remove(key) {
             self.clients -= 1;
             self.held -= client.held;
-            if let Some(request) = client.request.and_then(|request| self.requests.remove(request)) {
-                let mut steps = std::mem::take(&mut self.steps);
-                self.manifold.left(now, request.ticket, &mut steps);
-                self.steps = steps;
-            }
+            client.source.into_iter().for_each(|source| self.close_leg(source));
+            client.request.into_iter().for_each(|request| self.leave_off(now, request));
         }
         self.wires.close(key);
         self.may_finish();
     }
 
+    /// Nothing is owed for a request any more.
+    pub(super) fn leave_off(&mut self, now: Micros, request: RequestKey) {
+        if let Some(request) = self.requests.remove(request) {
+            self.manifold.left(now, request.ticket, &mut self.steps);
+        }
+    }
+
     pub(super) fn client_came(&mut self, now: Micros, key: WireKey) {
         let most = self.limits.request_bytes;
         let (Some(Role::Client(client)), Some(wire)) = (self.roles.get_mut(key), self.wires.get_mut(key))
@@ -114,7 +136,12 @@
         };
         match client.visit.stage {
             Stage::Idle | Stage::Partial => {}
-            Stage::Lingering => return wire.input.clear(),
+            Stage::Lingering => {
+                wire.input.clear();
+                // Guards the answer: a close with input unread would reset the connection.
+                return self.again.extend(wire.waits().then_some(key));
+            }
+            Stage::Open if client.upload.is_some() => return self.upload_came(now, key),
             // The rest waits until the request before it is answered.
             Stage::Open | Stage::Answering => return,
         }
@@ -127,13 +154,7 @@
         self.held = self.held + held - client.held;
         client.held = held;
         if let Err(fault) = read {
-            let text = match fault {
-                Malformed::Syntax => "no request",
-                Malformed::HeadTooLarge => "head too large",
-                Malformed::BodyTooLarge => "body too large",
-            };
-            client.last = true;
-            return self.answer_own(now, key, &own(fault.status(), text));
+            return self.refuse(now, key, fault);
         }
         if client.incoming.whole() {
             let incoming = std::mem::take(&mut client.incoming);
@@ -152,14 +173,15 @@
         }
         let Some(Role::Client(client)) = self.roles.get_mut(key) else { return };
         if let Some(head) = client.incoming.head() {
-            if head.expects && !std::mem::replace(&mut client.told_to_go_on, true) {
-                self.wires
-                    .output(key)
-                    .into_iter()
-                    .for_each(|out| out.extend(b"HTTP/1.1 100 Continue\r\n\r\n"));
+            if client.incoming.longer(self.limits.kept_bytes) {
+                return self.begin_upload(now, key);
             }
+            let tell = head.expects && !std::mem::replace(&mut client.told_to_go_on, true);
             let length = client.incoming.length;
             client.visit.uploading(now, length);
+            if tell {
+                self.go_on(key);
+            }
         }
         if let Some(spared) = self.no_room() {
             self.client(spared).into_iter().for_each(|client| client.last = true);
@@ -181,6 +203,23 @@
         }
     }
 
+    /// What came is no request, or too long a one.
+    pub(super) fn refuse(&mut self, now: Micros, key: WireKey, fault: Malformed) {
+        let text = match fault {
+            Malformed::Syntax => "no request",
+            Malformed::HeadTooLarge => "head too large",
+            Malformed::BodyTooLarge => "body too large",
+        };
+        self.client(key).into_iter().for_each(|client| client.last = true);
+        self.answer_own(now, key, &own(fault.status(), text));
+    }
+
+    /// The client may send its body.
+    pub(super) fn go_on(&mut self, key: WireKey) {
+        let out = self.wires.output(key);
+        out.into_iter().for_each(|out| out.extend(b"HTTP/1.1 100 Continue\r\n\r\n"));
+    }
+
     /// Whether a request's turn has not come: it is refused then before its body is taken, and the connection closed
     /// behind the answer. Looked at once, when its head is there, where the route has one service: else it is not known.
     fn waits_by_head(&mut self, now: Micros, key: WireKey) -> bool {
@@ -209,12 +248,19 @@
         if let Some(client) = self.client(key) {
             client.last = !head.keep_alive;
         }
-        if let Err(own) = self.admit(now, key, head, body) {
+        if let Err(own) = self.admit(now, key, head, body, None) {
             self.answer_own(now, key, &own);
         }
     }
 
-    fn admit(&mut self, now: Micros, key: WireKey, head: RequestHead, body: Vec<u8>) -> Result<(), Own> {
+    pub(super) fn admit(
+        &mut self,
+        now: Micros,
+        key: WireKey,
+        head: RequestHead,
+        body: Vec<u8>,
+        coming: Option<Coming>,
+    ) -> Result<(), Own> {
         if !self.book.serves() {
             return Err(away(503, start_away(), "no configuration yet"));
         }
@@ -234,7 +280,8 @@
         let left =
             left.filter(|ms| ms.is_finite() && *ms >= 0.0).map_or(route.timeout.0, |ms| (ms * 1e3) as Micros);
         let wait = left.min(route.timeout.0);
-        let deadline = now + wait - MARGIN.min(wait / 4);
+        let wait = wait - MARGIN.min(wait / 4);
+        let deadline = now + wait + coming.as_ref().map_or(0, |coming| coming.more);
         let svc = choose(&route).ok_or(away(503, STAY_AWAY, "no service takes it"))?;
         let pins = pins(&route.pins, tenant.as_ref().map_or(&[][..], |t| &t.tenant.pins));
         let pins = pins.ok_or(away(503, STAY_AWAY, "no region may serve it"))?;
@@ -254,6 +301,8 @@
             id,
             route: route.clone(),
             deadline,
+            wait,
+            coming: coming.map(|coming| coming.extent),
             ticket,
             sent_on: Vec::new(),
             ran: false,
@@ -292,7 +341,7 @@
         self.answer_own(now, request.client, &answer);
     }
 
-    fn answer_own(&mut self, now: Micros, key: WireKey, own: &Own) {
+    pub(super) fn answer_own(&mut self, now: Micros, key: WireKey, own: &Own) {
         let seconds = format!("{:.3}", own.stay_away as f64 / 1e6);
         let mut lines = vec![("Content-Type", "text/plain")];
         lines.extend((own.stay_away > 0).then_some(("Retry-After", seconds.as_str())));
@@ -314,18 +363,23 @@
         let length = body.len().to_string();
         let bodiless = matches!(head.status, 204 | 304);
         let length = (!bodiless).then_some(("Content-Length", length.as_str()));
-        let lines = head.headers.iter().filter(|(name, _)| !concerns_connection(name));
+        let lines = head.headers.iter().filter(|(name, _)| passes(name));
         let lines = length.into_iter().chain(lines).chain(may_stay(&self.stay, close));
         framing::write_head(out, head.status, lines, close);
         out.extend_from_slice(body);
     }
 
     /// An answer is to be written now; tells whether it is the last.
-    fn answering(&mut self, now: Micros, key: WireKey) -> Option<bool> {
+    pub(super) fn answering(&mut self, now: Micros, key: WireKey) -> Option<bool> {
         let last = self.lifecycle.last_answers(now, &self.limits);
-        let client = self.client(key)?;
+        let Some(Role::Client(client)) = self.roles.get_mut(key) else { return None };
         client.request = None;
-        client.last |= last;
+        // What was here of the request is of no more use.
+        client.incoming = Incoming::default();
+        self.held -= std::mem::take(&mut client.held);
+        // What is left of a body is read and thrown away behind the last answer.
+        let rest = client.upload.take().is_some_and(|upload| !upload.whole());
+        client.last |= last || rest;
         client.visit.answering(now);
         let close = client.last;
         self.arm(now, key);
@@ -337,9 +391,12 @@
         if client.visit.stage != Stage::Answering {
             return;
         }
+        if let Some(source) = client.source {
+            client.visit.progress(now);
+            return self.relay_on(source);
+        }
         let last = client.last;
         client.visit.written(now, last);
-        client.incoming = Incoming::default();
         if let Some(wire) = self.wires.get_mut(key) {
             wire.most = WINDOW;
             self.held = self.held + wire.input.len() - client.held;
@@ -387,7 +444,7 @@
 }
 
 /// The line that says so, unless the answer is the last of its connection.
-fn may_stay(stay: &str, close: bool) -> Option<(&'static str, &str)> {
+pub(super) fn may_stay(stay: &str, close: bool) -> Option<(&'static str, &str)> {
     (!close).then_some(("Keep-Alive", stay))
 }
 
--- a/sluice/src/host/mod.rs
+++ b/sluice/src/host/mod.rs
@@ -4,7 +4,9 @@
 mod clients;
 mod feeding;
 mod legs;
+mod relaying;
 mod room;
+mod uploading;
 
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
@@ -12,11 +14,13 @@
 
 use culvert::clock::Clock;
 use culvert::deadlines::Deadlines;
-use culvert::framing::{AnswerHead, Incoming, RequestHead};
+use culvert::engine::Ending;
+use culvert::framing::{AnswerHead, Extent, Incoming, RequestHead};
 use culvert::legs::{LegState, Pool};
 use culvert::lifecycle::Lifecycle;
 use culvert::limits::Limits;
 use culvert::slots::AuthorisationKey;
+use culvert::upload::Upload;
 use culvert::visits::Visit;
 use eyre::{WrapErr, eyre};
 use mains::items::Route;
@@ -27,8 +31,9 @@
 use signal_hook::consts::{SIGHUP, SIGTERM};
 use slog::{Logger, info};
 use slotmap::{SecondaryMap, SlotMap};
-use streamarch::{Micros, ServerId};
+use streamarch::{Micros, Outcome, ServerId};
 
+use self::relaying::Passage;
 use crate::answers::Verdict;
 use crate::book::Book;
 use crate::manifold::{Manifold, RequestKey, Step, Ticket};
@@ -44,6 +49,11 @@
 const CONNECT: Micros = 350 * MS;
 /// A batch of adds without totals by then has timed out.
 const COUNT_WAIT: Micros = 300 * MS;
+/// Longest answer that is taken in whole before it goes on, in bytes: what one that is relayed may hold as well, its
+/// window on either side. Danger: longer ones that break off can't be tried at another server, shorter ones can.
+const SHORT: usize = 128 * 1024;
+/// Longest answer that is relayed, in bytes: none of it is held, but there is an end to what is believed.
+const ANSWER: u64 = 1024 * 1024 * 1024;
 /// From SIGTERM on, clients that ask where to go are sent elsewhere; who comes all the same is served so long.
 const NOTICE: Micros = 2_200 * MS;
 /// What is left of the grace period at the end.
@@ -85,6 +95,10 @@
     held: usize,
     /// The band of its last request.
     band: usize,
+    /// The server's connection from which its answer is being relayed.
+    source: Option<WireKey>,
+    /// The body of its request that goes on while it comes.
+    upload: Option<Upload<WireKey>>,
 }
 
 /// A connection to a server.
@@ -97,6 +111,10 @@
     bodiless: bool,
     /// Idle, it may be used until then.
     until: Micros,
+    /// The answer that is being relayed from it.
+    relay: Option<Passage>,
+    /// Of the body that goes on to it the end has not come.
+    feeding: bool,
 }
 
 /// A request whose final answer is owed.
@@ -110,6 +128,10 @@
     id: String,
     route: Rc<Route>,
     deadline: Micros,
+    /// The time that its client gave it.
+    wait: Micros,
+    /// How its body ends, where that goes on while it comes.
+    coming: Option<Extent>,
     ticket: Ticket,
     /// Connections to servers that it was sent on.
     sent_on: Vec<WireKey>,
@@ -125,6 +147,10 @@
     Connect(WireKey),
     Visit(WireKey),
     Probe(WireKey),
+    /// An answer that is being relayed from this connection.
+    Relay(WireKey),
+    /// A request whose long body came.
+    Late(RequestKey),
     Batch,
     Retire,
     Warm,
@@ -210,6 +236,8 @@
             notice: NOTICE,
             drain: settings.bounds.grace.0 - GRACE_LEFT,
             connect: CONNECT,
+            body_bytes: SHORT,
+            answer_bytes: ANSWER,
             ..Limits::default()
         };
         let now = clock.now();
@@ -253,6 +281,19 @@
         })
     }
 
+    /// Bytes of messages that are held, the room kept for them included.
+    pub fn holds(&self) -> usize {
+        let of = |role: &Role| match role {
+            Role::Client(client) => {
+                client.incoming.body.capacity() + client.upload.as_ref().map_or(0, Upload::held)
+            }
+            Role::Leg(leg) => leg.incoming.body.capacity(),
+            Role::Check | Role::Feed => 0,
+        };
+        let bodies = self.requests.values().map(|request| request.body.capacity());
+        self.wires.held() + self.roles.values().map(of).sum::<usize>() + bodies.sum::<usize>()
+    }
+
     /// Runs until told to end.
     ///
     /// # Errors
@@ -353,7 +394,12 @@
 
     fn came_up(&mut self, now: Micros, key: WireKey) {
         match self.roles.get_mut(key) {
-            Some(Role::Leg(leg)) => leg.state = leg.state.connected(),
+            Some(Role::Leg(leg)) => {
+                leg.state = leg.state.connected();
+                if let Some(Errand::Leg(request, ..)) = leg.state.errand() {
+                    self.start_upload(request, key);
+                }
+            }
             Some(Role::Feed) => self.feed_up(now, key),
             Some(Role::Client(_) | Role::Check) | None => {}
         }
@@ -372,6 +418,13 @@
     fn written(&mut self, now: Micros, key: WireKey) {
         match self.roles.get_mut(key) {
             Some(Role::Client(_)) => self.answer_written(now, key),
+            // What was written may have been an earlier part of it.
+            Some(Role::Leg(_)) if self.wires.get(key).is_some_and(|wire| wire.backlog() > 0) => {}
+            Some(Role::Leg(leg)) if leg.feeding => {
+                if let Some(Errand::Leg(request, ..)) = leg.state.errand() {
+                    self.feed_on(request);
+                }
+            }
             Some(Role::Leg(leg)) => {
                 let before = leg.state;
                 leg.state = before.written();
@@ -403,6 +456,8 @@
             Due::Connect(_) => {}
             Due::Visit(key) => self.visit_due(now, key),
             Due::Probe(key) => self.probe_due(now, key),
+            Due::Relay(key) => self.relay_due(now, key),
+            Due::Late(key) => self.late(now, key),
             Due::Batch => self.batch_due(now),
             Due::Retire => self.retire(now),
             Due::Warm => self.list(now),
--- a/sluice/src/manifold/mod.rs
+++ b/sluice/src/manifold/mod.rs
@@ -331,6 +331,11 @@
         last
     }
 
+    /// A body has gone on to a server and is no longer here: no other one can have it.
+    pub fn body_gone(&mut self, ticket: Ticket) {
+        self.basins[ticket.engine].engine.body_gone(ticket.key);
+    }
+
     /// The last byte of a leg is written.
     pub fn leg_written(&mut self, now: Micros, ticket: Ticket) {
         self.basins[ticket.engine].engine.leg_written(now, ticket.key);
