Agents: all seats replaced while an agent hears none is no dead end any more

The edge was no member at any seat, not only at the one that came last, which is looked at first: its agent knew none but replaced machines. The drill's agent kept the seeds of its start, where penstock's reads the settings anew after each round, and began again with its own zone's old seat where penstock's goes on behind the seat that it left. And an agent took no names from a seat out of touch, though the machine that was replaced last knows where most others are.

Ruled out: leases and members of the core; no seat lacked what another had.

Change: agents try seats that one out of touch names after those they know; the drill's agent does as penstock's.

--- a/drill/src/edges/agents.rs
+++ b/drill/src/edges/agents.rs
@@ -144,7 +144,8 @@
         self.reset(id, true);
         let agent = &mut self.edges[at].agent;
         if agent.link.as_ref().is_some_and(|link| link.conn == id) {
-            agent.link = None;
+            let to = agent.link.take().map(|link| link.to);
+            to.into_iter().for_each(|to| agent.links.left(to));
             self.later(at, AGAIN, Due::Again);
         } else if agent.count.is_some_and(|(count, ..)| count == id) {
             agent.count = None;
@@ -188,6 +189,8 @@
                 if in_touch {
                     agent.links.told(&seats);
                     agent.links.settled();
+                } else {
+                    agent.links.heard_of(&seats);
                 }
                 self.pass_on(at, message);
                 self.open_count(at);
@@ -216,7 +219,12 @@
         if self.edges[at].agent.link.is_some() {
             return;
         }
-        let Some((to, _)) = self.edges[at].agent.links.advance() else { return };
+        let Some((to, round)) = self.edges[at].agent.links.advance() else { return };
+        if round {
+            // The settings are read anew.
+            let seeds = self.seeds();
+            self.edges[at].agent.links.seeds(seeds);
+        }
         let conn = self.connect(at, to);
         self.edges[at].agent.link = Some(Link { conn, to, told: false, astray: None, heard: self.now });
     }
--- a/penstock/src/host.rs
+++ b/penstock/src/host.rs
@@ -349,6 +349,8 @@
                 if in_touch {
                     self.links.told(&seats);
                     self.links.settled();
+                } else {
+                    self.links.heard_of(&seats);
                 }
                 self.pass_on(now, message);
                 self.open_count(now);
--- a/penstock/src/links.rs
+++ b/penstock/src/links.rs
@@ -13,6 +13,8 @@
 pub const OUT_OF_TOUCH: i64 = 700_000;
 /// The own zone's seat is tried again after this by an agent linked elsewhere.
 pub const HOMEWARD: i64 = 8_000_000;
+/// Most seats that are kept by hearsay.
+const HEARSAY: usize = 256;
 
 /// Where to call.
 #[derive(Debug)]
@@ -22,6 +24,8 @@
     zones: BTreeMap<String, String>,
     /// Seats by zone, as last told.
     seats: BTreeMap<String, SocketAddr>,
+    /// Seats that others named which are out of touch themselves: they may have been replaced, as may those that they name.
+    hearsay: Vec<SocketAddr>,
     /// From the settings: of any zone.
     seeds: Vec<SocketAddr>,
     turn: usize,
@@ -32,7 +36,8 @@
     /// Nothing was told yet. `shift`: by which this agent's order differs from its neighbours'.
     pub fn new(zone: &str, region: &str, zones: BTreeMap<String, String>, shift: usize) -> Links {
         let (zone, region) = (zone.to_string(), region.to_string());
-        Links { zone, region, zones, seats: BTreeMap::new(), seeds: Vec::new(), turn: 0, shift }
+        let (seats, hearsay, seeds) = (BTreeMap::new(), Vec::new(), Vec::new());
+        Links { zone, region, zones, seats, hearsay, seeds, turn: 0, shift }
     }
 
     /// The settings name these.
@@ -43,6 +48,19 @@
     /// A seat named these.
     pub fn told(&mut self, seats: &[(String, SocketAddr)]) {
         self.seats = seats.iter().cloned().collect();
+        self.hearsay.clear();
+    }
+
+    /// A seat that is out of touch named these. All that are known may have been replaced meanwhile, and who was replaced
+    /// last knows where some of the others are.
+    pub fn heard_of(&mut self, seats: &[(String, SocketAddr)]) {
+        let new = seats.iter().map(|(_, at)| *at).filter(|at| !self.seats.values().any(|seat| seat == at));
+        for at in new.collect::<Vec<_>>() {
+            self.hearsay.retain(|old| *old != at);
+            self.hearsay.push(at);
+        }
+        let over = self.hearsay.len().saturating_sub(HEARSAY);
+        self.hearsay.drain(..over);
     }
 
     /// The own zone's seat, if it is known.
@@ -66,6 +84,7 @@
             order.extend(equal.into_iter().map(|at| (wanted, at)));
         }
         let mut order: Vec<SocketAddr> = order.into_iter().map(|(_, at)| at).collect();
+        order.extend(&self.hearsay);
         // Seeds may be of any zone; those that no seat was told of come last, or are all there is.
         let seeds =
             self.seeds.iter().cycle().skip(self.shift % self.seeds.len().max(1)).take(self.seeds.len());
@@ -138,6 +157,23 @@
         assert_eq!(tried(&mut links, 1), [at(b'b')], "one that nobody knows any more");
     }
 
+    #[test]
+    fn seats_named_by_one_out_of_touch_come_after_those_that_are_known_until_one_in_touch_names_all() {
+        let mut links = links(0);
+        links.told(&["a", "b"].map(|zone| (zone.to_string(), at(zone.as_bytes()[0]))));
+        links.settled();
+        // `a` was replaced, and knows by now that `b` was, too.
+        links.left(at(b'b'));
+        assert_eq!(tried(&mut links, 1), [at(b'a')]);
+        links.heard_of(&[("a".to_string(), at(b'a')), ("b".to_string(), at(5))]);
+        links.heard_of(&[("b".to_string(), at(5))]);
+        links.left(at(b'a'));
+        assert_eq!(tried(&mut links, 3), [at(5), at(9), at(b'b')]);
+        links.told(&[("b".to_string(), at(5))]);
+        links.settled();
+        assert_eq!(tried(&mut links, 2), [at(5), at(9)]);
+    }
+
     #[test]
     fn agents_of_a_zone_spread_over_the_others() {
         let seats = ["a", "c", "d"].map(|zone| (zone.to_string(), at(zone.as_bytes()[0])));
