Drill: a start not counted, and a rebuilt seat without a floor, are found

Cause: no schedule of any plan found these two harms, so that what they take away was shown by nothing: the run in a ballot, and the floor that a seat which rebuilds hears of. Both lines are needed: two contents of one version stand without them.

Change: two kinds of `--often` draw what they need. `stalled`: a proposal that reaches a few while its own seat's disk stalls, a loss of power, and another proposal after the start. `torn`: two proposals for one version, each heard by one half, and the disk of a seat that heard both is lost between them.

In bugs.rs both are allowed 100.

--- a/drill/src/cluster/machines.rs
+++ b/drill/src/cluster/machines.rs
@@ -53,6 +53,7 @@
             Some(Bug::Empty) if empty => node.disk.own.life = Life::FIRST,
             Some(Bug::Tombstone) => node.disk.forget_dropped(),
             Some(Bug::Term) => node.disk.own.terms.clear(),
+            Some(Bug::Run) => node.disk.own.run = 0,
             _ => {}
         }
         node.life += 1;
--- a/drill/src/draw.rs
+++ b/drill/src/draw.rs
@@ -21,16 +21,22 @@
     Replaced,
     /// Links are cut.
     Cut,
+    /// A disk stalls under proposals, and the process ends before it has written them.
+    Stalled,
+    /// Two propose at once, are cut off from each other, and the disk of one that hears both is lost.
+    Torn,
 }
 
 impl Often {
     /// All of them, by name.
-    pub const ALL: [(&'static str, Often); 5] = [
+    pub const ALL: [(&'static str, Often); 7] = [
         ("any", Often::Any),
         ("dark", Often::Dark),
         ("frozen", Often::Frozen),
         ("replaced", Often::Replaced),
         ("cut", Often::Cut),
+        ("stalled", Often::Stalled),
+        ("torn", Often::Torn),
     ];
 
     /// The kinds of trouble, by their numbers in `Draft::core`.
@@ -41,6 +47,8 @@
             Often::Frozen => &[10],
             Often::Replaced => &[8, 18],
             Often::Cut => &[15, 17, 18],
+            Often::Stalled => &[26],
+            Often::Torn => &[27],
         }
     }
 }
@@ -177,6 +185,8 @@
                 self.add(end, What::Twice(0));
                 self.add(end, What::Late(0));
             }
+            26 => self.stalled(at, seat),
+            27 => self.torn(at, seat),
             21 => self.add(at, What::All),
             25 => self.add(at, What::Dark),
             22 | 23 => {
@@ -200,6 +210,61 @@
         }
     }
 
+    /// What a seat proposes reaches a few, and its own disk never has it; then it starts, and proposes again.
+    fn stalled(&mut self, at: i64, seat: usize) {
+        self.add(at, What::Stall(seat, 600));
+        let (item, ver) = (self.chance.below(3), self.version(at));
+        self.set(at + 5 * MS, item, ver, seat);
+        let group = (0..self.plan.cores).filter(|_| self.chance.below(2) == 0).collect();
+        let cut = at + self.spell(5 * MS, 180 * MS);
+        let end = cut + self.spell(60 * MS, 200 * MS);
+        self.add(cut, What::Cut(group));
+        self.add(end, What::Power(seat));
+        self.add(end + 20 * MS, What::Start(seat));
+        self.add(end + 20 * MS, What::Heal);
+        let other = end + self.spell(250 * MS, 500 * MS);
+        let item = if self.chance.below(2) == 0 { item } else { self.chance.below(3) };
+        self.set(other, item, ver, seat);
+    }
+
+    /// Two proposals for one version; those that hear the one do not hear the other, but for a seat that hears both, and
+    /// loses its disk between them.
+    fn torn(&mut self, at: i64, seat: usize) {
+        let others: Vec<usize> = (0..self.plan.cores).filter(|other| *other != seat).collect();
+        let (mut one, mut other) = (Vec::new(), Vec::new());
+        for seat in others {
+            if self.chance.below(2) == 0 { one.push(seat) } else { other.push(seat) }
+        }
+        if one.is_empty() || other.is_empty() {
+            return;
+        }
+        let (item, ver) = (self.chance.below(3), self.version(at));
+        let first = at + self.spell(0, 120 * MS);
+        let cut = at + self.spell(0, 120 * MS);
+        let (a, b) = (one[self.chance.below(one.len() as u64) as usize], other[0]);
+        self.set(at, item, ver, a);
+        self.set(first, item, ver, b);
+        for (a, b) in one.iter().flat_map(|a| other.iter().map(move |b| (*a, *b))) {
+            self.add(cut, What::OneWay(a, b));
+            self.add(cut, What::OneWay(b, a));
+        }
+        let wipe = cut + self.spell(0, 250 * MS);
+        self.add(wipe, What::Wipe(seat));
+        self.add(wipe + 5 * MS, What::Start(seat));
+        self.add(cut + 1_100 * MS, What::Heal);
+    }
+
+    /// A version that is about the newest at an instant.
+    fn version(&mut self, at: i64) -> u64 {
+        2 + (at / (250 * MS)) as u64 + self.chance.below(2)
+    }
+
+    fn set(&mut self, at: i64, item: u64, ver: u64, seat: usize) {
+        self.content += 2;
+        let content = self.content;
+        self.add(at, What::Call(Ask::Set(item, ver, content), seat));
+    }
+
     fn edge(&mut self, at: i64) {
         let edge = self.chance.below(self.plan.edges as u64) as usize;
         let seat = self.seat();
--- a/drill/src/harm.rs
+++ b/drill/src/harm.rs
@@ -50,11 +50,15 @@
     Calls,
     /// A quarter of the votes that were written are never reported: what waits for it is held for good.
     Written,
+    /// A start of a process is not counted: its proposals have the numbers of those before it.
+    Run,
+    /// A seat that rebuilds hears of no floor under its promises.
+    Floor,
 }
 
 impl Bug {
     /// All of them, by name.
-    pub const ALL: [(&'static str, Bug); 19] = [
+    pub const ALL: [(&'static str, Bug); 21] = [
         ("sync", Bug::Sync),
         ("empty", Bug::Empty),
         ("clock", Bug::Clock),
@@ -74,6 +78,8 @@
         ("resend", Bug::Resend),
         ("calls", Bug::Calls),
         ("written", Bug::Written),
+        ("run", Bug::Run),
+        ("floor", Bug::Floor),
     ];
 }
 
@@ -118,6 +124,7 @@
         match (self.bug, &mut letter.body) {
             (Some(Bug::Lives), _) => letter.lives.fill(Life::NONE),
             (Some(Bug::Accepted), Body::Nack { ballot, .. }) => letter.body = Body::Accepted(*ballot),
+            (Some(Bug::Floor), Body::Recorded { floor, .. }) => *floor = Ballot::default(),
             (Some(Bug::Arrival), Body::Promise { accepted, .. }) => by_arrival(accepted),
             (Some(Bug::Arrival), Body::Registers { all: Some(all), .. }) => by_arrival(all),
             (Some(Bug::Old), body) => {
--- a/drill/tests/bugs.rs
+++ b/drill/tests/bugs.rs
@@ -11,6 +11,10 @@
 const FROZEN: Plan = Plan { often: Often::Frozen, ..ANY };
 /// One seat of three that counts twice is enough for two majorities.
 const REPLACED: Plan = Plan { cores: 3, edges: 0, load: 0, often: Often::Replaced, bug: None };
+/// Proposals that a process forgets with its disk, of a core in which two seats decide.
+const STALLED: Plan = Plan { often: Often::Stalled, ..REPLACED };
+/// One seat of five between two pairs that are cut off from each other.
+const TORN: Plan = Plan { cores: 5, often: Often::Torn, ..REPLACED };
 
 #[test_case(Bug::Sync, DARK, 10, &["apply", "content", "history", "lost", "duty"]; "a sync is left out")]
 #[test_case(Bug::Empty, ANY, 50, &["lease", "duty", "content"]; "the vote of an empty seat counts")]
@@ -31,6 +35,8 @@
 #[test_case(Bug::Resend, ANY, 5, &["letters"]; "letters are sent again without pause")]
 #[test_case(Bug::Calls, ANY, 5, &["memory"]; "calls are taken again and again")]
 #[test_case(Bug::Written, ANY, 5, &["memory"]; "what waits is held for good")]
+#[test_case(Bug::Run, STALLED, 100, &["content", "changed", "history"]; "a start is not counted")]
+#[test_case(Bug::Floor, TORN, 100, &["content", "changed", "history"]; "a rebuilt seat hears of no floor")]
 fn harm_is_found(bug: Bug, plan: Plan, within: u64, rules: &[&str]) {
     let harmed = |seed| play(&draw(seed, Plan { bug: Some(bug), ..plan })).faults;
     let found = |seed| Some((seed, harmed(seed))).filter(|(_, faults)| !faults.is_empty());
