Agents: a link to the count on which nothing comes is given up

An edge stood still, the holder of the count closed its link for silence, and the agent, which did not hear of it, sent its adds there for good. Nobody answered; it went by slices, and the holder left half of all quotas for it. The link to an agent's seat was looked at for silence, the one to the count was not.

`starved` holds for both tenants of the load, at 0.6 where it was 0.4 for the first one. The schedules of 4/2 in many.rs go to 700, of 2,000 as before.

--- a/drill/src/edges.rs
+++ b/drill/src/edges.rs
@@ -126,6 +126,8 @@
     link: Option<Link>,
     homeward: Option<(u64, SocketAddr)>,
     count: Option<(u64, SocketAddr, u64)>,
+    /// Something came on the link to the count last.
+    counted: i64,
     batches: BTreeMap<u64, (u64, u64)>,
     batch: u64,
     /// The limiters' clock was asked for last.
@@ -262,6 +264,7 @@
             link: None,
             homeward: None,
             count: None,
+            counted: 0,
             batches: BTreeMap::new(),
             batch: 0,
             asked_last: 0,
--- a/drill/src/edges/agents.rs
+++ b/drill/src/edges/agents.rs
@@ -5,7 +5,7 @@
 use headworks::core::Input;
 use headworks::limits::AGENT_SILENT;
 use mains::messages::{Down, Edge as Told, Standing, Up};
-use penstock::links::{HOMEWARD, OUT_OF_TOUCH, SILENT};
+use penstock::links::{COUNT_SILENT, HOMEWARD, OUT_OF_TOUCH, SILENT};
 use streamarch::Outcome;
 
 use super::{AGAIN, BEAT, CONNECT, Conn, Due, LOAD, Link};
@@ -44,6 +44,7 @@
             return self.lost(at, id);
         }
         if self.edges[at].agent.count.is_some_and(|(count, ..)| count == id) {
+            self.edges[at].agent.counted = self.now;
             return self.ask_time(at, id);
         }
         if let Some(link) = self.edges[at].agent.link.as_mut().filter(|link| link.conn == id) {
@@ -161,6 +162,9 @@
         if let Some(link) = self.edges[at].agent.link.as_mut().filter(|link| link.conn == id) {
             link.heard = now;
         }
+        if self.edges[at].agent.count.is_some_and(|(count, ..)| count == id) {
+            self.edges[at].agent.counted = now;
+        }
         match message {
             Down::Totals { batch, totals } => {
                 if let Some((life, batch)) = self.edges[at].agent.batches.remove(&batch) {
@@ -267,6 +271,12 @@
                     ids.into_iter().for_each(|id| self.ask_time(at, id));
                 }
                 let agent = &self.edges[at].agent;
+                let up = |id: &u64| self.conns.get(id).is_none_or(|conn| conn.up);
+                let count = agent.count.map(|(id, ..)| id).filter(up);
+                if let Some(id) = count.filter(|_| self.now - agent.counted > COUNT_SILENT) {
+                    self.lost(at, id);
+                }
+                let agent = &self.edges[at].agent;
                 let standing = agent.standing;
                 let Some(link) = &agent.link else { return };
                 let (conn, silent) = (link.conn, self.now - link.heard > SILENT);
--- a/drill/src/play.rs
+++ b/drill/src/play.rs
@@ -36,7 +36,7 @@
 /// Stated: most that a seat holds of rounds, calls, readings, and writes that something waits for.
 pub const HELD: usize = 250;
 /// Stated: in calm a tenant that asks for more than its rate has this part of it.
-pub const SERVED: f64 = 0.4;
+pub const SERVED: f64 = 0.6;
 /// The calm at the end lasts for this.
 const CALM: i64 = 13 * SECOND;
 const LOOK: i64 = 50 * MS;
--- a/drill/src/play/rules.rs
+++ b/drill/src/play/rules.rs
@@ -332,13 +332,18 @@
             }
             wrong.into_iter().for_each(|text| self.fault("end", text));
         }
-        // The first tenant asks for over its rate at all edges together, and has it.
-        let asks = self.cluster.load as f64 * self.cluster.edges.len() as f64;
-        if asks >= LIMITS[0].per_s * 1.5 {
-            let share = self.cluster.grants.share(self.cluster.now, 0);
-            self.outcome.least = share;
+        // The first tenant asks for its rate and a half at all edges together, the second for twice its own at one.
+        let edges = self.cluster.edges.len() as f64;
+        let asks = [
+            self.cluster.load as f64 * edges,
+            if self.cluster.load > 0 { edges.min(1.0) * 2.0 * LIMITS[1].per_s } else { 0.0 },
+        ];
+        let asks_much = |(tenant, asks): &(usize, f64)| *asks >= LIMITS[*tenant].per_s * 1.5;
+        for (tenant, _) in asks.into_iter().enumerate().filter(asks_much) {
+            let share = self.cluster.grants.share(self.cluster.now, tenant);
+            self.outcome.least = if tenant == 0 { share } else { self.outcome.least.min(share) };
             if share < SERVED {
-                self.fault("starved", format!("in calm a tenant has {share:.2} of its rate"));
+                self.fault("starved", format!("in calm tenant {tenant} has {share:.2} of its rate"));
             }
         }
         // The last order about the zone stands, where none of the other kind was open after it.
--- a/drill/tests/many.rs
+++ b/drill/tests/many.rs
@@ -6,9 +6,8 @@
 use drill::draw::{Plan, draw};
 use drill::play::play;
 
-/// Seats, edges, and how many schedules, from seed 1 on. With four seats seed 473 leaves writes out for over 8 s, which is
-/// known and not mended yet: the seeds end before it.
-const PLANS: [(usize, usize, u64); 4] = [(6, 3, 700), (3, 3, 450), (4, 2, 400), (6, 0, 450)];
+/// Seats, edges, and how many schedules, from seed 1 on. With four seats seeds 473 and 624 once left writes out.
+const PLANS: [(usize, usize, u64); 4] = [(6, 3, 500), (3, 3, 400), (4, 2, 700), (6, 0, 400)];
 
 #[test]
 fn two_thousand_schedules_break_no_rule() {
--- a/penstock/src/host.rs
+++ b/penstock/src/host.rs
@@ -16,7 +16,7 @@
 use slog::{Logger, error, info, warn};
 
 use crate::known::Known;
-use crate::links::{HOMEWARD, Links, OUT_OF_TOUCH, SILENT};
+use crate::links::{COUNT_SILENT, HOMEWARD, Links, OUT_OF_TOUCH, SILENT};
 
 const MS: i64 = 1_000;
 /// Between two signs of life to the control program.
@@ -462,6 +462,10 @@
                 self.put(key, &self.known.holding());
             }
         }
+        let count = self.count.and_then(|(key, ..)| Some((key, self.wires.get(key)?)));
+        if let Some((key, _)) = count.filter(|(_, wire)| wire.up() && now - wire.heard > COUNT_SILENT) {
+            self.lost(now, key);
+        }
         let Some(link) = &self.link else { return };
         let heard = self.wires.get(link.key).map_or(i64::MIN, |wire| wire.heard);
         let silent = now - heard > SILENT && self.edge.is_some();
--- a/penstock/src/links.rs
+++ b/penstock/src/links.rs
@@ -11,6 +11,9 @@
 pub const SILENT: i64 = 1_200_000;
 /// A seat that is out of touch is left after this: all may be, for a moment.
 pub const OUT_OF_TOUCH: i64 = 700_000;
+/// The same of the link to the count, on which the limiters' clock is asked for all the time: a seat that has closed it may
+/// not be able to say so.
+pub const COUNT_SILENT: i64 = 2_000_000;
 /// The own zone's seat is tried again after this by an agent linked elsewhere.
 pub const HOMEWARD: i64 = 8_000_000;
 /// Most seats that are kept by hearsay.
