Quota: a clock that goes on at once does not end a proxy's first caution

All edges had started anew. In its first 1.5 s a proxy goes by 16 limiters at least, as the core may not have heard of all; they were told the clock of the others, 8 s ahead, within that span, which ended at once, and by the same jump a lower number of limiters had stood for its 10 s. Each of two took the whole quota for its own, before there was a count.

Ruled out: the count and its holder (none was there yet), slices of limiters that are cut off.

Change: both spans go along with the clock.

--- a/sluice/src/manifold.rs
+++ b/sluice/src/manifold.rs
@@ -335,6 +335,10 @@
     /// The limiters' clock goes on to `now` by so much at once: what was let through lately counts in windows that are over,
     /// and the slices of new ones come on top. They are taken for a part until as much time has passed.
     pub fn jumped(&mut self, now: Micros, by: Micros) {
+        // Danger: no time has passed. A proxy that has just started would take its first hearsay for all there is.
+        let by = by.max(0);
+        self.young = self.young.map(|until| until + by);
+        self.fewer = self.fewer.map(|(since, most)| (since + by, most));
         if by > JUMP && self.positions > 0 {
             self.careful = now + by.min(WINDOW);
         }
@@ -802,6 +806,24 @@
         }
     }
 
+    #[test]
+    fn a_clock_that_goes_on_at_once_makes_no_slice_larger() {
+        let mut manifold = Manifold::new(7, Bounds::default());
+        // Of one that has just started, and of one that was told of fewer.
+        for (told, second, limiters, spread) in [(0, 0, 1, 16), (0, 9, 1, 16), (11, 11, 4, 4), (11, 12, 1, 4)]
+        {
+            let now = second * SECOND;
+            if told < second {
+                manifold.jumped(now, (second - told) * SECOND);
+            }
+            manifold.limiters(now, limiters);
+            assert_eq!(manifold.spread, spread, "at {second}");
+        }
+        manifold.jumped(30 * SECOND, 18 * SECOND);
+        manifold.limiters(30 * SECOND, 1);
+        assert_eq!(manifold.spread, 4);
+    }
+
     #[test]
     fn new_figures_of_a_tenant_take_a_position_of_their_own() {
         let mut bench = Bench::new(1);
