--- a/sluice/src/manifold/judging.rs
+++ b/sluice/src/manifold/judging.rs
@@ -111,6 +111,10 @@
     /// The limiters' clock goes on to `now` by so much at once: what was let through lately counts in windows that are over,
     /// and the slices of new ones come on top. They are taken for a part until as much time has passed.
     pub fn jumped(&mut self, now: Micros, by: Micros) {
+        // Danger: no time has passed. A proxy that has just started would take its first hearsay for all there is.
+        let by = by.max(0);
+        self.young = self.young.map(|until| until + by);
+        self.fewer = self.fewer.map(|(since, most)| (since + by, most));
         if by > JUMP && self.positions > 0 {
             self.careful = now + by.min(WINDOW);
         }
--- a/sluice/src/manifold/tests.rs
+++ b/sluice/src/manifold/tests.rs
@@ -200,6 +200,23 @@
     }
 }
 
+#[test]
+fn a_clock_that_goes_on_at_once_makes_no_slice_larger() {
+    let mut manifold = Manifold::new(7, Bounds::default());
+    // Of one that has just started, and of one that was told of fewer.
+    for (told, second, limiters, spread) in [(0, 0, 1, 16), (0, 9, 1, 16), (11, 11, 4, 4), (11, 12, 1, 4)] {
+        let now = second * SECOND;
+        if told < second {
+            manifold.jumped(now, (second - told) * SECOND);
+        }
+        manifold.limiters(now, limiters);
+        assert_eq!(manifold.spread, spread, "at {second}");
+    }
+    manifold.jumped(30 * SECOND, 18 * SECOND);
+    manifold.limiters(30 * SECOND, 1);
+    assert_eq!(manifold.spread, 4);
+}
+
 #[test]
 fn new_figures_of_a_tenant_take_a_position_of_their_own() {
     let mut bench = Bench::new(1);
