Sight: agent and proxy report figures of links, answers and counter calls

The logs could not tell whether an edge has no link, a late replica or a slow proxy: an agent says how long it had no link and how many of its attempts ended by time; both programs serve counters at the ports that deploy/system.toml names as metrics.

--- a/crates/agent/src/config_cache.rs
+++ b/crates/agent/src/config_cache.rs
@@ -4,6 +4,7 @@
 use protocol::digests::Digests;
 use protocol::items::{Item, Items};
 use protocol::messages::{AgentMessage, ClusterView, ControlMessage};
+use protocol::metrics::MetricsText;
 use protocol::platform::Server;
 
 /// A list of servers, and when it was received, in microseconds.
@@ -152,6 +153,20 @@
         }
     }
 
+    /// Adds figures to a report.
+    pub fn report(&self, text: &mut MetricsText) {
+        text.gauge(
+            "agent_config_items",
+            "items that the agent has, removed ones included",
+            self.items.len(),
+        );
+        text.gauge(
+            "agent_config_digest",
+            "digest of their names and versions: equal where they are",
+            self.digests.combined(),
+        );
+    }
+
     /// The cluster view that was received last.
     pub fn cluster_view(&self) -> Option<&ClusterView> {
         self.view.as_ref()
--- a/crates/agent/src/host.rs
+++ b/crates/agent/src/host.rs
@@ -13,11 +13,13 @@
 use protocol::messages::{
     AgentMessage, ClusterView, ControlMessage, CounterAdd, NodeInfo, NodeState,
 };
+use protocol::metrics::{AGENT_PORT, MetricsEndpoint, MetricsText};
 use protocol::settings::Settings;
 use signal_hook::consts::{SIGHUP, SIGTERM};
 use slog::{Logger, error, info, warn};
 
 use crate::config_cache::ConfigCache;
+use crate::link_metrics::LinkMetrics;
 use crate::replica_selection::{
     COUNTER_LINK_TIMEOUT, HOME_RETRY_INTERVAL, LINK_TIMEOUT, QUORUM_LOSS_PATIENCE, ReplicaSelection,
 };
@@ -33,6 +35,8 @@
 const CONNECT_TIMEOUT: i64 = 250 * MS;
 /// How long before the end of its grace period the agent ends.
 const GRACE_MARGIN: i64 = 200 * MS;
+/// Operators are told of the end of a time without a link that was longer than this.
+const REPORTED_OUTAGE: i64 = 1_000 * MS;
 /// The greatest number of batches that wait for the counter: of more than these the proxy has given up the oldest.
 const MAX_PENDING_BATCHES: usize = 2_000;
 
@@ -102,6 +106,8 @@
     state: NodeState,
     /// The replica of the own zone was tried since the start.
     home_tried: bool,
+    metrics_endpoint: MetricsEndpoint,
+    link_metrics: LinkMetrics,
     shutting_down: bool,
     finished: bool,
 }
@@ -165,11 +171,35 @@
             node: None,
             state: NodeState::Unavailable,
             home_tried: false,
+            metrics_endpoint: MetricsEndpoint::default(),
+            link_metrics: LinkMetrics::default(),
             shutting_down: false,
             finished: false,
         })
     }
 
+    /// Reports figures to operators. Where the port can't be had the agent goes on without the report.
+    pub fn serve_metrics(&mut self) {
+        let ip = self.settings.ip;
+        let listening = self
+            .metrics_endpoint
+            .listen(&mut self.connections, ip, AGENT_PORT);
+        if let Err(error) = listening {
+            warn!(self.log, "no report of figures"; "error" => error.to_string());
+        }
+    }
+
+    fn handle_metrics_event(&mut self, now: i64, event: IoEvent) {
+        let (link_metrics, cache) = (&self.link_metrics, &self.cache);
+        self.metrics_endpoint
+            .handle(&mut self.connections, event, || {
+                let mut text = MetricsText::default();
+                link_metrics.report(now, &mut text);
+                cache.report(&mut text);
+                text
+            });
+    }
+
     /// Runs until SIGTERM.
     ///
     /// # Errors
@@ -229,6 +259,7 @@
 
     fn handle_event(&mut self, now: i64, event: IoEvent) {
         match event {
+            event if self.metrics_endpoint.owns(&event) => self.handle_metrics_event(now, event),
             IoEvent::Accepted(_, id) => self.handle_proxy_connected(now, id),
             IoEvent::Signal(SIGTERM) => self.begin_shutdown(now),
             IoEvent::Signal(_) => self.reload_settings(),
@@ -246,6 +277,7 @@
             Timer::Connect(id) => {
                 let is_open = self.connections.get(id).is_some();
                 if is_open && !self.is_connected(id) {
+                    self.link_metrics.attempts_timed_out += u64::from(self.is_link(id));
                     self.handle_connection_lost(now, id);
                 }
             }
@@ -327,6 +359,7 @@
         if attempt.is_last_of_round {
             self.reload_settings();
         }
+        self.link_metrics.attempts += 1;
         let Some(connection) = self.connect(attempt.address, now) else {
             return self.deadlines.schedule(retry_at, Timer::Reconnect);
         };
@@ -372,6 +405,7 @@
         let retry_at = now + RETRY_DELAY;
         if self.is_link(id) {
             if let Some(link) = self.link.take() {
+                self.link_metrics.record_loss(now);
                 self.selection.skip_past(link.address);
                 info!(self.log, "link lost"; "peer" => link.address.to_string());
             }
@@ -466,6 +500,17 @@
             return;
         };
         link.subscribed = true;
+        let peer = link.address;
+        if let Some(outage) = self.link_metrics.record_link(now)
+            && outage.duration > REPORTED_OUTAGE
+        {
+            warn!(self.log, #IMMEDIATE, "linked again";
+                "peer" => peer.to_string(), "outage_ms" => outage.duration / MS,
+                "attempts" => outage.attempts, "timed_out" => outage.timed_out);
+        }
+        let Some(link) = self.link.as_mut() else {
+            return;
+        };
         if has_quorum {
             link.without_quorum_since = None;
             self.selection.set_replicas(&view.replicas);
--- /dev/null
+++ b/crates/agent/src/link_metrics.rs
@@ -0,0 +1,82 @@
+//! What operators are told about an agent's link to the control programs.
+
+use protocol::metrics::MetricsText;
+
+/// Counts since the start, and since when the agent has had no link. Times are in microseconds.
+#[derive(Debug, Default)]
+pub struct LinkMetrics {
+    /// Connections to control programs that were begun.
+    pub attempts: u64,
+    /// Those that were given up because they were not established in time.
+    pub attempts_timed_out: u64,
+    /// Those that were refused or reset.
+    pub attempts_failed: u64,
+    /// Established links that were lost or given up.
+    pub links_lost: u64,
+    /// Attempts and time-outs when the last link was lost.
+    at_loss: (u64, u64),
+    /// Since when there is no link on which a control program has told its view.
+    without_link_since: Option<i64>,
+}
+
+/// A time without a link that is over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LinkOutage {
+    /// Its length.
+    pub duration: i64,
+    /// Connections that were begun in it.
+    pub attempts: u64,
+    /// Those of them that were given up because they were not established in time.
+    pub timed_out: u64,
+}
+
+impl LinkMetrics {
+    /// There is no link from now on.
+    pub fn record_loss(&mut self, now: i64) {
+        if self.without_link_since.is_none() {
+            self.links_lost += 1;
+            self.at_loss = (self.attempts, self.attempts_timed_out);
+            self.without_link_since = Some(now);
+        }
+    }
+
+    /// A control program has told its view on a link; gives the outage that this ends.
+    pub fn record_link(&mut self, now: i64) -> Option<LinkOutage> {
+        let since = self.without_link_since.take()?;
+        Some(LinkOutage {
+            duration: now - since,
+            attempts: self.attempts - self.at_loss.0,
+            timed_out: self.attempts_timed_out - self.at_loss.1,
+        })
+    }
+
+    /// Adds the figures to a report.
+    pub fn report(&self, now: i64, text: &mut MetricsText) {
+        text.counter(
+            "agent_link_attempts_total",
+            "connections to control programs that were begun",
+            self.attempts,
+        );
+        text.counter(
+            "agent_link_attempts_timed_out_total",
+            "of these, not established in time",
+            self.attempts_timed_out,
+        );
+        text.counter(
+            "agent_link_attempts_failed_total",
+            "of these, refused or reset",
+            self.attempts_failed,
+        );
+        text.counter(
+            "agent_links_lost_total",
+            "links that were lost or given up",
+            self.links_lost,
+        );
+        let outage = self.without_link_since.map_or(0, |since| now - since);
+        text.gauge(
+            "agent_without_link_seconds",
+            "for how long there has been no link, 0 with one",
+            outage as f64 / 1e6,
+        );
+    }
+}
--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -14,6 +14,10 @@
              settings,
              file,
              ring,
-         }| { Host::open(settings, Some(file), Clock::steady(), &ring)?.run() },
+         }| {
+            let mut host = Host::open(settings, Some(file), Clock::steady(), &ring)?;
+            host.serve_metrics();
+            host.run()
+        },
     )
 }
--- /dev/null
+++ b/crates/protocol/src/metrics.rs
@@ -0,0 +1,166 @@
+//! Figures that a program reports to operators: text in the Prometheus exposition format, served over HTTP to any path.
+//!
+//! The endpoint shares the program's event loop. It answers one request a connection and closes it; a caller that sends more
+//! than [`MAX_REQUEST_BYTES`] without a complete head, or one beyond [`MAX_CALLERS`], is disconnected.
+
+use std::collections::BTreeSet;
+use std::fmt::{Display, Write};
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr};
+
+use crate::connections::{ConnectionId, Connections, IoEvent};
+use crate::invariant::Invariant;
+
+/// The port at which each program reports its figures, on the address of its machine; `deploy/system.toml` names the same.
+pub const CONTROL_PORT: u16 = 9464;
+/// As [`CONTROL_PORT`], for the agent.
+pub const AGENT_PORT: u16 = 9465;
+/// As [`CONTROL_PORT`], for the proxy.
+pub const PROXY_PORT: u16 = 9466;
+
+/// The greatest size of a request, in bytes.
+const MAX_REQUEST_BYTES: usize = 8 * 1024;
+/// The greatest number of callers at a time.
+const MAX_CALLERS: usize = 8;
+
+/// The text of a report.
+#[derive(Debug, Default)]
+pub struct MetricsText(String);
+
+impl MetricsText {
+    /// Adds a figure that only rises while the process runs.
+    pub fn counter(&mut self, name: &str, help: &str, value: impl Display) {
+        self.add("counter", name, help, value);
+    }
+
+    /// Adds a figure that rises and falls.
+    pub fn gauge(&mut self, name: &str, help: &str, value: impl Display) {
+        self.add("gauge", name, help, value);
+    }
+
+    /// Adds how often an invariant was checked and violated.
+    pub fn invariant(&mut self, invariant: &Invariant) {
+        let name = invariant.name();
+        let (checks, violations) = (invariant.checks(), invariant.violations());
+        self.counter(
+            &format!("invariant_{name}_checks_total"),
+            "checks of the invariant",
+            checks,
+        );
+        self.counter(
+            &format!("invariant_{name}_violations_total"),
+            "checks that failed",
+            violations,
+        );
+    }
+
+    fn add(&mut self, kind: &str, name: &str, help: &str, value: impl Display) {
+        // Writing to a string does not fail.
+        let _ = writeln!(
+            self.0,
+            "# HELP {name} {help}\n# TYPE {name} {kind}\n{name} {value}"
+        );
+    }
+
+    /// The text.
+    pub fn into_string(self) -> String {
+        self.0
+    }
+}
+
+/// The listener of a program's report, and its callers.
+#[derive(Debug, Default)]
+pub struct MetricsEndpoint {
+    listener: Option<usize>,
+    callers: BTreeSet<ConnectionId>,
+}
+
+impl MetricsEndpoint {
+    /// Listens at a port of the machine's address; gives the actual address.
+    ///
+    /// # Errors
+    /// The address can't be used. The program goes on without the report.
+    pub fn listen(
+        &mut self,
+        connections: &mut Connections,
+        ip: Ipv4Addr,
+        port: u16,
+    ) -> io::Result<SocketAddr> {
+        let (listener, address) = connections.listen(SocketAddr::from((ip, port)))?;
+        self.listener = Some(listener);
+        Ok(address)
+    }
+
+    /// Whether an event concerns a caller of the report.
+    pub fn owns(&self, event: &IoEvent) -> bool {
+        match event {
+            IoEvent::Accepted(listener, _) => self.listener == Some(*listener),
+            IoEvent::Connected(id)
+            | IoEvent::Received(id)
+            | IoEvent::Flushed(id)
+            | IoEvent::PeerClosed(id)
+            | IoEvent::Failed(id) => self.callers.contains(id),
+            IoEvent::Signal(_) => false,
+        }
+    }
+
+    /// Handles an event of a caller; `report` makes the text.
+    pub fn handle(
+        &mut self,
+        connections: &mut Connections,
+        event: IoEvent,
+        report: impl FnOnce() -> MetricsText,
+    ) {
+        match event {
+            IoEvent::Accepted(_, id) if self.callers.len() < MAX_CALLERS => {
+                self.callers.insert(id);
+            }
+            IoEvent::Accepted(_, id) | IoEvent::PeerClosed(id) | IoEvent::Failed(id) => {
+                self.close(connections, id);
+            }
+            IoEvent::Received(id) => self.read(connections, id, report),
+            // The caller closes; what it still sends must not reset the connection before it has read the answer.
+            IoEvent::Flushed(id) => connections.shutdown_write(id),
+            IoEvent::Connected(_) | IoEvent::Signal(_) => {}
+        }
+    }
+
+    fn read(
+        &mut self,
+        connections: &mut Connections,
+        id: ConnectionId,
+        report: impl FnOnce() -> MetricsText,
+    ) {
+        let Some(connection) = connections.get_mut(id) else {
+            return;
+        };
+        let is_whole = connection
+            .input
+            .windows(4)
+            .any(|bytes| bytes == b"\r\n\r\n");
+        if !is_whole {
+            if connection.input.len() > MAX_REQUEST_BYTES {
+                self.close(connections, id);
+            }
+            return;
+        }
+        connection.input.clear();
+        let body = report().into_string();
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nContent-Type: text/plain; version=0.0.4\r\nContent-Length: {}\r\nConnection: close\r\n\r\n",
+            body.len()
+        );
+        if let Some(output) = connections.output(id) {
+            output.extend_from_slice(head.as_bytes());
+            output.extend_from_slice(body.as_bytes());
+        }
+    }
+
+    fn close(&mut self, connections: &mut Connections, id: ConnectionId) {
+        self.callers.remove(&id);
+        connections.close(id);
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/proxy/src/config_store.rs
+++ b/crates/proxy/src/config_store.rs
@@ -163,6 +163,11 @@
         &self.evacuated
     }
 
+    /// The number of items, removed ones included.
+    pub fn item_count(&self) -> usize {
+        self.items.len()
+    }
+
     /// Whether there is anything to serve.
     pub fn is_ready(&self) -> bool {
         !self.routes.is_empty()
--- a/crates/proxy/src/host/agent_link.rs
+++ b/crates/proxy/src/host/agent_link.rs
@@ -197,6 +197,7 @@
         }
         let adds = std::mem::take(&mut self.pending_adds);
         self.last_batch += 1;
+        self.metrics.counter_batches += 1;
         let names = adds.iter().map(|add| add.counter).collect();
         let batch = CounterBatch {
             number: self.last_batch,
@@ -232,6 +233,7 @@
     }
 
     fn fail_batch(&mut self, batch: &CounterBatch, outcome: Outcome) {
+        self.metrics.counter_batches_failed += 1;
         for name in batch.names.iter().filter(|_| !batch.expired) {
             self.router.handle_count(*name, outcome, 0.0);
         }
@@ -242,6 +244,7 @@
             return;
         };
         if batch.expired {
+            self.metrics.counter_batches_late += 1;
             return self.router.handle_late_count();
         }
         for (at, name) in batch.names.iter().enumerate() {
@@ -260,6 +263,7 @@
             .filter(|b| !b.expired && b.sent + COUNTER_TIMEOUT <= now)
         {
             batch.expired = true;
+            self.metrics.counter_batches_timed_out += 1;
             late.append(&mut batch.names.clone());
         }
         for name in late {
--- /dev/null
+++ b/crates/proxy/src/host/metrics.rs
@@ -0,0 +1,96 @@
+//! What operators are told about a proxy.
+
+use std::collections::BTreeMap;
+
+use protocol::metrics::{MetricsText, PROXY_PORT};
+use slog::warn;
+
+use super::*;
+
+/// Counts since the start.
+#[derive(Debug, Default)]
+pub(super) struct ProxyMetrics {
+    /// Answers that the proxy itself generated, by status.
+    pub(super) local_responses: BTreeMap<u16, u64>,
+    /// Batches of additions to the shared counter.
+    pub(super) counter_batches: u64,
+    /// Those whose totals had not arrived in time.
+    pub(super) counter_batches_timed_out: u64,
+    /// Those whose totals arrived after that.
+    pub(super) counter_batches_late: u64,
+    /// Those that reached no counter.
+    pub(super) counter_batches_failed: u64,
+}
+
+impl ProxyMetrics {
+    fn report(&self, text: &mut MetricsText) {
+        for (status, count) in &self.local_responses {
+            text.counter(
+                &format!("proxy_local_responses_{status}_total"),
+                "answers of the proxy itself with this status",
+                count,
+            );
+        }
+        text.counter(
+            "proxy_counter_batches_total",
+            "batches of additions to the shared counter",
+            self.counter_batches,
+        );
+        text.counter(
+            "proxy_counter_batches_timed_out_total",
+            "of these, without totals in time",
+            self.counter_batches_timed_out,
+        );
+        text.counter(
+            "proxy_counter_batches_late_total",
+            "of these, with totals after that",
+            self.counter_batches_late,
+        );
+        text.counter(
+            "proxy_counter_batches_failed_total",
+            "batches that reached no counter",
+            self.counter_batches_failed,
+        );
+    }
+}
+
+impl Host {
+    /// Reports figures to operators. Where the port can't be had the proxy goes on without the report.
+    pub fn serve_metrics(&mut self) {
+        let ip = self.settings.ip;
+        let listening = self
+            .metrics_endpoint
+            .listen(&mut self.connections, ip, PROXY_PORT);
+        if let Err(error) = listening {
+            warn!(self.log, "no report of figures"; "error" => error.to_string());
+        }
+    }
+
+    pub(super) fn handle_metrics_event(&mut self, now: Micros, event: IoEvent) {
+        let mut endpoint = std::mem::take(&mut self.metrics_endpoint);
+        let text = self.report(now);
+        endpoint.handle(&mut self.connections, event, || text);
+        self.metrics_endpoint = endpoint;
+    }
+
+    fn report(&mut self, now: Micros) -> MetricsText {
+        let mut text = MetricsText::default();
+        self.metrics.report(&mut text);
+        text.gauge(
+            "proxy_ready",
+            "1 if the proxy is ready",
+            u8::from(self.state() == NodeState::Ready),
+        );
+        text.gauge(
+            "proxy_config_items",
+            "items in force, removed ones included",
+            self.config_store.item_count(),
+        );
+        text.gauge(
+            "proxy_quota_shares_binding",
+            "1 while quotas are enforced by local shares",
+            u8::from(self.router.are_shares_binding(now)),
+        );
+        text
+    }
+}
--- a/crates/proxy/src/host/mod.rs
+++ b/crates/proxy/src/host/mod.rs
@@ -6,6 +6,7 @@
 mod capacity;
 mod clients;
 mod close_reasons;
+mod metrics;
 mod response_streams;
 mod responses;
 mod uploads;
@@ -30,6 +31,7 @@
 use protocol::items::Route;
 use protocol::log_ring::LogRing;
 use protocol::messages::{CounterAdd, NodeInfo, NodeState};
+use protocol::metrics::MetricsEndpoint;
 use protocol::settings::Settings;
 use signal_hook::consts::{SIGHUP, SIGTERM};
 use slog::{Logger, info};
@@ -37,6 +39,7 @@
 use streamarch::{Micros, Outcome, ServerId};
 
 use self::close_reasons::CloseReason;
+use self::metrics::ProxyMetrics;
 use self::response_streams::ResponseStream;
 use crate::answers::ResponseClass;
 use crate::config_store::ConfigStore;
@@ -223,6 +226,8 @@
     caught_up_at: Micros,
     /// When the last line about a connection closed with an answer owed was printed.
     close_logged_at: Micros,
+    metrics_endpoint: MetricsEndpoint,
+    metrics: ProxyMetrics,
 }
 
 /// Checks that the settings have what a proxy needs.
@@ -308,6 +313,8 @@
             announced_state: NodeState::Unavailable,
             caught_up_at: now,
             close_logged_at: 0,
+            metrics_endpoint: MetricsEndpoint::default(),
+            metrics: ProxyMetrics::default(),
             settings,
         })
     }
@@ -437,6 +444,7 @@
 
     fn handle_event(&mut self, now: Micros, event: IoEvent) {
         match event {
+            event if self.metrics_endpoint.owns(&event) => self.handle_metrics_event(now, event),
             IoEvent::Accepted(door, key) if door == self.listeners.0 => {
                 self.accept_client(now, key)
             }
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -10,6 +10,10 @@
     program::run(
         "proxy",
         proxy::host::check,
-        |ProgramContext { settings, ring, .. }| Host::open(settings, Clock::steady(), ring)?.run(),
+        |ProgramContext { settings, ring, .. }| {
+            let mut host = Host::open(settings, Clock::steady(), ring)?;
+            host.serve_metrics();
+            host.run()
+        },
     )
 }
--- a/crates/proxy/src/router/mod.rs
+++ b/crates/proxy/src/router/mod.rs
@@ -390,6 +390,11 @@
         }
     }
 
+    /// Whether quotas are enforced by local shares now.
+    pub fn are_shares_binding(&mut self, now: Micros) -> bool {
+        self.quota_shares.is_binding(now)
+    }
+
     /// The quota engine admitted a request: hands it to the engine of its service. Returns the
     /// request with its new handle, which is `None` if that engine holds too many.
     fn hand_to_service(
