--- a/crates/proxy/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -222,6 +222,15 @@
 
     /// The same with additional settings.
     pub fn with(start: i64, zones: &[&str], more: &str) -> Bench {
+        let mut bench = Bench::started(start, zones, more);
+        bench.configure();
+        bench.tell(ControlMessage::Complete);
+        bench.settle();
+        bench
+    }
+
+    /// A proxy whose agent is there and has told nothing yet.
+    pub fn started(start: i64, zones: &[&str], more: &str) -> Bench {
         let feed = TcpListener::bind("127.0.0.1:0").unwrap();
         feed.set_nonblocking(true).unwrap();
         let port = feed.local_addr().unwrap().port();
@@ -255,6 +264,11 @@
             .map(|(n, zone)| Stub::new(&format!("i-{n}"), zone))
             .collect();
         bench.agent_there();
+        bench
+    }
+
+    /// The agent tells the configuration and the servers, but not that this is everything.
+    pub fn configure(&mut self) {
         let public = r#","public":true"#;
         let kinds = [("/i/", "idem"), ("/m/", "mutating"), ("/u/", "upload")];
         let mut items: Vec<Item> = kinds
@@ -262,17 +276,14 @@
             .map(|(prefix, kind)| route(prefix, 1, kind, public))
             .collect();
         items.push(item(ItemKind::Service, "s", 1, r#"{"hcheck":"/healthz"}"#));
-        bench.tell(ControlMessage::ClusterView(ClusterView {
+        self.tell(ControlMessage::ClusterView(ClusterView {
             limiters: 1,
             limiters_in_zone: 1,
             has_quorum: true,
             ..ClusterView::default()
         }));
-        bench.tell(ControlMessage::Items(items));
-        bench.list();
-        bench.tell(ControlMessage::Complete);
-        bench.settle();
-        bench
+        self.tell(ControlMessage::Items(items));
+        self.list();
     }
 
     /// One round of everything.
