--- a/crates/agent/src/config_cache.rs
+++ b/crates/agent/src/config_cache.rs
@@ -38,6 +38,8 @@
     /// The others do not count on this limiter any more, and its proxy was told so.
     isolated: bool,
     complete: bool,
+    /// Everything that was in force at this time is known here.
+    confirmed_at: Option<i64>,
     /// The limiters' clock, and when it was received.
     time: Option<(i64, i64)>,
     /// The admission levels of services, and when they were determined.
@@ -117,10 +119,23 @@
                 self.levels = Some((levels.clone(), now - age));
                 Some(ControlMessage::Levels { age, levels })
             }
-            ControlMessage::Totals { .. } | ControlMessage::NotCounted(_) => None,
+            ControlMessage::Totals { .. }
+            | ControlMessage::NotCounted(_)
+            | ControlMessage::Confirmed { .. } => None,
         }
     }
 
+    /// Everything that was in force at this time is known here.
+    pub fn confirm(&mut self, at: i64) {
+        self.confirmed_at = self.confirmed_at.max(Some(at));
+    }
+
+    /// The message that tells the proxy how old its configuration may be; none before it is known.
+    pub fn confirmation(&self, now: i64) -> Option<ControlMessage> {
+        let age = now - self.confirmed_at?;
+        Some(ControlMessage::Confirmed { age })
+    }
+
     /// The items, each in the newest version that was received.
     pub fn items(&self) -> impl Iterator<Item = &Item> {
         self.items.values()
@@ -206,6 +221,7 @@
             .chain(list)
             .chain(levels)
             .chain(complete)
+            .chain(self.confirmation(now))
             .collect()
     }
 }
--- /dev/null
+++ b/crates/agent/src/host/control_link.rs
@@ -0,0 +1,419 @@
+//! The link to a control program, and the search for one.
+//!
+//! A connection is a *candidate* until a control program has told its view on it; then it becomes the link. Candidates overlap:
+//! the next one is begun although the former ones have not been answered, as the machine's own link may be so full that each
+//! answer takes seconds. A link that is silent, or whose control program has lost the quorum, is kept until another one has
+//! taken its place.
+
+use std::collections::VecDeque;
+
+use super::*;
+
+/// The interval at which a search begins another candidate.
+const SEARCH_INTERVAL: i64 = 250 * MS;
+/// The same while a link is there whose control program has lost the quorum.
+const SEARCH_INTERVAL_WITH_LINK: i64 = 700 * MS;
+/// A candidate that was established is the only one for this long.
+const ANSWER_PATIENCE: i64 = LINK_TIMEOUT;
+/// A candidate that has not become the link is closed after this.
+const CANDIDATE_TIMEOUT: i64 = 8_000 * MS;
+/// A link on which nothing is received is closed after this, if no other one has taken its place.
+const SILENT_LINK_TIMEOUT: i64 = 8_000 * MS;
+/// The greatest number of candidates.
+const MAX_CANDIDATES: usize = 24;
+
+/// The link to a control program.
+pub(super) struct ControlLink {
+    pub(super) connection: ConnectionId,
+    pub(super) address: SocketAddr,
+    /// Since when the control program says that it is not in contact with a quorum.
+    without_quorum_since: Option<i64>,
+    /// Everything that is in force was received on this link, and its control program has not lost the quorum since.
+    complete: bool,
+    /// When the edge was registered on it; none once it is known that everything in force at that time was received.
+    registered_at: Option<i64>,
+    /// When each request for the limiters' clock was sent that was not answered yet. Answers come in the same order.
+    clock_requests: VecDeque<i64>,
+    /// So many of the next answers are to requests from before everything in force was received.
+    ignored_clock_answers: usize,
+}
+
+/// A connection to a control program that has not told its view yet.
+pub(super) struct Candidate {
+    pub(super) connection: ConnectionId,
+    address: SocketAddr,
+    is_established: bool,
+    /// When the edge was registered on it.
+    registered_at: Option<i64>,
+    /// It replaces a link that is in order, if it is to the replica of the own zone.
+    is_home: bool,
+    clock_requests: VecDeque<i64>,
+}
+
+impl Host {
+    pub(super) fn is_link(&self, id: ConnectionId) -> bool {
+        self.link.as_ref().is_some_and(|link| link.connection == id)
+    }
+
+    pub(super) fn is_candidate(&self, id: ConnectionId) -> bool {
+        self.candidates
+            .iter()
+            .any(|candidate| candidate.connection == id)
+    }
+
+    /// Begins a connection to a control program.
+    fn open_candidate(&mut self, now: i64, address: SocketAddr, is_home: bool) -> bool {
+        self.link_metrics.attempts += 1;
+        let Ok(connection) = self.connections.connect(address, now) else {
+            self.link_metrics.attempts_failed += 1;
+            return false;
+        };
+        self.deadlines
+            .schedule(now + CANDIDATE_TIMEOUT, Timer::Candidate(connection));
+        self.candidates.push(Candidate {
+            connection,
+            address,
+            is_established: false,
+            registered_at: None,
+            is_home,
+            clock_requests: VecDeque::new(),
+        });
+        true
+    }
+
+    fn take_candidate(&mut self, id: ConnectionId) -> Option<Candidate> {
+        let at = self
+            .candidates
+            .iter()
+            .position(|candidate| candidate.connection == id)?;
+        Some(self.candidates.swap_remove(at))
+    }
+
+    fn close_candidate(&mut self, id: ConnectionId) -> Option<Candidate> {
+        let candidate = self.take_candidate(id)?;
+        self.connections.close(id);
+        Some(candidate)
+    }
+
+    /// A candidate is established: the edge is registered on it, unless another one waits for its answer.
+    pub(super) fn handle_candidate_connected(&mut self, now: i64, id: ConnectionId) {
+        let candidates = self.candidates.iter_mut();
+        for candidate in candidates.filter(|candidate| candidate.connection == id) {
+            candidate.is_established = true;
+        }
+        self.register_candidates(now);
+    }
+
+    /// Registers the edge on a candidate that is established, where no other one has been asked lately.
+    pub(super) fn register_candidates(&mut self, now: i64) {
+        if self.node.is_none() {
+            return;
+        }
+        let established = || self.candidates.iter().filter(|c| c.is_established);
+        let due = |is_home: bool| {
+            established().find(|c| c.is_home == is_home && c.registered_at.is_none())
+        };
+        let is_patient = established().any(|candidate| {
+            let registered_at = candidate.registered_at;
+            !candidate.is_home && registered_at.is_some_and(|at| now - at < ANSWER_PATIENCE)
+        });
+        let other = due(false).filter(|_| !is_patient);
+        let due: Vec<ConnectionId> = due(true)
+            .into_iter()
+            .chain(other)
+            .map(|candidate| candidate.connection)
+            .collect();
+        for id in due {
+            self.register(now, id);
+        }
+    }
+
+    /// Subscribes to the configuration on a candidate.
+    fn register(&mut self, now: i64, id: ConnectionId) {
+        let Some(node) = self.node.clone() else {
+            return;
+        };
+        if let Some(digests) = self.cache.known_digests() {
+            self.send(id, &AgentMessage::KnownDigests(digests));
+        }
+        self.send(id, &AgentMessage::Hello(node));
+        self.request_link_clock(now, id);
+        self.send(id, &AgentMessage::Heartbeat(self.state));
+        let candidates = self.candidates.iter_mut();
+        let candidate = candidates
+            .filter(|candidate| candidate.connection == id)
+            .map(|candidate| &mut candidate.registered_at);
+        let link = self.link.iter_mut().filter(|link| link.connection == id);
+        let link = link.filter(|link| !link.complete);
+        let link = link.map(|link| &mut link.registered_at);
+        candidate
+            .chain(link)
+            .for_each(|registered_at| *registered_at = Some(now));
+    }
+
+    /// The proxy has said which edge it belongs to, or that it is another one: control programs are told.
+    pub(super) fn handle_node_changed(&mut self, now: i64) {
+        if let Some(link) = &self.link {
+            let id = link.connection;
+            self.register(now, id);
+        }
+        self.register_candidates(now);
+    }
+
+    /// Requests the limiters' clock on a link or candidate. The answer also says that the link had everything that was in
+    /// force when this was sent.
+    pub(super) fn request_link_clock(&mut self, now: i64, id: ConnectionId) {
+        self.request_clock(now, id);
+        let link = self.link.iter_mut().filter(|link| link.connection == id);
+        let requests = link.map(|link| &mut link.clock_requests);
+        let candidates = self.candidates.iter_mut();
+        let candidates = candidates.filter(|candidate| candidate.connection == id);
+        let requests = requests.chain(candidates.map(|candidate| &mut candidate.clock_requests));
+        requests.for_each(|requests| requests.push_back(now));
+    }
+
+    /// The clock was received on a link: everything that was in force when it was requested has arrived before.
+    pub(super) fn handle_clock_answer(&mut self, now: i64, id: ConnectionId) {
+        let candidates = self.candidates.iter_mut();
+        for candidate in candidates.filter(|candidate| candidate.connection == id) {
+            candidate.clock_requests.pop_front();
+        }
+        let link = self.link.as_mut().filter(|link| link.connection == id);
+        let Some(requested_at) = link.and_then(|link| {
+            let requested_at = link.clock_requests.pop_front()?;
+            let is_ignored = link.ignored_clock_answers > 0;
+            link.ignored_clock_answers = link.ignored_clock_answers.saturating_sub(1);
+            (link.complete && !is_ignored).then_some(requested_at)
+        }) else {
+            return;
+        };
+        self.cache.confirm(requested_at);
+        self.send_confirmation(now);
+    }
+
+    /// Tells the proxy how old its configuration may be.
+    pub(super) fn send_confirmation(&mut self, now: i64) {
+        if let Some((message, proxy)) = self.cache.confirmation(now).zip(self.proxy) {
+            self.send(proxy, &message);
+        }
+    }
+
+    /// Everything that is in force was received.
+    pub(super) fn handle_complete(&mut self, now: i64, id: ConnectionId) {
+        let Some(link) = self.link.as_mut().filter(|link| link.connection == id) else {
+            return;
+        };
+        if std::mem::replace(&mut link.complete, true) {
+            return;
+        }
+        // What was requested before may have been answered by a control program that was not up to date.
+        link.ignored_clock_answers = link.clock_requests.len();
+        if let Some(registered_at) = link.registered_at.take() {
+            self.cache.confirm(registered_at);
+            self.send_confirmation(now);
+        }
+        self.request_link_clock(now, id);
+    }
+
+    pub(super) fn handle_cluster_view(&mut self, now: i64, from: ConnectionId, view: ClusterView) {
+        if self.is_candidate(from) && (view.has_quorum || self.link.is_none()) {
+            self.promote(now, from);
+        } else if self.close_candidate(from).is_some() {
+            return self.selection.add_reported(&view.replicas);
+        }
+        let link = self.link.as_mut();
+        let Some(link) = link.filter(|link| link.connection == from) else {
+            return;
+        };
+        if view.has_quorum {
+            link.without_quorum_since = None;
+            self.selection.set_replicas(&view.replicas);
+            self.selection.reset();
+        } else {
+            link.without_quorum_since.get_or_insert(now);
+            (link.complete, link.registered_at) = (false, None);
+            self.selection.add_reported(&view.replicas);
+        }
+        let has_quorum = view.has_quorum;
+        self.forward(now, ControlMessage::ClusterView(view));
+        self.update_counter_link(now);
+        // The settings name only a few replicas, and not all agents that start may stay with these.
+        if has_quorum && !std::mem::replace(&mut self.home_tried, true) {
+            self.try_home(now);
+        }
+    }
+
+    /// Makes a candidate the link, and closes all others.
+    fn promote(&mut self, now: i64, id: ConnectionId) {
+        let Some(candidate) = self.take_candidate(id) else {
+            return;
+        };
+        if let Some(outage) = self.link_metrics.record_link(now)
+            && outage.duration > REPORTED_OUTAGE
+        {
+            warn!(self.log, #IMMEDIATE, "linked again";
+                "peer" => candidate.address.to_string(), "outage_ms" => outage.duration / MS,
+                "attempts" => outage.attempts, "timed_out" => outage.timed_out);
+        }
+        let former = self.link.replace(ControlLink {
+            connection: candidate.connection,
+            address: candidate.address,
+            without_quorum_since: None,
+            complete: false,
+            registered_at: candidate.registered_at,
+            clock_requests: candidate.clock_requests,
+            ignored_clock_answers: 0,
+        });
+        if let Some(former) = former {
+            self.connections.close(former.connection);
+        }
+        self.close_candidates();
+    }
+
+    fn close_candidates(&mut self) {
+        for candidate in std::mem::take(&mut self.candidates) {
+            self.connections.close(candidate.connection);
+        }
+    }
+
+    /// The link was closed, or a candidate was refused.
+    pub(super) fn handle_control_link_lost(&mut self, now: i64, id: ConnectionId) {
+        self.connections.close(id);
+        if let Some(link) = self.link.take_if(|link| link.connection == id) {
+            self.link_metrics.record_loss(now);
+            self.selection.skip_past(link.address);
+            info!(self.log, "link lost"; "peer" => link.address.to_string());
+        } else if let Some(candidate) = self.take_candidate(id) {
+            self.link_metrics.attempts_failed += 1;
+            if candidate.is_home {
+                return;
+            }
+        }
+        self.schedule_search(now + RETRY_DELAY);
+    }
+
+    /// A candidate that has not become the link in time is given up.
+    pub(super) fn handle_candidate_timeout(&mut self, now: i64, id: ConnectionId) {
+        if self.close_candidate(id).is_some() {
+            self.link_metrics.attempts_timed_out += 1;
+            self.schedule_search(now);
+        }
+    }
+
+    /// Whether the link is there and in order.
+    fn has_useful_link(&self, now: i64) -> bool {
+        self.link.as_ref().is_some_and(|link| {
+            let lost = link.without_quorum_since;
+            !self.is_silent(now, link)
+                && lost.is_none_or(|since| now - since <= QUORUM_LOSS_PATIENCE)
+        })
+    }
+
+    fn is_silent(&self, now: i64, link: &ControlLink) -> bool {
+        self.node.is_some() && now - self.last_received_at(link) > LINK_TIMEOUT
+    }
+
+    fn last_received_at(&self, link: &ControlLink) -> i64 {
+        let connection = self.connections.get(link.connection);
+        connection.map_or(i64::MIN, |connection| connection.last_received_at)
+    }
+
+    /// Schedules the next step of the search, if none is due before.
+    pub(super) fn schedule_search(&mut self, at: i64) {
+        if at < self.next_search_at {
+            self.next_search_at = at;
+            self.deadlines.schedule(at, Timer::Search);
+        }
+    }
+
+    /// Begins another candidate, as long as there is no link that is of use.
+    pub(super) fn search(&mut self, now: i64) {
+        if now < self.next_search_at {
+            return;
+        }
+        self.next_search_at = i64::MAX;
+        if self.has_useful_link(now) {
+            return;
+        }
+        self.register_candidates(now);
+        let interval = if self.link.is_some() {
+            SEARCH_INTERVAL_WITH_LINK
+        } else {
+            SEARCH_INTERVAL
+        };
+        let mut next_at = now + interval;
+        if !self.is_awaiting_answer(now) && self.candidates.len() < MAX_CANDIDATES {
+            match self.selection.next_attempt() {
+                Some(attempt) => {
+                    if attempt.is_last_of_round {
+                        self.reload_settings();
+                    }
+                    let linked = self.link.as_ref().map(|link| link.address);
+                    let opened = linked != Some(attempt.address)
+                        && self.open_candidate(now, attempt.address, false);
+                    next_at = if opened { next_at } else { now + RETRY_DELAY };
+                }
+                None => next_at = now + RETRY_DELAY,
+            }
+        }
+        self.schedule_search(next_at);
+    }
+
+    /// Whether a candidate is established and its answer may still come soon; without a proxy nothing is asked.
+    fn is_awaiting_answer(&self, now: i64) -> bool {
+        let mut established = self
+            .candidates
+            .iter()
+            .filter(|candidate| candidate.is_established && !candidate.is_home);
+        established.any(|candidate| {
+            let registered_at = candidate.registered_at;
+            self.node.is_none() || registered_at.is_some_and(|at| now - at < ANSWER_PATIENCE)
+        })
+    }
+
+    /// Looks for another link where the present one is of no use, and gives up one that has been silent for long.
+    pub(super) fn check_link(&mut self, now: i64) {
+        if let Some(link) = &self.link
+            && self.is_silent(now, link)
+        {
+            let (id, silent_for) = (link.connection, now - self.last_received_at(link));
+            self.link_metrics.record_loss(now);
+            if silent_for > SILENT_LINK_TIMEOUT {
+                return self.handle_control_link_lost(now, id);
+            }
+        } else if self.link.is_some() {
+            self.link_metrics.record_link(now);
+        }
+        if self.has_useful_link(now) {
+            // What was begun while the link was silent is not needed any more.
+            let late: Vec<ConnectionId> = self
+                .candidates
+                .iter()
+                .filter(|candidate| !candidate.is_home)
+                .map(|candidate| candidate.connection)
+                .collect();
+            late.into_iter().for_each(|id| _ = self.close_candidate(id));
+        } else if self.next_search_at == i64::MAX {
+            self.schedule_search(now);
+        }
+    }
+
+    /// Tries whether the replica of the own zone can be reached, if the agent is linked to another one.
+    pub(super) fn try_home(&mut self, now: i64) {
+        let former: Vec<ConnectionId> = self
+            .candidates
+            .iter()
+            .filter(|candidate| candidate.is_home)
+            .map(|candidate| candidate.connection)
+            .collect();
+        former
+            .into_iter()
+            .for_each(|id| _ = self.close_candidate(id));
+        let linked = self.link.as_ref().map(|link| link.address);
+        let home = self.selection.home();
+        let home = home.filter(|home| linked.is_some_and(|linked| linked != *home));
+        if let Some(address) = home {
+            self.open_candidate(now, address, true);
+        }
+    }
+}
--- a/crates/agent/src/host.rs
+++ b/crates/agent/src/host/mod.rs
@@ -1,5 +1,7 @@
 //! The host of an agent: the link to a control program, the link to the shared counter, and the connection of the proxy.
 
+mod control_link;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -18,6 +20,7 @@
 use signal_hook::consts::{SIGHUP, SIGTERM};
 use slog::{Logger, error, info, warn};
 
+use self::control_link::{Candidate, ControlLink};
 use crate::config_cache::ConfigCache;
 use crate::link_metrics::LinkMetrics;
 use crate::replica_selection::{
@@ -31,8 +34,9 @@
 const CLOCK_REQUEST_INTERVAL: i64 = 800 * MS;
 /// The delay before the next attempt after a link has failed.
 const RETRY_DELAY: i64 = 30 * MS;
-/// A connection has to be established within this.
-const CONNECT_TIMEOUT: i64 = 250 * MS;
+/// The link to the counter has to be established within this: as the machine's link may be full, far longer than the way there
+/// and back takes.
+const COUNTER_CONNECT_TIMEOUT: i64 = 3_000 * MS;
 /// How long before the end of its grace period the agent ends.
 const GRACE_MARGIN: i64 = 200 * MS;
 /// Operators are told of the end of a time without a link that was longer than this.
@@ -40,23 +44,6 @@
 /// The greatest number of batches that wait for the counter: of more than these the proxy has given up the oldest.
 const MAX_PENDING_BATCHES: usize = 2_000;
 
-/// The link to a control program.
-struct ControlLink {
-    connection: ConnectionId,
-    address: SocketAddr,
-    /// The control program has begun to send the configuration.
-    subscribed: bool,
-    /// Since when the control program says that it is not in contact with a quorum.
-    without_quorum_since: Option<i64>,
-}
-
-/// A link to the replica of the own zone that is tried while the agent is linked to another one.
-#[derive(Clone, Copy)]
-struct HomeCandidate {
-    connection: ConnectionId,
-    address: SocketAddr,
-}
-
 /// The link to the replica that keeps the shared counter.
 #[derive(Clone, Copy)]
 struct CounterLink {
@@ -74,9 +61,11 @@
 
 #[derive(Debug)]
 enum Timer {
-    Connect(ConnectionId),
+    /// The link to the counter has to be established.
+    ConnectCounter(ConnectionId),
+    Candidate(ConnectionId),
     Upkeep,
-    Reconnect,
+    Search,
     ReconnectCounter,
     TryHome,
     Stop,
@@ -95,7 +84,9 @@
     selection: ReplicaSelection,
     cache: ConfigCache,
     link: Option<ControlLink>,
-    home_candidate: Option<HomeCandidate>,
+    candidates: Vec<Candidate>,
+    /// When the search for a link is continued.
+    next_search_at: i64,
     counter_link: Option<CounterLink>,
     /// Batches that wait for the counter, by their numbers on its link.
     pending_batches: BTreeMap<u64, PendingBatch>,
@@ -148,7 +139,7 @@
         selection.set_seeds(settings.seed_addresses());
         let mut deadlines = Deadlines::default();
         let now = clock.now();
-        deadlines.schedule(now, Timer::Reconnect);
+        deadlines.schedule(now, Timer::Search);
         deadlines.schedule(now + HEARTBEAT_INTERVAL, Timer::Upkeep);
         deadlines.schedule(now + HOME_RETRY_INTERVAL, Timer::TryHome);
         Ok(Host {
@@ -162,7 +153,8 @@
             selection,
             cache: ConfigCache::default(),
             link: None,
-            home_candidate: None,
+            candidates: Vec::new(),
+            next_search_at: now,
             counter_link: None,
             pending_batches: BTreeMap::new(),
             last_batch: 0,
@@ -239,19 +231,10 @@
         Ok(())
     }
 
-    fn is_link(&self, id: ConnectionId) -> bool {
-        self.link.as_ref().is_some_and(|link| link.connection == id)
-    }
-
     fn is_counter_link(&self, id: ConnectionId) -> bool {
         self.counter_link.is_some_and(|link| link.connection == id)
     }
 
-    fn is_home_candidate(&self, id: ConnectionId) -> bool {
-        self.home_candidate
-            .is_some_and(|candidate| candidate.connection == id)
-    }
-
     fn is_connected(&self, id: ConnectionId) -> bool {
         let connection = self.connections.get(id);
         connection.is_some_and(|connection| connection.is_connected())
@@ -264,7 +247,7 @@
             IoEvent::Signal(SIGTERM) => self.begin_shutdown(now),
             IoEvent::Signal(_) => self.reload_settings(),
             IoEvent::Connected(id) if self.is_counter_link(id) => self.request_clock(now, id),
-            IoEvent::Connected(id) => self.register(now, id),
+            IoEvent::Connected(id) => self.handle_candidate_connected(now, id),
             IoEvent::Received(id) if self.proxy == Some(id) => self.read_proxy(now, id),
             IoEvent::Received(id) => self.read_control(now, id),
             IoEvent::Flushed(_) => {}
@@ -274,15 +257,15 @@
 
     fn handle_timer(&mut self, now: i64, timer: Timer) {
         match timer {
-            Timer::Connect(id) => {
+            Timer::ConnectCounter(id) => {
                 let is_open = self.connections.get(id).is_some();
                 if is_open && !self.is_connected(id) {
-                    self.link_metrics.attempts_timed_out += u64::from(self.is_link(id));
                     self.handle_connection_lost(now, id);
                 }
             }
+            Timer::Candidate(id) => self.handle_candidate_timeout(now, id),
             Timer::Upkeep => self.upkeep(now),
-            Timer::Reconnect => self.open_link(now),
+            Timer::Search => self.search(now),
             Timer::ReconnectCounter => self.update_counter_link(now),
             Timer::TryHome => {
                 let next = now + HOME_RETRY_INTERVAL;
@@ -299,26 +282,6 @@
         }
     }
 
-    /// Opens a connection, which is given up unless it is established in time.
-    fn connect(&mut self, address: SocketAddr, now: i64) -> Option<ConnectionId> {
-        let id = self.connections.connect(address, now).ok()?;
-        let deadline = now + CONNECT_TIMEOUT;
-        self.deadlines.schedule(deadline, Timer::Connect(id));
-        Some(id)
-    }
-
-    /// Subscribes to the configuration on a link, once the proxy has said which edge it belongs to.
-    fn register(&mut self, now: i64, id: ConnectionId) {
-        if let Some(node) = self.node.clone() {
-            if let Some(digests) = self.cache.known_digests() {
-                self.send(id, &AgentMessage::KnownDigests(digests));
-            }
-            self.send(id, &AgentMessage::Hello(node));
-            self.request_clock(now, id);
-            self.send(id, &AgentMessage::Heartbeat(self.state));
-        }
-    }
-
     fn handle_proxy_connected(&mut self, now: i64, id: ConnectionId) {
         if let Some(former) = self.proxy.replace(id) {
             self.connections.close(former);
@@ -347,30 +310,6 @@
         }
     }
 
-    /// Opens the link to the next control program in the order of the selection.
-    fn open_link(&mut self, now: i64) {
-        if self.link.is_some() {
-            return;
-        }
-        let retry_at = now + RETRY_DELAY;
-        let Some(attempt) = self.selection.next_attempt() else {
-            return self.deadlines.schedule(retry_at, Timer::Reconnect);
-        };
-        if attempt.is_last_of_round {
-            self.reload_settings();
-        }
-        self.link_metrics.attempts += 1;
-        let Some(connection) = self.connect(attempt.address, now) else {
-            return self.deadlines.schedule(retry_at, Timer::Reconnect);
-        };
-        self.link = Some(ControlLink {
-            connection,
-            address: attempt.address,
-            subscribed: false,
-            without_quorum_since: None,
-        });
-    }
-
     /// Opens the link to the replica that keeps the counter, if that is another one than before.
     fn update_counter_link(&mut self, now: i64) {
         let view = self.cache.cluster_view();
@@ -385,15 +324,18 @@
         let Some((address, term)) = holder else {
             return;
         };
-        match self.connect(address, now) {
-            Some(connection) => {
+        match self.connections.connect(address, now) {
+            Ok(connection) => {
+                let deadline = now + COUNTER_CONNECT_TIMEOUT;
+                self.deadlines
+                    .schedule(deadline, Timer::ConnectCounter(connection));
                 self.counter_link = Some(CounterLink {
                     connection,
                     address,
                     term,
                 });
             }
-            None => {
+            Err(_) => {
                 let retry_at = now + RETRY_DELAY;
                 self.deadlines.schedule(retry_at, Timer::ReconnectCounter);
             }
@@ -401,20 +343,14 @@
     }
 
     fn handle_connection_lost(&mut self, now: i64, id: ConnectionId) {
+        if self.is_link(id) || self.is_candidate(id) {
+            return self.handle_control_link_lost(now, id);
+        }
         self.connections.close(id);
-        let retry_at = now + RETRY_DELAY;
-        if self.is_link(id) {
-            if let Some(link) = self.link.take() {
-                self.link_metrics.record_loss(now);
-                self.selection.skip_past(link.address);
-                info!(self.log, "link lost"; "peer" => link.address.to_string());
-            }
-            self.deadlines.schedule(retry_at, Timer::Reconnect);
-        } else if self.is_counter_link(id) {
+        if self.is_counter_link(id) {
             self.counter_link = None;
-            self.deadlines.schedule(retry_at, Timer::ReconnectCounter);
-        } else if self.is_home_candidate(id) {
-            self.home_candidate = None;
+            self.deadlines
+                .schedule(now + RETRY_DELAY, Timer::ReconnectCounter);
         } else if self.proxy == Some(id) {
             self.proxy = None;
             self.set_state(NodeState::Unavailable);
@@ -473,9 +409,17 @@
             }
             ControlMessage::ClusterView(view) => self.handle_cluster_view(now, from, view),
             // Nothing is added to the clock for the time on the way: as whoever is ahead leads, such guesses would drive it on.
-            ControlMessage::Clock(_)
-            | ControlMessage::Servers { .. }
-            | ControlMessage::Complete => self.forward(now, message),
+            ControlMessage::Clock(_) => {
+                self.forward(now, message);
+                self.handle_clock_answer(now, from);
+            }
+            ControlMessage::Servers { .. } => self.forward(now, message),
+            ControlMessage::Complete => {
+                self.forward(now, message);
+                self.handle_complete(now, from);
+            }
+            // Only agents send it.
+            ControlMessage::Confirmed { .. } => {}
             ControlMessage::Items(ref items) => {
                 let has_items = !items.is_empty();
                 self.forward(now, message);
@@ -489,58 +433,6 @@
         }
     }
 
-    fn handle_cluster_view(&mut self, now: i64, from: ConnectionId, view: ClusterView) {
-        let has_quorum = view.has_quorum;
-        let candidate = self.home_candidate;
-        if let Some(home) = candidate.filter(|home| home.connection == from && has_quorum) {
-            self.move_home(home);
-        }
-        let link = self.link.as_mut();
-        let Some(link) = link.filter(|link| link.connection == from) else {
-            return;
-        };
-        link.subscribed = true;
-        let peer = link.address;
-        if let Some(outage) = self.link_metrics.record_link(now)
-            && outage.duration > REPORTED_OUTAGE
-        {
-            warn!(self.log, #IMMEDIATE, "linked again";
-                "peer" => peer.to_string(), "outage_ms" => outage.duration / MS,
-                "attempts" => outage.attempts, "timed_out" => outage.timed_out);
-        }
-        let Some(link) = self.link.as_mut() else {
-            return;
-        };
-        if has_quorum {
-            link.without_quorum_since = None;
-            self.selection.set_replicas(&view.replicas);
-            self.selection.reset();
-        } else {
-            link.without_quorum_since.get_or_insert(now);
-            self.selection.add_reported(&view.replicas);
-        }
-        self.forward(now, ControlMessage::ClusterView(view));
-        self.update_counter_link(now);
-        // The settings name only a few replicas, and not all agents that start may stay with these.
-        if has_quorum && !std::mem::replace(&mut self.home_tried, true) {
-            self.try_home(now);
-        }
-    }
-
-    /// Makes the link to the replica of the own zone the one that is kept.
-    fn move_home(&mut self, home: HomeCandidate) {
-        self.home_candidate = None;
-        let former = self.link.replace(ControlLink {
-            connection: home.connection,
-            address: home.address,
-            subscribed: true,
-            without_quorum_since: None,
-        });
-        if let Some(former) = former {
-            self.connections.close(former.connection);
-        }
-    }
-
     /// Forwards what is new in a message to the proxy.
     fn forward(&mut self, now: i64, message: ControlMessage) {
         if let Some(message) = self.cache.apply(now, message)
@@ -568,9 +460,8 @@
         match message {
             AgentMessage::Hello(node) => {
                 let is_new = self.node.replace(node.clone()) != Some(node);
-                if let Some(link) = self.link.as_ref().filter(|_| is_new) {
-                    let id = link.connection;
-                    self.register(now, id);
+                if is_new {
+                    self.handle_node_changed(now);
                 }
             }
             AgentMessage::Heartbeat(state) => self.set_state(state),
@@ -582,7 +473,7 @@
                 self.forward_batch(now, pending, time, adds);
             }
             AgentMessage::LoadReports(reports) => {
-                let link = self.link.as_ref().filter(|link| link.subscribed);
+                let link = self.link.as_ref();
                 if let Some(id) = link.map(|link| link.connection) {
                     self.send(id, &AgentMessage::LoadReports(reports));
                 }
@@ -633,16 +524,20 @@
             self.report_state(now);
         }
         self.close_silent_counter_link(now);
-        self.close_useless_link(now);
+        self.check_link(now);
     }
 
-    /// Requests the clock on both links, and tells the control program which items the agent has.
+    /// Requests the clock on all links, and tells the control program which items the agent has.
     fn report_state(&mut self, now: i64) {
         let counter_link = self.counter_link.map(|link| link.connection);
+        if let Some(id) = counter_link.filter(|id| self.is_connected(*id)) {
+            self.request_clock(now, id);
+        }
         let link = self.link.as_ref().map(|link| link.connection);
-        for id in counter_link.into_iter().chain(link) {
+        let candidates = self.candidates.iter().map(|candidate| candidate.connection);
+        for id in link.into_iter().chain(candidates).collect::<Vec<_>>() {
             if self.is_connected(id) {
-                self.request_clock(now, id);
+                self.request_link_clock(now, id);
             }
         }
         if let Some(id) = link {
@@ -663,44 +558,6 @@
         }
     }
 
-    /// Closes the link to a control program that is silent, or has been without a quorum for long.
-    fn close_useless_link(&mut self, now: i64) {
-        let Some(link) = &self.link else {
-            return;
-        };
-        let connection = self.connections.get(link.connection);
-        let last_received_at =
-            connection.map_or(i64::MIN, |connection| connection.last_received_at);
-        let is_silent = now - last_received_at > LINK_TIMEOUT && self.node.is_some();
-        let is_without_quorum = link
-            .without_quorum_since
-            .is_some_and(|since| now - since > QUORUM_LOSS_PATIENCE);
-        if is_silent || is_without_quorum {
-            let id = link.connection;
-            self.handle_connection_lost(now, id);
-        }
-    }
-
-    /// Tries whether the replica of the own zone can be reached, if the agent is linked to another one.
-    fn try_home(&mut self, now: i64) {
-        if let Some(former) = self.home_candidate.take() {
-            self.connections.close(former.connection);
-        }
-        let link = self.link.as_ref().filter(|link| link.subscribed);
-        let linked = link.map(|link| link.address);
-        let home = self.selection.home();
-        let home = home.filter(|home| linked.is_some_and(|linked| linked != *home));
-        let Some(address) = home else {
-            return;
-        };
-        if let Some(connection) = self.connect(address, now) {
-            self.home_candidate = Some(HomeCandidate {
-                connection,
-                address,
-            });
-        }
-    }
-
     /// The process is to end: the edge drains until the proxy has ended, or the grace period is over.
     fn begin_shutdown(&mut self, now: i64) {
         if std::mem::replace(&mut self.shutting_down, true) {
--- a/crates/agent/tests/common/mod.rs
+++ b/crates/agent/tests/common/mod.rs
@@ -166,15 +166,29 @@
             .for_each(|message| self.link.as_mut().unwrap().say(message));
     }
 
+    /// What the proxy hears, apart from confirmations.
     pub fn proxy_hears(&mut self, messages: &[ControlMessage]) {
+        let is_content =
+            |message: &ControlMessage| !matches!(message, ControlMessage::Confirmed { .. });
         self.until("news", |bench| {
-            bench.proxies.last().unwrap().heard.len() >= messages.len()
+            let heard = &bench.proxies.last().unwrap().heard;
+            heard.iter().filter(|message| is_content(message)).count() >= messages.len()
         });
         (0..20).for_each(|_| self.turn());
-        assert_eq!(
-            std::mem::take(&mut self.proxies.last_mut().unwrap().heard),
-            messages
-        );
+        let mut heard = std::mem::take(&mut self.proxies.last_mut().unwrap().heard);
+        heard.retain(is_content);
+        assert_eq!(heard, messages);
+    }
+
+    /// The ages that were confirmed to the proxy since this was asked last.
+    pub fn confirmed_ages(&mut self) -> Vec<i64> {
+        (0..20).for_each(|_| self.turn());
+        let heard = std::mem::take(&mut self.proxies.last_mut().unwrap().heard);
+        let age = |message: &ControlMessage| match message {
+            ControlMessage::Confirmed { age } => Some(*age),
+            _ => None,
+        };
+        heard.iter().filter_map(age).collect()
     }
 
     pub fn replica_hears(&mut self, message: &AgentMessage) {
--- a/crates/agent/tests/restarts.rs
+++ b/crates/agent/tests/restarts.rs
@@ -6,7 +6,7 @@
 use std::net::TcpListener;
 
 use common::*;
-use protocol::messages::{AgentMessage, ControlMessage, CounterAdd, NodeState};
+use protocol::messages::{AgentMessage, ClusterView, ControlMessage, CounterAdd, NodeState};
 
 #[test]
 fn restarted_proxy_is_sent_everything_without_a_core() {
@@ -148,3 +148,49 @@
     bench.pass(600);
     bench.until("link", |bench| bench.link.is_some());
 }
+
+/// The replica answers all requests for the clock that it has heard.
+fn answer_clocks(bench: &mut Bench) {
+    (0..20).for_each(|_| bench.turn());
+    let link = bench.link.as_mut().unwrap();
+    let heard = std::mem::take(&mut link.heard);
+    let asked = heard.iter().filter(|m| matches!(m, AgentMessage::Clock(_)));
+    for _ in 0..asked.count() {
+        link.say(&ControlMessage::Clock(7));
+    }
+}
+
+#[test]
+fn proxy_is_told_how_old_its_configuration_may_be() {
+    let mut bench = Bench::new();
+    bench.proxy();
+    let hello = AgentMessage::Hello(edge());
+    bench.until("registration", |bench| {
+        let link = bench.link.as_ref();
+        link.is_some_and(|link| link.heard.contains(&hello))
+    });
+    bench.replica_says(&[who(None), items(&[1])]);
+    bench.pass(600);
+    answer_clocks(&mut bench);
+    assert!(bench.confirmed_ages().is_empty(), "it may lack items");
+    bench.pass(200);
+    bench.replica_says(&[ControlMessage::Complete]);
+    // What was in force when the edge was registered has arrived.
+    let ages = bench.confirmed_ages();
+    assert!(matches!(ages[..], [800_000..1_000_000]), "{ages:?}");
+    // An answer confirms the time at which it was asked for.
+    bench.pass(300);
+    answer_clocks(&mut bench);
+    let ages = bench.confirmed_ages();
+    assert!(matches!(ages[..], [300_000..=400_000]), "{ages:?}");
+    // A replica that has lost the quorum confirms nothing until it has said again that it knows all.
+    bench.replica_says(&[ControlMessage::ClusterView(ClusterView::default())]);
+    bench.pass(500);
+    answer_clocks(&mut bench);
+    assert!(bench.confirmed_ages().is_empty());
+    bench.replica_says(&[who(None), ControlMessage::Complete]);
+    bench.pass(100);
+    answer_clocks(&mut bench);
+    let ages = bench.confirmed_ages();
+    assert!(matches!(ages[..], [0..=200_000]), "{ages:?}");
+}
--- a/crates/control/src/core/agents.rs
+++ b/crates/control/src/core/agents.rs
@@ -453,7 +453,13 @@
             }
             let view = self.cluster_view(now, zone);
             let message = ControlMessage::ClusterView(view.view.clone());
-            out.push(Output::SendToAgents(links, message));
+            let former = announced.get(zone);
+            let regained = view.view.has_quorum && former.is_some_and(|f| !f.view.has_quorum);
+            out.push(Output::SendToAgents(links.clone(), message));
+            // An agent takes what it has for incomplete from the loss of the quorum on.
+            if regained && self.catch_up.is_up_to_date() {
+                self.announce_complete_to(links, out);
+            }
             announced.insert(zone.clone(), view);
             has_announced = true;
         }
@@ -481,7 +487,10 @@
 
     /// Tells the agents whose initial transfer is complete that they have everything that is in force.
     pub(super) fn announce_complete(&self, out: &mut Vec<Output>) {
-        let mut links = self.agents.links();
+        self.announce_complete_to(self.agents.links(), out);
+    }
+
+    fn announce_complete_to(&self, mut links: Vec<u64>, out: &mut Vec<Output>) {
         links.retain(|link| {
             let is_deferred = self.agents.deferred.contains_key(link);
             !is_deferred && !self.agents.pending.contains_key(link)
--- a/crates/control/src/core/catch_up.rs
+++ b/crates/control/src/core/catch_up.rs
@@ -1,13 +1,16 @@
 //! Whether this replica knows everything that is chosen.
 //!
-//! After a start, or without contact to a quorum, a replica may know less than the others. It is up to date once more than
-//! half of the replicas, itself included, know the same; and, while items change all the time, once it has been in contact
-//! with a quorum for [`limits::CATCH_UP_DURATION`].
+//! After a start, or without contact to a quorum, a replica may know less than the others. First it learns what they know to be
+//! chosen, until more than half of the replicas, itself included, know the same, or, while items change all the time, for
+//! [`limits::CATCH_UP_DURATION`]. That may still lack what was acknowledged by a replica that is gone: it is accepted by more
+//! than half, and none of them may know that it is chosen. So then a quorum read follows, and once everything that it has found
+//! is known to be chosen the replica is up to date.
 
 use std::collections::BTreeMap;
 
 use super::anti_entropy::DigestExchange;
 use super::ids::{Incarnation, ReplicaId};
+use super::quorum_read::ReadPurpose;
 use super::replicas::Sender;
 use super::{Output, Replica};
 use crate::limits;
@@ -21,8 +24,10 @@
     /// The replicas whose chosen items were all known here at some instant since the start, one bit each.
     matched_replicas: u128,
     up_to_date: bool,
-    /// The replica counts as up to date from this time on, whatever the digests say.
-    up_to_date_at: Option<i64>,
+    /// The read begins at this time, whatever the digests say.
+    read_at: Option<i64>,
+    /// How often this replica has lost contact to a quorum: a read that began before does not count.
+    epoch: u64,
     /// Heartbeats in a row of each replica with another digest of the chosen items.
     digest_mismatches: BTreeMap<ReplicaId, u32>,
     /// No other replica is asked for chosen items before this time.
@@ -36,7 +41,8 @@
         CatchUp {
             matched_replicas: 0,
             up_to_date: false,
-            up_to_date_at: None,
+            read_at: None,
+            epoch: 0,
             digest_mismatches: BTreeMap::new(),
             next_request_at: now,
             exchange: DigestExchange::default(),
@@ -71,7 +77,8 @@
     pub(super) fn reset(&mut self) {
         self.up_to_date = false;
         self.matched_replicas = 0;
-        self.up_to_date_at = None;
+        self.read_at = None;
+        self.epoch += 1;
     }
 
     /// Counts a heartbeat whose digest is, or is not, the one of this replica. Gives whether its sender is to be asked for
@@ -125,21 +132,30 @@
 
     /// Chosen items are on their way to this replica: it is not up to date, and asks no second replica meanwhile.
     pub(super) fn mark_lagging(&mut self, now: i64) {
-        self.catch_up.up_to_date_at = Some(now + limits::CATCH_UP_DURATION);
+        self.catch_up.read_at = Some(now + limits::CATCH_UP_DURATION);
         self.catch_up.next_request_at = now + limits::SYNC_REQUEST_INTERVAL;
     }
 
-    /// Checks whether this replica is up to date by now; if so, its agents are told.
+    /// Begins the read that makes this replica up to date, once nothing else is to be learned before.
     pub(super) fn update_up_to_date(&mut self, now: i64, out: &mut Vec<Output>) {
-        if self.catch_up.up_to_date || !self.has_quorum_contact {
+        if self.catch_up.up_to_date || !self.has_quorum_contact || self.reads.is_catching_up() {
             return;
         }
         let matched = self.catch_up.matched_replicas.count_ones() as usize + 1;
         let quorum_matches = matched >= self.table.quorum() && self.pending.is_empty();
         let deadline = now + limits::CATCH_UP_DURATION;
-        let deadline = *self.catch_up.up_to_date_at.get_or_insert(deadline);
-        if quorum_matches || now >= deadline {
-            self.catch_up.up_to_date = true;
+        let deadline = *self.catch_up.read_at.get_or_insert(deadline);
+        if (quorum_matches || now >= deadline) && self.table.is_participant() {
+            let purpose = ReadPurpose::CatchUp {
+                epoch: self.catch_up.epoch,
+            };
+            self.start_read(now, purpose, now + limits::CATCH_UP_READ_TIMEOUT, out);
+        }
+    }
+
+    /// Everything that more than half of the replicas have accepted is known to be chosen here: the agents are told.
+    pub(super) fn handle_catch_up_read(&mut self, epoch: u64, out: &mut Vec<Output>) {
+        if epoch == self.catch_up.epoch && !std::mem::replace(&mut self.catch_up.up_to_date, true) {
             self.announce_complete(out);
         }
     }
--- a/crates/control/src/core/mod.rs
+++ b/crates/control/src/core/mod.rs
@@ -298,7 +298,7 @@
         PendingCounts {
             proposals: self.proposals.len(),
             calls: self.proposals.calls(),
-            reads: self.reads.len(),
+            reads: self.reads.calls(),
             writes: self.disk.pending_writes(),
             repairs: self.pending.len(),
         }
@@ -306,7 +306,7 @@
 
     /// Whether every call that was taken has been answered.
     pub fn is_idle(&self) -> bool {
-        self.proposals.calls() == 0 && self.reads.len() == 0
+        self.proposals.calls() == 0 && self.reads.calls() == 0
     }
 
     fn lease(&self, role: SingletonRole) -> &RoleLease {
--- a/crates/control/src/core/operator_calls.rs
+++ b/crates/control/src/core/operator_calls.rs
@@ -3,6 +3,7 @@
 use protocol::items::{self, Item, ItemKind, ItemName};
 
 use super::proposal::Intent;
+use super::quorum_read::ReadPurpose;
 use super::{Output, Replica};
 use crate::operator_api::{Command, Reply};
 
@@ -29,7 +30,9 @@
         }
         match command {
             Command::GetStatus => {}
-            Command::GetConfiguration => self.start_read(now, call, None, deadline, out),
+            Command::GetConfiguration => {
+                self.start_read(now, ReadPurpose::Configuration { call }, deadline, out)
+            }
             Command::SetEvacuation { zone, .. } if !self.zones.contains(&zone) => {
                 let reply = Reply::NotFound(format!("zone: {zone:?}"));
                 out.push(Output::Answer(call, reply));
@@ -77,7 +80,10 @@
                 self.propose_items(now, call, items, deadline, out);
             }
             // What the patch refers to may have been acknowledged or removed elsewhere, and not be known here yet.
-            _ => self.start_read(now, call, Some(body), deadline, out),
+            _ => {
+                let purpose = ReadPurpose::Patch { call, patch: body };
+                self.start_read(now, purpose, deadline, out)
+            }
         }
     }
 
--- a/crates/control/src/core/proposals.rs
+++ b/crates/control/src/core/proposals.rs
@@ -241,7 +241,7 @@
     fn end_proposal(&mut self, now: i64, id: u64, reply: Option<Reply>, out: &mut Vec<Output>) {
         let read = self.reads.take_awaiting_repair(id);
         let call = self.proposals.calls.remove(&id);
-        if let (Some(call), Some(reply)) = (call.or(read.map(|read| read.call())), reply) {
+        if let (Some(call), Some(reply)) = (call.or(read.and_then(|read| read.call())), reply) {
             out.push(Output::Answer(call, reply));
         }
         if let Some(proposal) = self.proposals.open.remove(&id) {
--- a/crates/control/src/core/quorum_read.rs
+++ b/crates/control/src/core/quorum_read.rs
@@ -16,12 +16,42 @@
 use crate::limits;
 use crate::operator_api::Reply;
 
+/// What a quorum read is for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum ReadPurpose {
+    /// An operator asks for the configuration.
+    Configuration { call: u64 },
+    /// A patch that was inconsistent with the items known here is to be checked against the result.
+    Patch { call: u64, patch: Vec<u8> },
+    /// This replica makes sure that it knows everything that was acknowledged: see [`super::catch_up`].
+    CatchUp { epoch: u64 },
+}
+
+impl ReadPurpose {
+    /// The operator's call that waits for the read.
+    fn call(&self) -> Option<u64> {
+        match self {
+            ReadPurpose::Configuration { call } | ReadPurpose::Patch { call, .. } => Some(*call),
+            ReadPurpose::CatchUp { .. } => None,
+        }
+    }
+
+    /// How long the read waits for the replicas that proposed what it has found to complete it.
+    fn repair_delay(&self) -> i64 {
+        match self {
+            ReadPurpose::Configuration { .. } | ReadPurpose::Patch { .. } => {
+                limits::READ_REPAIR_DELAY
+            }
+            // Nobody waits for the answer. Hazard: replicas that start together would repair the same registers at once.
+            ReadPurpose::CatchUp { .. } => limits::CATCH_UP_REPAIR_DELAY,
+        }
+    }
+}
+
 /// A quorum read that is in progress.
 #[derive(Clone, Debug)]
 pub(super) struct QuorumRead {
-    call: u64,
-    /// A patch that was inconsistent with the items known here, and is to be checked against the result.
-    patch: Option<Vec<u8>>,
+    purpose: ReadPurpose,
     /// The replicas that have answered completely.
     votes: BTreeMap<ReplicaId, Incarnation>,
     sources: BTreeMap<ReplicaId, SourceProgress>,
@@ -36,9 +66,9 @@
 }
 
 impl QuorumRead {
-    /// The operator's call that the read is for.
-    pub(super) fn call(&self) -> u64 {
-        self.call
+    /// The operator's call that waits for the read.
+    pub(super) fn call(&self) -> Option<u64> {
+        self.purpose.call()
     }
 
     /// The request for what a replica has not answered yet.
@@ -82,9 +112,16 @@
 }
 
 impl QuorumReads {
-    /// How many are in progress.
-    pub(super) fn len(&self) -> usize {
-        self.open.len() + self.awaiting_repair.len()
+    /// How many are in progress for an operator's call.
+    pub(super) fn calls(&self) -> usize {
+        let reads = self.open.values().chain(self.awaiting_repair.values());
+        reads.filter(|read| read.call().is_some()).count()
+    }
+
+    /// Whether this replica reads what it may lack itself.
+    pub(super) fn is_catching_up(&self) -> bool {
+        let mut reads = self.open.values().chain(self.awaiting_repair.values());
+        reads.any(|read| read.call().is_none())
     }
 
     /// When the next one is to be looked at.
@@ -105,12 +142,11 @@
 }
 
 impl Replica {
-    /// Starts a quorum read for an operator's call, and for a patch that is to be checked against its result.
+    /// Starts a quorum read.
     pub(super) fn start_read(
         &mut self,
         now: i64,
-        call: u64,
-        patch: Option<Vec<u8>>,
+        purpose: ReadPurpose,
         deadline: i64,
         out: &mut Vec<Output>,
     ) {
@@ -118,8 +154,7 @@
         let local = self.table.local();
         let entry = |(ballot, item): &(Ballot, Item)| (item.name.clone(), (*ballot, item.clone()));
         let read = QuorumRead {
-            call,
-            patch,
+            purpose,
             votes: BTreeMap::from([(local.replica, local.incarnation)]),
             sources: BTreeMap::new(),
             found: self.registers.accepted_entries().map(entry).collect(),
@@ -213,7 +248,7 @@
         // Whoever proposed it normally completes it soon.
         let repair_at = *read
             .repair_at
-            .get_or_insert(now + limits::READ_REPAIR_DELAY);
+            .get_or_insert(now + read.purpose.repair_delay());
         if !unconfirmed.is_empty() && now < repair_at {
             read.wake_at = repair_at;
             return;
@@ -237,13 +272,16 @@
         // Of two items of one version the chosen one counts.
         let chosen = self.chosen.entries().map(|(_, item)| item);
         let items: Items = newest_versions(chosen.chain(found));
-        let Some(patch) = read.patch else {
-            let body = items::configuration_json(items.values());
-            return out.push(Output::Answer(read.call, Reply::Items(body)));
-        };
-        match items::parse_patch(&patch, &items) {
-            Ok(items) => self.propose_items(now, read.call, items, read.deadline, out),
-            Err(error) => out.push(Output::Answer(read.call, Reply::Invalid(error.0))),
+        match read.purpose {
+            ReadPurpose::Configuration { call } => {
+                let body = items::configuration_json(items.values());
+                out.push(Output::Answer(call, Reply::Items(body)));
+            }
+            ReadPurpose::Patch { call, patch } => match items::parse_patch(&patch, &items) {
+                Ok(items) => self.propose_items(now, call, items, read.deadline, out),
+                Err(error) => out.push(Output::Answer(call, Reply::Invalid(error.0))),
+            },
+            ReadPurpose::CatchUp { epoch } => self.handle_catch_up_read(epoch, out),
         }
     }
 
@@ -256,8 +294,10 @@
                 continue;
             };
             if now >= read.deadline {
-                let reply = Reply::Unavailable(NO_QUORUM);
-                out.push(Output::Answer(read.call, reply));
+                if let Some(call) = read.call() {
+                    let reply = Reply::Unavailable(NO_QUORUM);
+                    out.push(Output::Answer(call, reply));
+                }
                 self.reads.open.remove(&id);
                 continue;
             }
--- a/crates/control/src/limits.rs
+++ b/crates/control/src/limits.rs
@@ -73,8 +73,13 @@
 
 /// The least interval of two requests to other replicas for what was missed.
 pub const SYNC_REQUEST_INTERVAL: i64 = 600 * MS;
-/// A replica that is in contact with a quorum for this long after its start counts as up to date.
+/// A replica that has been in contact with a quorum for this long after its start reads what it may lack, whatever the
+/// digests say.
 pub const CATCH_UP_DURATION: i64 = 3_000 * MS;
+/// How long that read waits for what it has found to be repaired by others, whose repairs are staggered.
+pub const CATCH_UP_REPAIR_DELAY: i64 = 1_800 * MS;
+/// That read is given up after this, and begun anew.
+pub const CATCH_UP_READ_TIMEOUT: i64 = 3_000 * MS;
 /// The interval of the requests of a recovering replica.
 pub const RECOVERY_REQUEST_INTERVAL: i64 = 300 * MS;
 /// A newer incarnation that no replica of a quorum has heard for this long is unreachable: as long as a machine
--- a/crates/control/tests/answers.rs
+++ b/crates/control/tests/answers.rs
@@ -170,11 +170,12 @@
         Command::GetConfiguration,
         LATER + 900 * MS,
     ));
-    let asked = asker.sent().find_map(|body| match body {
+    // Before that it has begun to read what it lacks itself.
+    let asked = asker.sent().filter_map(|body| match body {
         Payload::ReadRequest { id, .. } => Some(*id),
         _ => None,
     });
-    let id = asked.expect("a question");
+    let id = asked.last().expect("a question");
     assert_eq!(id.requester, speaker(0, RUN));
     let answered = |asker: &Asker| {
         asker
--- a/crates/protocol/src/messages.rs
+++ b/crates/protocol/src/messages.rs
@@ -133,4 +133,9 @@
         /// The levels.
         levels: Vec<AdmissionLevel>,
     },
+    /// From an agent to its proxy: everything that was in force so long ago has been sent, in microseconds.
+    Confirmed {
+        /// The age of the configuration at most.
+        age: i64,
+    },
 }
--- a/crates/protocol/tests/golden.rs
+++ b/crates/protocol/tests/golden.rs
@@ -184,6 +184,7 @@
                 levels: vec![level(), AdmissionLevel::default()],
             },
         ),
+        ("confirmed", ControlMessage::Confirmed { age: 300_000 }),
     ];
     insta::assert_snapshot!("from-control", variants(&examples));
 }
--- a/crates/proxy/src/host/admission.rs
+++ b/crates/proxy/src/host/admission.rs
@@ -83,7 +83,7 @@
         let route = self
             .config_store
             .route(host, &head.target)
-            .ok_or(local_response(404, "no route"))?
+            .ok_or_else(|| self.refusal(now, 404, "no route"))?
             .clone();
         let id = head
             .headers
@@ -95,7 +95,7 @@
             .and_then(|key| self.config_store.tenant(key))
             .cloned();
         if tenant.is_none() && !route.public && self.config_store.requires_keys() {
-            return Err(local_response(401, "no such key"));
+            return Err(self.refusal(now, 401, "no such key"));
         }
         let allowed_time = allowed_time(&head.headers, &route);
         let extra_time = streamed.as_ref().map_or(0, |body| body.extra_time);
@@ -156,6 +156,15 @@
         Err(retry_later(503, startup_retry_after(), reason))
     }
 
+    /// The answer where the configuration has no such route or key: final, unless a change may be missing here.
+    fn refusal(&self, now: Micros, status: u16, reason: &'static str) -> LocalResponse {
+        if self.config_freshness.is_current(now) {
+            local_response(status, reason)
+        } else {
+            retry_later(503, startup_retry_after(), "configuration may be old")
+        }
+    }
+
     /// Opens the engine of a service in these regions if there is none.
     fn ensure_engine(&mut self, now: Micros, svc: &str, pins: &[String], route: &Route) {
         if self.router.engine_of(svc, pins).is_some() {
--- a/crates/proxy/src/host/agent_link.rs
+++ b/crates/proxy/src/host/agent_link.rs
@@ -127,8 +127,16 @@
                 }
             }
             ControlMessage::Complete => self.agent_complete = true,
+            ControlMessage::Confirmed { age } => {
+                // The clock may have jumped since this turn began.
+                let confirmed_at = self.clock.now() - age;
+                self.config_freshness.confirm(confirmed_at);
+            }
             ControlMessage::Clock(time) => {
+                let before = self.clock.now();
                 self.clock.advance_to(time);
+                let jump = self.clock.now() - before;
+                self.config_freshness.handle_clock_jump(jump);
                 self.caught_up_at = self.clock.now();
                 self.router.handle_clock_jump(time, time - now);
             }
--- a/crates/proxy/src/host/metrics.rs
+++ b/crates/proxy/src/host/metrics.rs
@@ -91,6 +91,12 @@
             "1 while quotas are enforced by local shares",
             u8::from(self.router.are_shares_binding(now)),
         );
+        text.gauge(
+            "proxy_config_current",
+            "1 while no change can be missing that has to be in force",
+            u8::from(self.config_freshness.is_current(now)),
+        );
+        text.invariant(self.config_freshness.invariant());
         text
     }
 }
--- a/crates/proxy/src/host/mod.rs
+++ b/crates/proxy/src/host/mod.rs
@@ -42,6 +42,7 @@
 use self::metrics::ProxyMetrics;
 use self::response_streams::ResponseStream;
 use crate::answers::ResponseClass;
+use crate::config_freshness::ConfigFreshness;
 use crate::config_store::ConfigStore;
 use crate::router::{RequestHandle, RequestKey, RequestRouter, RouterAction};
 use crate::server_table::ServerTable;
@@ -216,6 +217,7 @@
     agent: Option<ConnectionId>,
     /// The agent has sent its complete state at least once.
     agent_complete: bool,
+    config_freshness: ConfigFreshness,
     pending_adds: Vec<CounterAdd>,
     batches: VecDeque<CounterBatch>,
     last_batch: u64,
@@ -306,6 +308,7 @@
             actions: Vec::new(),
             agent: None,
             agent_complete: false,
+            config_freshness: ConfigFreshness::new(settings.bounds.apply.0),
             pending_adds: Vec::new(),
             batches: VecDeque::new(),
             last_batch: 0,
--- a/crates/proxy/src/host/responses.rs
+++ b/crates/proxy/src/host/responses.rs
@@ -101,6 +101,7 @@
         lines.extend(keep_alive_field(&self.client_keep_alive, close));
         if let Some(out) = self.connections.output(key) {
             framing::write_response(out, own.status, &lines, body.as_bytes(), close);
+            self.config_freshness.check_response(now, own.status);
             *self.metrics.local_responses.entry(own.status).or_default() += 1;
         }
     }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -6,6 +6,7 @@
 //! decide, without I/O; [`host`] owns the connections.
 
 pub mod answers;
+pub mod config_freshness;
 pub mod config_store;
 pub mod host;
 pub mod router;
--- a/crates/proxy/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -224,11 +224,17 @@
     pub fn with(start: i64, zones: &[&str], more: &str) -> Bench {
         let mut bench = Bench::started(start, zones, more);
         bench.configure();
-        bench.tell(ControlMessage::Complete);
-        bench.settle();
+        bench.complete();
         bench
     }
 
+    /// The agent says that it has told everything that is in force now.
+    pub fn complete(&mut self) {
+        self.tell(ControlMessage::Complete);
+        self.tell(ControlMessage::Confirmed { age: 0 });
+        self.settle();
+    }
+
     /// A proxy whose agent is there and has told nothing yet.
     pub fn started(start: i64, zones: &[&str], more: &str) -> Bench {
         let feed = TcpListener::bind("127.0.0.1:0").unwrap();
--- a/crates/proxy/tests/stale.rs
+++ b/crates/proxy/tests/stale.rs
@@ -41,6 +41,12 @@
     serves(&mut bench);
     bench.tell(ControlMessage::Complete);
     bench.settle();
+    assert_eq!(
+        status(&mut bench, "/other/", ""),
+        503,
+        "the agent may be cut off itself"
+    );
+    bench.complete();
     assert_eq!(status(&mut bench, "/other/", ""), 404);
 }
 
@@ -55,4 +61,9 @@
     assert_eq!(status(&mut bench, "/other/", ""), 503);
     assert_eq!(status(&mut bench, "/k/", other_key), 503);
     serves(&mut bench);
+    for (age, expected) in [(5_000_000, 503), (100_000, 404)] {
+        bench.tell(ControlMessage::Confirmed { age });
+        bench.settle();
+        assert_eq!(status(&mut bench, "/other/", ""), expected, "age {age}");
+    }
 }
--- a/crates/simulation/src/edges/proxies.rs
+++ b/crates/simulation/src/edges/proxies.rs
@@ -74,7 +74,8 @@
             // The simulation's servers answer at once: nothing is under strain.
             ControlMessage::Totals { .. }
             | ControlMessage::NotCounted(_)
-            | ControlMessage::Levels { .. } => {}
+            | ControlMessage::Levels { .. }
+            | ControlMessage::Confirmed { .. } => {}
         }
         self.stands(at);
     }
--- a/crates/simulation/src/scale/world.rs
+++ b/crates/simulation/src/scale/world.rs
@@ -666,12 +666,9 @@
     pub fn until(&mut self, span: i64, done: impl Fn(&World) -> bool) -> Option<i64> {
         let end = self.now + span;
         let mut look = self.now;
-        while let Some(entry) = self
-            .events
-            .first_entry()
-            .filter(|entry| entry.key().0 <= end)
+        while let Some((at, _)) = self.events.keys().next().copied()
+            && at <= end
         {
-            let ((at, _), event) = entry.remove_entry();
             if at >= look {
                 // Looked at each 5 ms: it is dear with thousands of agents.
                 look = at + 5 * MS;
@@ -679,6 +676,10 @@
                     return Some(self.now);
                 }
             }
+            // Hazard: an event that is taken out has to happen, or what repeats itself ends with it.
+            let Some((_, event)) = self.events.pop_first() else {
+                break;
+            };
             self.now = self.now.max(at);
             self.happen(event);
         }
