--- a/crates/agent/tests/common/mod.rs
+++ b/crates/agent/tests/common/mod.rs
@@ -35,6 +35,7 @@
 impl<T: DeserializeOwned> End<T> {
     pub fn new(stream: TcpStream) -> End<T> {
         stream.set_nonblocking(true).unwrap();
+        stream.set_nodelay(true).unwrap();
         End {
             stream,
             input: Vec::new(),
