Proxy: time-outs of the counter by its round trips; a late total ends the doubt

The time-out follows the round trips (RFC 6298) between 0.3 and 0.9 s, and a late total says that the counter is there.

--- a/crates/proxy/src/host/agent_link.rs
+++ b/crates/proxy/src/host/agent_link.rs
@@ -211,6 +211,7 @@
             number: self.last_batch,
             names,
             sent: now,
+            deadline: now + self.counter_timeout.timeout(),
             expired: false,
         };
         let up = self
@@ -225,11 +226,10 @@
             time: now,
             adds,
         });
-        self.batches.push_back(batch);
-        if self.batches.len() == 1 {
-            self.deadlines
-                .schedule(now + COUNTER_TIMEOUT, Timer::CounterBatch);
+        if self.batches.is_empty() {
+            self.deadlines.schedule(batch.deadline, Timer::CounterBatch);
         }
+        self.batches.push_back(batch);
     }
 
     fn take_batch(&mut self, number: u64) -> Option<CounterBatch> {
@@ -251,6 +251,7 @@
         let Some(batch) = self.take_batch(number) else {
             return;
         };
+        self.counter_timeout.record(self.clock.now() - batch.sent);
         if batch.expired {
             self.metrics.counter_batches_late += 1;
             return self.router.handle_late_count();
@@ -264,11 +265,12 @@
     }
 
     pub(super) fn handle_batch_timeout(&mut self, now: Micros) {
+        self.batch_check_at = Micros::MAX;
         let mut late = Vec::new();
         for batch in self
             .batches
             .iter_mut()
-            .filter(|b| !b.expired && b.sent + COUNTER_TIMEOUT <= now)
+            .filter(|batch| !batch.expired && batch.deadline <= now)
         {
             batch.expired = true;
             self.metrics.counter_batches_timed_out += 1;
@@ -281,12 +283,18 @@
         while self.batches.len() > 1_000 {
             self.batches.pop_front();
         }
-        if let Some(next) = self.batches.iter().find(|batch| !batch.expired) {
-            self.deadlines
-                .schedule(next.sent + COUNTER_TIMEOUT, Timer::CounterBatch);
-        } else if !self.batches.is_empty() {
-            self.deadlines
-                .schedule(now + COUNTER_TIMEOUT, Timer::CounterBatch);
+        // One that has timed out is still waited for.
+        let waiting = self.batches.iter().filter(|batch| !batch.expired);
+        if let Some(next) = waiting.map(|batch| batch.deadline).min() {
+            self.schedule_batch_check(next);
+        }
+    }
+
+    /// A batch may have to be answered sooner than the one before it.
+    fn schedule_batch_check(&mut self, at: Micros) {
+        if at < self.batch_check_at {
+            self.batch_check_at = at;
+            self.deadlines.schedule(at, Timer::CounterBatch);
         }
     }
 }
--- a/crates/proxy/src/host/mod.rs
+++ b/crates/proxy/src/host/mod.rs
@@ -44,6 +44,7 @@
 use crate::answers::ResponseClass;
 use crate::config_freshness::ConfigFreshness;
 use crate::config_store::ConfigStore;
+use crate::counter_timeout::CounterTimeout;
 use crate::router::{RequestHandle, RequestKey, RequestRouter, RouterAction};
 use crate::server_table::ServerTable;
 
@@ -55,8 +56,6 @@
 const AGENT_RETRY_DELAY: Micros = 100 * MS;
 /// Time-out of a connection attempt to a server; the farthest need more than a tenth of a second.
 const CONNECT_TIMEOUT: Micros = 350 * MS;
-/// A batch of adds without totals by then has timed out.
-const COUNTER_TIMEOUT: Micros = 300 * MS;
 /// Longest answer that is buffered before it is forwarded, in bytes; also the bound of what a
 /// streamed one may hold. A longer one that breaks off can't be retried at another server, a
 /// shorter one can.
@@ -184,6 +183,8 @@
     number: u64,
     names: Vec<u64>,
     sent: Micros,
+    /// Without totals by then it has timed out.
+    deadline: Micros,
     /// Its time-out was reported.
     expired: bool,
 }
@@ -221,6 +222,9 @@
     pending_adds: Vec<CounterAdd>,
     batches: VecDeque<CounterBatch>,
     last_batch: u64,
+    counter_timeout: CounterTimeout,
+    /// When the batches are looked at next for one that has timed out.
+    batch_check_at: Micros,
     /// Connections whose input is to be handled again.
     reread: Vec<ConnectionId>,
     announced_state: NodeState,
@@ -312,6 +316,8 @@
             pending_adds: Vec::new(),
             batches: VecDeque::new(),
             last_batch: 0,
+            counter_timeout: CounterTimeout::default(),
+            batch_check_at: Micros::MAX,
             reread: Vec::new(),
             announced_state: NodeState::Unavailable,
             caught_up_at: now,
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -2,12 +2,14 @@
 //! them, and forwards the servers' answers. Its configuration arrives from the agent of its
 //! machine.
 //!
-//! [`config_store`], [`server_table`], [`answers`], [`shedding`] and [`router`] hold the state and
-//! decide, without I/O; [`host`] owns the connections.
+//! [`config_store`], [`config_freshness`], [`server_table`], [`answers`], [`shedding`],
+//! [`counter_timeout`] and [`router`] hold the state and decide, without I/O; [`host`] owns the
+//! connections.
 
 pub mod answers;
 pub mod config_freshness;
 pub mod config_store;
+pub mod counter_timeout;
 pub mod host;
 pub mod router;
 pub mod server_table;
--- a/crates/proxy/src/router/mod.rs
+++ b/crates/proxy/src/router/mod.rs
@@ -19,10 +19,9 @@
 use streamarch::{CounterName, Micros, Outcome, ServerId, Settings};
 
 use self::placement_engine::{LATENCY_TARGETS, class_of};
-use self::quota_engine::{
-    COUNTER_TIMEOUT, ISOLATION_FACTOR, MAX_COUNTING_LIMITERS, customer_id, quota_engine,
-};
+use self::quota_engine::{ISOLATION_FACTOR, MAX_COUNTING_LIMITERS, customer_id, quota_engine};
 use self::quota_shares::{QuotaShare, QuotaShares};
+use crate::counter_timeout::MAX_COUNTER_TIMEOUT;
 use crate::shedding::{LoadShedding, SheddingPriority, SheddingRequest, tier};
 
 slotmap::new_key_type! {
@@ -192,7 +191,7 @@
         may_cancel: true,
         retry_after: true,
         max_retry_after: MAX_RETRY_AFTER,
-        counter_timeout: COUNTER_TIMEOUT,
+        counter_timeout: MAX_COUNTER_TIMEOUT,
         ..Settings::default()
     }
 }
@@ -575,8 +574,10 @@
             .handle_counter_result(CounterName(name), outcome, total);
     }
 
-    /// The counter answered a call that had timed out.
+    /// The counter answered a call that had timed out: it has counted what it was told, and is not
+    /// in doubt.
     pub fn handle_late_count(&mut self) {
+        self.quota_shares.handle_call_result(true);
         self.engines[QUOTA_ENGINE]
             .engine
             .handle_late_counter_result();
