Placement: a retry goes to another server than the one that failed, where both are idle

Cause of the test that failed now and then (invalid_answer_is_never_forwarded_and_a_mutating_request_never_retried): idle servers have load 0, so that slowness times load ties at 0 and the draw alone decided, also for the server at which the attempt had just failed. The tie goes to another server.

--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -7,6 +7,17 @@
 /// Servers drawn by chance for a choice between them, at least.
 const DRAWN: usize = 2;
 
+/// A server that was drawn for a choice.
+struct Drawn {
+    /// The lower, the sooner it was drawn.
+    turn: f64,
+    /// How long it is likely to take.
+    wait: f64,
+    /// An attempt of the same request has just ended badly there.
+    failed: bool,
+    server: ServerId,
+}
+
 impl Balancer {
     /// The server where this request is likely to be done first, if any may take it.
     fn choose(&mut self, id: RequestId) -> Option<ServerId> {
@@ -28,7 +39,7 @@
         // Danger: without chance all gateways would take the same servers and leave out the cold.
         let ready = self.servers.values().filter(|s| s.ready).count();
         let few = DRAWN.max((ready as f64 / self.gateways()).ceil() as usize);
-        let mut drawn: Vec<(f64, f64, ServerId)> = Vec::with_capacity(few + 1);
+        let mut drawn: Vec<Drawn> = Vec::with_capacity(few + 1);
         for ((server_id, server), chance) in self.servers.iter().zip(chances) {
             let allowed = server.ready && server.suspect.is_none() && self.may_go(held, server);
             let rest = server.rests.get(&held.request.plan);
@@ -43,24 +54,32 @@
             if !allowed || rests || fed || f64::from(server.out) >= most {
                 continue;
             }
-            let again = if held.last == Some(*server_id) {
-                AGAIN
-            } else {
-                1.0
-            };
+            let failed = held.last == Some(*server_id);
+            let again = if failed { AGAIN } else { 1.0 };
             let taken = self.taken_chance(server, held.request.plan) / again;
             let slowness = server.ratio(self.now) / (server.weight * warmth * taken);
             let turn = chance * slowness * server.ratio(self.now) / taken;
-            let place = drawn.partition_point(|(t, _, _)| *t < turn);
+            let place = drawn.partition_point(|other| other.turn < turn);
             if place < few {
-                drawn.insert(place, (turn, slowness * server.load(self.now), *server_id));
+                let wait = slowness * server.load(self.now);
+                drawn.insert(
+                    place,
+                    Drawn {
+                        turn,
+                        wait,
+                        failed,
+                        server: *server_id,
+                    },
+                );
                 drawn.truncate(few);
             }
         }
-        drawn
-            .iter()
-            .min_by(|a, b| a.1.total_cmp(&b.1))
-            .map(|(_, _, server)| *server)
+        // Danger: servers without load wait alike, however slow they look: then the draw alone would decide.
+        let sooner = |a: &&Drawn, b: &&Drawn| {
+            let waits = a.wait.total_cmp(&b.wait);
+            waits.then(a.failed.cmp(&b.failed))
+        };
+        drawn.iter().min_by(sooner).map(|drawn| drawn.server)
     }
 
     /// The chance that this server takes a request of the plan: by its own ends, shrunk to those of its kind
