Proxy: connections to servers wait by their round trips, as counter calls do

The same class: an attempt over a full link was given up after 0.35 s and counted against the server. One estimator serves both.

--- a/crates/load/src/soak/faults.rs
+++ b/crates/load/src/soak/faults.rs
@@ -10,6 +10,12 @@
 
 /// Faults that overlap begin within this of the first.
 const OVERLAP: Duration = Duration::from_millis(900);
+/// How long most faults last, in milliseconds.
+const SHORT_FAULT_MS: std::ops::Range<u64> = 100..2_500;
+/// How long some last, in milliseconds: a change may have to be in force before they are over.
+const LONG_FAULT_MS: std::ops::Range<u64> = 4_500..6_500;
+/// The chance that a fault is long.
+const LONG_FAULTS: f64 = 0.2;
 /// A process that ends late is looked at again after this.
 const RECHECK: Duration = Duration::from_millis(50);
 
@@ -45,7 +51,13 @@
 
 /// Draws the steps of one fault that begins at `at`.
 fn draw_fault(rng: &mut ChaCha8Rng, at: Duration, cores: usize, edges: usize) -> Vec<Step> {
-    let lasting = Duration::from_millis(rng.random_range(100..2_500));
+    let is_long = rng.random::<f64>() < LONG_FAULTS;
+    let range = if is_long {
+        LONG_FAULT_MS
+    } else {
+        SHORT_FAULT_MS
+    };
+    let lasting = Duration::from_millis(rng.random_range(range));
     let edge = rng.random_range(0..edges);
     let (action, end) = *[
         (Action::Kill, Some(Action::Start)),
--- a/crates/proxy/src/host/mod.rs
+++ b/crates/proxy/src/host/mod.rs
@@ -41,11 +41,14 @@
 use self::close_reasons::CloseReason;
 use self::metrics::ProxyMetrics;
 use self::response_streams::ResponseStream;
+use crate::adaptive_timeout::AdaptiveTimeout;
 use crate::answers::ResponseClass;
 use crate::config_freshness::ConfigFreshness;
 use crate::config_store::ConfigStore;
-use crate::counter_timeout::CounterTimeout;
-use crate::router::{RequestHandle, RequestKey, RequestRouter, RouterAction};
+use crate::router::{
+    MAX_COUNTER_TIMEOUT, MIN_COUNTER_TIMEOUT, RequestHandle, RequestKey, RequestRouter,
+    RouterAction,
+};
 use crate::server_table::ServerTable;
 
 const MS: Micros = 1_000;
@@ -54,8 +57,10 @@
 const HEARTBEAT_INTERVAL: Micros = 400 * MS;
 /// Delay before the agent's link is retried.
 const AGENT_RETRY_DELAY: Micros = 100 * MS;
-/// Time-out of a connection attempt to a server; the farthest need more than a tenth of a second.
+/// The least time-out of a connection attempt to a server; the farthest need more than a tenth of a second.
 const CONNECT_TIMEOUT: Micros = 350 * MS;
+/// The greatest one, where this machine's link is full.
+const MAX_CONNECT_TIMEOUT: Micros = 1_000 * MS;
 /// Longest answer that is buffered before it is forwarded, in bytes; also the bound of what a
 /// streamed one may hold. A longer one that breaks off can't be retried at another server, a
 /// shorter one can.
@@ -117,6 +122,7 @@
 /// A connection to a server.
 struct UpstreamConnection {
     server: ServerId,
+    opened_at: Micros,
     state: UpstreamState<UpstreamPurpose>,
     incoming: Incoming<ResponseHead>,
     class: Option<ResponseClass>,
@@ -222,7 +228,9 @@
     pending_adds: Vec<CounterAdd>,
     batches: VecDeque<CounterBatch>,
     last_batch: u64,
-    counter_timeout: CounterTimeout,
+    counter_timeout: AdaptiveTimeout,
+    /// Of connection attempts to servers.
+    connect_timeout: AdaptiveTimeout,
     /// When the batches are looked at next for one that has timed out.
     batch_check_at: Micros,
     /// Connections whose input is to be handled again.
@@ -316,7 +324,8 @@
             pending_adds: Vec::new(),
             batches: VecDeque::new(),
             last_batch: 0,
-            counter_timeout: CounterTimeout::default(),
+            counter_timeout: AdaptiveTimeout::new(MIN_COUNTER_TIMEOUT, MAX_COUNTER_TIMEOUT),
+            connect_timeout: AdaptiveTimeout::new(CONNECT_TIMEOUT, MAX_CONNECT_TIMEOUT),
             batch_check_at: Micros::MAX,
             reread: Vec::new(),
             announced_state: NodeState::Unavailable,
@@ -471,6 +480,7 @@
     fn handle_connected(&mut self, now: Micros, key: ConnectionId) {
         match self.roles.get_mut(key) {
             Some(Role::Upstream(upstream)) => {
+                self.connect_timeout.record(now - upstream.opened_at);
                 upstream.state = upstream.state.connected();
                 if let Some(UpstreamPurpose::Attempt(request, ..)) = upstream.state.purpose() {
                     self.start_upload(request, key);
@@ -541,6 +551,9 @@
                     .get(key)
                     .is_some_and(|connection| !connection.is_connected()) =>
             {
+                if let Some(Role::Upstream(upstream)) = self.roles.get(key) {
+                    self.connect_timeout.record(now - upstream.opened_at);
+                }
                 self.handle_failed(now, key)
             }
             Timer::Connect(_) => {}
--- a/crates/proxy/src/host/upstreams.rs
+++ b/crates/proxy/src/host/upstreams.rs
@@ -21,9 +21,10 @@
 const IDLE_MARGIN: Micros = 1_500 * MS;
 
 impl UpstreamConnection {
-    fn new(server: ServerId, purpose: UpstreamPurpose) -> UpstreamConnection {
+    fn new(opened_at: Micros, server: ServerId, purpose: UpstreamPurpose) -> UpstreamConnection {
         UpstreamConnection {
             server,
+            opened_at,
             state: UpstreamState::Connecting(purpose),
             incoming: Incoming::default(),
             class: None,
@@ -221,14 +222,14 @@
             .connections
             .connect(address, now)
             .map_err(|_| Outcome::ConnectFailed)?;
-        let upstream = UpstreamConnection::new(server, purpose);
+        let upstream = UpstreamConnection::new(now, server, purpose);
         self.roles.insert(key, Role::Upstream(Box::new(upstream)));
         if let Some(connection) = self.connections.get_mut(key) {
             connection.max_input_bytes = READ_WINDOW_BYTES;
         }
         self.pool.connection_opened(server);
         self.deadlines
-            .schedule(now + CONNECT_TIMEOUT, Timer::Connect(key));
+            .schedule(now + self.connect_timeout.timeout(), Timer::Connect(key));
         Ok(key)
     }
 
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -3,13 +3,13 @@
 //! machine.
 //!
 //! [`config_store`], [`config_freshness`], [`server_table`], [`answers`], [`shedding`],
-//! [`counter_timeout`] and [`router`] hold the state and decide, without I/O; [`host`] owns the
+//! [`adaptive_timeout`] and [`router`] hold the state and decide, without I/O; [`host`] owns the
 //! connections.
 
+pub mod adaptive_timeout;
 pub mod answers;
 pub mod config_freshness;
 pub mod config_store;
-pub mod counter_timeout;
 pub mod host;
 pub mod router;
 pub mod server_table;
--- a/crates/proxy/src/router/mod.rs
+++ b/crates/proxy/src/router/mod.rs
@@ -20,8 +20,8 @@
 
 use self::placement_engine::{LATENCY_TARGETS, class_of};
 use self::quota_engine::{ISOLATION_FACTOR, MAX_COUNTING_LIMITERS, customer_id, quota_engine};
+pub use self::quota_engine::{MAX_COUNTER_TIMEOUT, MIN_COUNTER_TIMEOUT};
 use self::quota_shares::{QuotaShare, QuotaShares};
-use crate::counter_timeout::MAX_COUNTER_TIMEOUT;
 use crate::shedding::{LoadShedding, SheddingPriority, SheddingRequest, tier};
 
 slotmap::new_key_type! {
--- a/crates/proxy/src/router/quota_engine.rs
+++ b/crates/proxy/src/router/quota_engine.rs
@@ -15,6 +15,10 @@
 
 /// Up to this many limiters the engine asks the counter for every request.
 pub(super) const MAX_COUNTING_LIMITERS: u32 = 64;
+/// The least time-out of a counter call: the round trip over the longest link, and the turns of the programs on the way.
+pub const MIN_COUNTER_TIMEOUT: Micros = 300 * MS;
+/// The greatest one: a counter that is gone is not noticed for as long.
+pub const MAX_COUNTER_TIMEOUT: Micros = 900 * MS;
 /// The engine's own time-out, a share of its latency target, is longer than the host's so that the
 /// host's applies.
 const ENGINE_LATENCY_TARGET: Micros = 10 * SECOND;
