Soak with longer faults; a silent link is tried again at the same replica

Cause: a run of the soak lasted less than a change may take to be in force, so that nothing could be late; an agent whose only known replica was silent began no other connection to it for 8 s.

--- a/crates/agent/src/host/control_link.rs
+++ b/crates/agent/src/host/control_link.rs
@@ -348,9 +348,10 @@
                     if attempt.is_last_of_round {
                         self.reload_settings();
                     }
-                    let linked = self.link.as_ref().map(|link| link.address);
-                    let opened = linked != Some(attempt.address)
-                        && self.open_candidate(now, attempt.address, false);
+                    // A replica without a quorum is of no more use on a second connection; one that is silent may be.
+                    let link = self.link.as_ref().filter(|link| !self.is_silent(now, link));
+                    let is_linked = link.is_some_and(|link| link.address == attempt.address);
+                    let opened = !is_linked && self.open_candidate(now, attempt.address, false);
                     next_at = if opened { next_at } else { now + RETRY_DELAY };
                 }
                 None => next_at = now + RETRY_DELAY,
--- a/crates/load/src/soak/faults.rs
+++ b/crates/load/src/soak/faults.rs
@@ -13,7 +13,7 @@
 /// How long most faults last, in milliseconds.
 const SHORT_FAULT_MS: std::ops::Range<u64> = 100..2_500;
 /// How long some last, in milliseconds: a change may have to be in force before they are over.
-const LONG_FAULT_MS: std::ops::Range<u64> = 4_500..6_500;
+const LONG_FAULT_MS: std::ops::Range<u64> = 6_000..9_000;
 /// The chance that a fault is long.
 const LONG_FAULTS: f64 = 0.2;
 /// A process that ends late is looked at again after this.
--- a/crates/load/src/soak/mod.rs
+++ b/crates/load/src/soak/mod.rs
@@ -52,6 +52,8 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(40);
 /// Routes of each operator.
 const ROUTES: usize = 5;
+/// The share of the orders that set a route; the others remove one.
+const SET_ORDERS: f64 = 0.6;
 /// The share of the orders that are first sent without waiting for the answer.
 const LOST_ANSWERS: f64 = 0.3;
 /// Ports of the reports of agents and proxies.
@@ -272,7 +274,7 @@
         let service = SERVICES
             .choose(&mut rng)
             .copied()
-            .filter(|_| rng.random::<f64>() < 0.8);
+            .filter(|_| rng.random::<f64>() < SET_ORDERS);
         let change = match service {
             Some(service) => {
                 Change::default().set("routes", &name, version, route(&prefix, service))
--- a/crates/protocol/src/metrics.rs
+++ b/crates/protocol/src/metrics.rs
@@ -1,7 +1,7 @@
 //! Figures that a program reports to operators: text in the Prometheus exposition format, served over HTTP to any path.
 //!
 //! The endpoint shares the program's event loop. It answers one request a connection and closes it; a caller that sends more
-//! than [`MAX_REQUEST_BYTES`] without a complete head, or one beyond [`MAX_CALLERS`], is disconnected.
+//! than 8 KiB without a complete head, or one beyond the eighth at a time, is disconnected.
 
 use std::collections::BTreeSet;
 use std::fmt::{Display, Write};
