--- a/crates/load/src/soak/mod.rs
+++ b/crates/load/src/soak/mod.rs
@@ -5,8 +5,8 @@
 //! | --- | --- |
 //! | a read of the configuration holds everything that was acknowledged before it was sent | always |
 //! | a route that was acknowledged longer than `apply` ago is not refused with 404 | always, at every edge |
-//! | a request runs by a version that may be in force | at edges without a fault for [`CONTACT`] |
-//! | every route is served by its newest version | within [`SETTLE`] of the last fault, at every edge |
+//! | a request runs by a version that may be in force | at edges in contact: without any fault for 5 s |
+//! | every route is served by its newest version | within 9 s of the end of orders, which go on for 8 s after the last fault, at every edge |
 //! | nothing runs twice, nothing refused runs, every success is the server's own | always |
 //! | the programs' own invariants; no program ends by itself | always |
 
