Connections: one that could not be accepted is tried again; the soak cuts processes off

Cause, found by the soak's new cuts (no new descriptors, and a pause until all peers have closed): a listener that fails to accept for want of descriptors is not told of the waiting connection again, as events are edge-triggered; a proxy waited for ever for its agent. Change: the accept is tried again after 50 ms; cuts in place of a half of the pauses.

--- a/crates/emulator/src/system/machines.rs
+++ b/crates/emulator/src/system/machines.rs
@@ -12,7 +12,7 @@
 use std::time::{Duration, Instant};
 
 use rustix::param::{clock_ticks_per_second, page_size};
-use rustix::process::{Pid, Resource, Rlimit, Signal, kill_process, prlimit};
+use rustix::process::{Pid, Resource, Rlimit, Signal, getrlimit, kill_process, prlimit};
 use serde_json::json;
 
 use super::calls::call;
@@ -301,6 +301,20 @@
         Ok(())
     }
 
+    /// Lets a program open no further descriptor, so that it neither accepts nor opens connections; or as many as before. Its
+    /// present connections stay: one that is paused meanwhile loses them too, and is cut off while it runs.
+    ///
+    /// # Errors
+    /// It does not run, or the system refuses.
+    pub fn refuse_connections(&self, role: Role, number: usize, refuse: bool) -> io::Result<()> {
+        let pid = self.pid(role, number).ok_or(io::ErrorKind::NotFound)?;
+        let own = getrlimit(Resource::Nofile);
+        let current = if refuse { Some(0) } else { own.current };
+        let limit = Rlimit { current, ..own };
+        prlimit(Some(pid), Resource::Nofile, limit)?;
+        Ok(())
+    }
+
     /// What a program has used so far.
     ///
     /// # Errors
--- a/crates/load/src/soak/faults.rs
+++ b/crates/load/src/soak/faults.rs
@@ -16,6 +16,8 @@
 const SHORT_FAULT_MS: std::ops::Range<u64> = 100..2_500;
 /// How long some last, in milliseconds: a change may have to be in force before they are over.
 const LONG_FAULT_MS: std::ops::Range<u64> = 6_000..9_000;
+/// How long a process that is cut off is paused: longer than any of its peers waits on a silent link.
+const CUT_PAUSE: Duration = Duration::from_millis(2_200);
 /// The chance that a fault is long.
 const LONG_FAULTS: f64 = 0.2;
 /// A process that ends late is looked at again after this.
@@ -30,6 +32,13 @@
     Terminate,
     /// SIGSTOP; to the others it is as cut off, and what it hears later is old.
     Pause,
+    /// It opens and accepts no connections and is paused until its peers have given up those that it has: then it runs on, cut
+    /// off from everything.
+    Cut,
+    /// The pause of a cut is over.
+    RunCutOff,
+    /// The end of a cut.
+    Heal,
     /// SIGHUP.
     Reload,
     /// The end of a kill or of a graceful shutdown.
@@ -66,7 +75,7 @@
         (Action::Kill, Some(Action::Start)),
         (Action::Terminate, Some(Action::Start)),
         (Action::Pause, Some(Action::Resume)),
-        (Action::Pause, Some(Action::Resume)),
+        (Action::Cut, Some(Action::Heal)),
         (Action::Reload, None),
     ]
     .choose(rng)
@@ -96,7 +105,12 @@
         targets.iter().map(step).collect::<Vec<_>>()
     };
     let ends = end.map_or(Vec::new(), |end| steps(at + lasting, end));
-    [steps(at, action), ends].concat()
+    let resumes = if action == Action::Cut {
+        steps(at + CUT_PAUSE.min(lasting), Action::RunCutOff)
+    } else {
+        Vec::new()
+    };
+    [steps(at, action), resumes, ends].concat()
 }
 
 /// Draws the steps of a run, in the order in which they are due.
@@ -139,7 +153,17 @@
                 machines.tell_to_end(role, machine);
             }
             Action::Pause => machines.stand_still(role, machine),
-            Action::Resume => machines.go_on(role, machine),
+            Action::Resume | Action::RunCutOff => machines.go_on(role, machine),
+            // One that has been killed meanwhile is not there to be cut off or healed.
+            Action::Cut => {
+                if machines.refuse_connections(role, machine, true).is_ok() {
+                    machines.stand_still(role, machine);
+                }
+            }
+            Action::Heal => {
+                let _ = machines.refuse_connections(role, machine, false);
+                machines.go_on(role, machine);
+            }
             Action::Reload => machines.tell_to_read(role, machine),
             Action::Start => {
                 let was_told = machines.is_shutting_down(role, machine);
--- a/crates/protocol/src/connections.rs
+++ b/crates/protocol/src/connections.rs
@@ -90,6 +90,8 @@
     flush_queue: Vec<ConnectionId>,
     scratch: Vec<u8>,
     accepting: bool,
+    /// A connection could not be accepted, as for want of descriptors: it waits, and no event tells of it again.
+    accept_failed: bool,
     /// When the last poll ended, and whether it brought all events.
     last_wake: (i64, bool),
 }
@@ -97,6 +99,8 @@
 const SIGNAL_TOKEN: Token = Token(1_000);
 /// The greatest number of events that one poll brings.
 const MAX_EVENTS: usize = 256;
+/// A connection that could not be accepted is tried again after this, in microseconds.
+const ACCEPT_RETRY_INTERVAL: i64 = 50_000;
 /// The number of bytes read from a socket at a time.
 const READ_BYTES: usize = 32 * 1024;
 /// The number of connections that may wait to be accepted.
@@ -127,6 +131,7 @@
             flush_queue: Vec::new(),
             scratch: vec![0; READ_BYTES],
             accepting: true,
+            accept_failed: false,
             last_wake: (0, true),
         })
     }
@@ -277,11 +282,18 @@
         clock: impl Fn() -> i64,
         events: &mut Vec<IoEvent>,
     ) -> io::Result<()> {
+        let retry_at = self
+            .accept_failed
+            .then(|| clock().saturating_add(ACCEPT_RETRY_INTERVAL));
+        let until = until.into_iter().chain(retry_at).min();
         let left = until.map(|until| until.saturating_sub(clock()).max(0) as u64);
         let mut polled = std::mem::replace(&mut self.events, Events::with_capacity(0));
         let result = self.poll.poll(&mut polled, left.map(Duration::from_micros));
         let now = clock();
         self.last_wake = (now, polled.iter().count() < MAX_EVENTS);
+        if std::mem::take(&mut self.accept_failed) {
+            (0..self.listeners.len()).for_each(|number| self.accept(number, now, events));
+        }
         for event in &polled {
             match event.token() {
                 SIGNAL_TOKEN => events.extend(self.signals.pending().map(IoEvent::Signal)),
@@ -342,8 +354,12 @@
                     }
                 }
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-                // There is none, or one failed before it was accepted, or descriptors are short: the next event tries again.
-                Err(_) => return,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
+                // One failed before it was accepted, or descriptors are short.
+                Err(_) => {
+                    self.accept_failed = true;
+                    return;
+                }
             }
         }
     }
