Control: a listener without descriptors pauses instead of spinning; tests of both programs

Cause: the same want of descriptors, looked for elsewhere: the control program's listener is level-triggered and reported the waiting connection without end, a processor's worth.

--- a/crates/control/src/host/mod.rs
+++ b/crates/control/src/host/mod.rs
@@ -20,7 +20,7 @@
 use calloop::channel::{self, Channel, Event};
 use calloop::generic::Generic;
 use calloop::signals::{Signal, Signals};
-use calloop::{EventLoop, Interest, LoopHandle, Mode, PostAction, Readiness};
+use calloop::{EventLoop, Interest, LoopHandle, Mode, PostAction, Readiness, RegistrationToken};
 use eyre::{WrapErr, eyre};
 use protocol::frames;
 use protocol::log_ring::IMMEDIATE;
@@ -83,6 +83,9 @@
     connections: SlotMap<ConnectionKey, Connection>,
     /// How many connections of operators and clients there are.
     callers: usize,
+    listeners: Vec<RegistrationToken>,
+    /// Listeners that could not accept, as for want of descriptors: they are asked again at the next upkeep.
+    paused_listeners: Vec<RegistrationToken>,
     flush_queue: Vec<ConnectionKey>,
     read_buffer: Vec<u8>,
     outputs: Vec<Output>,
@@ -193,6 +196,8 @@
             write_requests,
             connections: SlotMap::with_key(),
             callers: 0,
+            listeners: Vec::new(),
+            paused_listeners: Vec::new(),
             flush_queue: Vec::new(),
             read_buffer: vec![0; limits::READ_BYTES],
             outputs: Vec::new(),
@@ -303,27 +308,44 @@
 
     fn add_listener(&mut self, listener: TcpListener, role: Role) -> io::Result<()> {
         let source = Generic::new(listener, Interest::READ, Mode::Level);
+        let number = self.listeners.len();
         let accept = move |_: Readiness,
                            listener: &mut calloop::generic::NoIoDrop<TcpListener>,
                            host: &mut Host| {
-            host.accept(listener, role);
-            Ok(PostAction::Continue)
+            if host.accept(listener, role).is_ok() {
+                return Ok(PostAction::Continue);
+            }
+            host.paused_listeners.push(host.listeners[number]);
+            Ok(PostAction::Disable)
         };
-        self.handle
-            .insert_source(source, accept)
-            .map(|_| ())
-            .map_err(|e| e.error.into())
+        let token = self.handle.insert_source(source, accept);
+        self.listeners.push(token.map_err(|e| e.error)?);
+        Ok(())
+    }
+
+    /// Asks listeners again that could not accept.
+    fn resume_listeners(&mut self) {
+        for token in std::mem::take(&mut self.paused_listeners) {
+            if let Err(error) = self.handle.enable(&token) {
+                warn!(self.log, "listening again failed"; "error" => error.to_string());
+                self.paused_listeners.push(token);
+            }
+        }
     }
 
-    fn accept(&mut self, listener: &TcpListener, role: Role) {
+    /// Accepts all connections that wait.
+    ///
+    /// # Errors
+    /// One can't be accepted, as for want of descriptors. It goes on waiting, and is reported all the time.
+    fn accept(&mut self, listener: &TcpListener, role: Role) -> io::Result<()> {
         self.check_for_stall();
         loop {
             let stream = match listener.accept() {
                 Ok(_) if role == Role::Unidentified && self.stall.is_suspect() => continue,
                 Ok((stream, _)) => stream,
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => continue,
-                // Also where no descriptors are left: the listener reports the connection again.
-                Err(_) => return,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+                Err(error) => return Err(error),
             };
             let caller = matches!(role, Role::Operator | Role::Client);
             // Descriptors are kept free for replicas and agents.
@@ -585,6 +607,7 @@
 
     /// Closes silent connections, and opens missing links.
     fn upkeep(&mut self, now: i64) {
+        self.resume_listeners();
         let is_dead = |connection: &Connection| {
             let silent = now - connection.last_received_at;
             match connection.role {
--- a/crates/control/tests/system.rs
+++ b/crates/control/tests/system.rs
@@ -243,3 +243,49 @@
     assert_eq!(patch(4, SERVICES[0]).status, 200);
     assert_eq!(whole.machines.stop(), Vec::<String>::new());
 }
+
+#[test]
+fn proxy_that_connected_while_its_agent_had_no_descriptors_becomes_ready() {
+    let folder = TempDir::new().unwrap();
+    let mut whole = whole(&folder);
+    let machines = &mut whole.machines;
+    machines.refuse_connections(Role::Agent, 0, true).unwrap();
+    machines.kill(Role::Proxy, 0);
+    machines.start(Role::Proxy, 0).unwrap();
+    // It has called its agent by the time at which it answers.
+    let answers = || machines.answers(0).then_some(());
+    assert!(wait_for(soon(), answers).is_some());
+    machines.refuse_connections(Role::Agent, 0, false).unwrap();
+    let ready = || machines.ready(0).then_some(());
+    assert!(
+        wait_for(soon(), ready).is_some(),
+        "the agent was not told of it again"
+    );
+    assert_eq!(whole.machines.stop(), Vec::<String>::new());
+}
+
+#[test]
+fn control_program_without_descriptors_does_not_spin_and_answers_afterwards() {
+    let folder = TempDir::new().unwrap();
+    let mut whole = whole(&folder);
+    let machines = &whole.machines;
+    machines.refuse_connections(Role::Control, 0, true).unwrap();
+    let used = || machines.usage(Role::Control, 0).unwrap().processor;
+    let (before, address) = (used(), machines.ctl(0));
+    // They are established by the system, and wait to be accepted.
+    let mut waiting = Connection::open(address, soon()).unwrap();
+    let call = b"GET /api/cfg/get HTTP/1.1\r\nHost: core\r\n\r\n";
+    waiting.send(call, soon()).unwrap();
+    let most = Duration::from_millis(400);
+    let spins = || (used() - before > most).then_some(());
+    let span = Instant::now() + Duration::from_millis(1_000);
+    assert!(
+        wait_for(span, spins).is_none(),
+        "it uses the processor while it waits"
+    );
+    machines
+        .refuse_connections(Role::Control, 0, false)
+        .unwrap();
+    assert_eq!(waiting.answer(soon()).unwrap().status, 200);
+    assert_eq!(whole.machines.stop(), Vec::<String>::new());
+}
--- a/crates/emulator/src/system/machines.rs
+++ b/crates/emulator/src/system/machines.rs
@@ -392,9 +392,19 @@
 
     /// Whether an edge says that it is ready.
     pub fn ready(&self, edge: usize) -> bool {
+        self.readiness(edge) == Some(200)
+    }
+
+    /// Whether an edge answers the readiness check, ready or not.
+    pub fn answers(&self, edge: usize) -> bool {
+        self.readiness(edge).is_some()
+    }
+
+    fn readiness(&self, edge: usize) -> Option<u16> {
         let to = SocketAddr::from((self.ip(false, edge), READYZ));
         let until = Instant::now() + Duration::from_secs(1);
-        call(to, "GET", "/api/readyz", "", b"", until).is_ok_and(|reply| reply.status == 200)
+        let reply = call(to, "GET", "/api/readyz", "", b"", until).ok()?;
+        Some(reply.status)
     }
 
     /// Waits until all edges are ready.
