--- a/crates/load/src/cli.rs
+++ b/crates/load/src/cli/mod.rs
@@ -1,8 +1,10 @@
 //! The command line.
 
+mod options;
+mod traces;
+
 use std::ffi::OsString;
-use std::fs::File;
-use std::io::{BufReader, IsTerminal};
+use std::io::IsTerminal;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -12,9 +14,9 @@
 
 use emulator::serving::Serving;
 use indicatif::{ProgressBar, ProgressStyle};
-use lexopt::prelude::*;
 use serde_json::Value as Json;
 
+use self::options::{Failure, Options, fault, parse, usage};
 use crate::driver::{self, Outcomes, Progress};
 use crate::fleet::{self, Shape, Trouble};
 use crate::generator::Setup;
@@ -65,116 +67,7 @@
 ";
 
 /// The scenario of `try`.
-const TRY: &str = include_str!("../scenarios/term-end.json");
-
-#[derive(Default)]
-struct Options {
-    words: Vec<String>,
-    targets: Vec<SocketAddr>,
-    seconds: Option<f64>,
-    seed: Option<u64>,
-    report: Option<PathBuf>,
-    json: bool,
-    limiter: Option<PathBuf>,
-    shared: Option<PathBuf>,
-    speed: Option<f64>,
-    scenario: Option<PathBuf>,
-    key: Option<String>,
-    values: Option<String>,
-    drop_duplicates: bool,
-    close_gaps: bool,
-    gap: Option<f64>,
-    gateways: Option<usize>,
-    servers: Option<u32>,
-    programs: Option<PathBuf>,
-    zones: Option<usize>,
-    edges: Option<usize>,
-    seeds: Option<u64>,
-    log_json: bool,
-    log_level: Option<tracing::Level>,
-}
-
-/// What ends the program: a wrong call, or a fault on the way.
-enum Failure {
-    Usage(String),
-    Fault(String),
-}
-
-fn fault(error: impl std::fmt::Display) -> Failure {
-    Failure::Fault(error.to_string())
-}
-
-fn usage(text: impl Into<String>) -> Failure {
-    Failure::Usage(text.into())
-}
-
-fn parse(args: impl IntoIterator<Item = OsString>) -> Result<Options, lexopt::Error> {
-    let mut parser = lexopt::Parser::from_args(args);
-    let mut options = Options::default();
-    while let Some(arg) = parser.next()? {
-        match arg {
-            Long("target") => {
-                let text = parser.value()?.string()?;
-                let address = text
-                    .strip_prefix("http://")
-                    .unwrap_or(&text)
-                    .trim_end_matches('/');
-                let address = address.replace("localhost", "127.0.0.1");
-                let parsed = address
-                    .parse()
-                    .map_err(|_| format!("--target: '{text}' is no address with a port"))?;
-                options.targets.push(parsed);
-            }
-            Long("seconds") => options.seconds = Some(parser.value()?.parse()?),
-            Long("seed") => options.seed = Some(parser.value()?.parse()?),
-            Long("report") => options.report = Some(parser.value()?.into()),
-            Long("json") => options.json = true,
-            Long("limiter") => options.limiter = Some(parser.value()?.into()),
-            Long("shared") => options.shared = Some(parser.value()?.into()),
-            Long("speed") => options.speed = Some(parser.value()?.parse()?),
-            Long("scenario") => options.scenario = Some(parser.value()?.into()),
-            Long("key") => options.key = Some(parser.value()?.string()?),
-            Long("values") => options.values = Some(parser.value()?.string()?),
-            Long("duplicates") => {
-                options.drop_duplicates = choice(&mut parser, "--duplicates", ["keep", "drop"])?
-            }
-            Long("gaps") => options.close_gaps = choice(&mut parser, "--gaps", ["keep", "close"])?,
-            Long("gateways") => options.gateways = Some(parser.value()?.parse()?),
-            Long("servers") => options.servers = Some(parser.value()?.parse()?),
-            Long("programs") => options.programs = Some(parser.value()?.into()),
-            Long("zones") => options.zones = Some(parser.value()?.parse()?),
-            Long("edges") => options.edges = Some(parser.value()?.parse()?),
-            Long("seeds") => options.seeds = Some(parser.value()?.parse()?),
-            Long("gap") => options.gap = Some(parser.value()?.parse()?),
-            Long("log-format") => {
-                options.log_json = choice(&mut parser, "--log-format", ["text", "json"])?
-            }
-            Long("log-level") => options.log_level = Some(parser.value()?.parse()?),
-            Short('h') | Long("help") => options.words.insert(0, "help".into()),
-            Short('V') | Long("version") => options.words.insert(0, "version".into()),
-            Value(word) => options.words.push(word.string()?),
-            other => return Err(other.unexpected()),
-        }
-    }
-    Ok(options)
-}
-
-/// Whether the second of two words was given.
-fn choice(
-    parser: &mut lexopt::Parser,
-    option: &str,
-    words: [&str; 2],
-) -> Result<bool, lexopt::Error> {
-    let word = parser.value()?.string()?;
-    match words.iter().position(|w| *w == word) {
-        Some(position) => Ok(position == 1),
-        None => Err(format!(
-            "{option}: '{word}' is neither '{}' nor '{}'",
-            words[0], words[1]
-        )
-        .into()),
-    }
-}
+const TRY: &str = include_str!("../../scenarios/term-end.json");
 
 /// Runs the program with these arguments, its name left out. Exit codes: 0 done, 1 a fault on the way, 2 a wrong call
 /// or a scenario that can't be used.
@@ -228,9 +121,9 @@
         ["run", path] => play(options, seconds(scenario(Path::new(path))?, options)?).map(drop),
         ["compare", folders @ ..] if folders.len() >= 2 => compare(options, folders),
         ["sweep", path] => sweep(options, Path::new(path)),
-        ["trace", "import", from, to] => import(options, Path::new(from), Path::new(to)),
-        ["trace", "inspect", path] => inspect(options, Path::new(path)),
-        ["trace", "replay", path] => replay(options, Path::new(path)),
+        ["trace", "import", from, to] => traces::import(options, Path::new(from), Path::new(to)),
+        ["trace", "inspect", path] => traces::inspect(options, Path::new(path)),
+        ["trace", "replay", path] => traces::replay(options, Path::new(path)),
         ["fleet", trouble] => fleet(options, trouble),
         ["stand-ins", path] => stand_ins(options, &scenario(Path::new(path))?),
         [] => Err(usage("a command is missing")),
@@ -601,133 +494,6 @@
     shown(options, "sweep.html", report::knee(key, &runs))
 }
 
-fn mending(options: &Options) -> Result<mend::Mending, Failure> {
-    let gap = match options.gap {
-        Some(s) if s > 0.0 && s.is_finite() => Some((s * 1e6) as crate::Micros),
-        Some(s) => return Err(usage(format!("--gap: {s} is no length of time"))),
-        None => None,
-    };
-    Ok(mend::Mending {
-        duplicates: if options.drop_duplicates {
-            mend::Duplicates::Drop
-        } else {
-            mend::Duplicates::Keep
-        },
-        gaps: if options.close_gaps {
-            mend::Gaps::Close
-        } else {
-            mend::Gaps::Keep
-        },
-        gap,
-    })
-}
-
-fn odd(found: &mend::Found, options: &Options) -> String {
-    format!(
-        "out of order: {} (sorted)\nduplicates: {} ({})\ngaps: {}, {:.3} s in all, the longest {:.3} s ({})",
-        found.out_of_order,
-        found.duplicates,
-        if options.drop_duplicates {
-            "dropped"
-        } else {
-            "kept"
-        },
-        found.gaps,
-        found.in_gaps as f64 / 1e6,
-        found.longest_gap as f64 / 1e6,
-        if options.close_gaps { "closed" } else { "kept" }
-    )
-}
-
-fn import(options: &Options, from: &Path, to: &Path) -> Result<(), Failure> {
-    let mending = mending(options)?;
-    let file = File::open(from).map_err(|e| fault(format!("{}: {e}", from.display())))?;
-    let csv = from
-        .extension()
-        .is_some_and(|e| e.eq_ignore_ascii_case("csv"));
-    let read = if csv {
-        trace::read::csv(file)
-    } else {
-        trace::read::json_lines(BufReader::new(file))
-    };
-    let mut rows = read.map_err(|e| fault(format!("{}: {e}", from.display())))?;
-    let count = rows.len();
-    let found = mend::mend(&mut rows, &mending);
-    trace::store::write(to, &rows).map_err(fault)?;
-    println!(
-        "read: {count} requests\n{}\nwritten: {} requests",
-        odd(&found, options),
-        rows.len()
-    );
-    Ok(())
-}
-
-fn inspect(options: &Options, path: &Path) -> Result<(), Failure> {
-    let mut rows = trace::store::read(path).map_err(fault)?;
-    let found = mend::mend(&mut rows, &mending(options)?);
-    let span = rows.last().map_or(0.0, |r| r.at as f64 / 1e6);
-    let accounts: std::collections::HashSet<u64> = rows.iter().map(|r| r.account).collect();
-    let mut seconds = vec![0_u64; span as usize + 1];
-    rows.iter()
-        .for_each(|r| seconds[(r.at / 1_000_000) as usize] += 1);
-    let busiest = seconds.iter().max().copied().unwrap_or(0);
-    println!(
-        "requests: {}\nlength: {span:.3} s\na second: {:.1} on average, {busiest} in the busiest\ncustomers: {}\n{}",
-        rows.len(),
-        rows.len() as f64 / span.max(1e-6),
-        accounts.len(),
-        odd(&found, options)
-    );
-    for (what, get) in [
-        ("plan", (|r| &r.plan) as fn(&trace::Row) -> &String),
-        ("class", |r| &r.class),
-    ] {
-        let mut counts = std::collections::BTreeMap::<&str, usize>::new();
-        rows.iter()
-            .for_each(|r| *counts.entry(get(r)).or_default() += 1);
-        counts
-            .iter()
-            .for_each(|(name, count)| println!("{what} {name}: {count}"));
-    }
-    Ok(())
-}
-
-fn replay(options: &Options, path: &Path) -> Result<(), Failure> {
-    let speed = options.speed.unwrap_or(1.0);
-    if !(1e-3..=1e6).contains(&speed) {
-        return Err(usage(format!(
-            "--speed: {speed} is not between 0.001 and 1000000"
-        )));
-    }
-    let mut rows = trace::store::read(path).map_err(fault)?;
-    if rows.is_empty() {
-        return Err(fault(format!("{}: holds no requests", path.display())));
-    }
-    mend::mend(&mut rows, &mending(options)?);
-    let mut scenario = match &options.scenario {
-        Some(path) => scenario(path)?,
-        None => Scenario {
-            name: format!("Replay of {}", path.display()),
-            ..Scenario::default()
-        },
-    };
-    if !options.targets.is_empty() {
-        scenario.limiters.count = options.targets.len();
-    }
-    let seed = options.seed.unwrap_or(scenario.seed);
-    let limiters = scenario.limiters.count;
-    let schedule = trace::replay::lay(&mut scenario, &rows, limiters, speed);
-    send(
-        options,
-        scenario,
-        schedule,
-        seed,
-        options.report.as_deref(),
-        stopped()?,
-    )
-    .map(drop)
-}
-
 fn stand_ins(options: &Options, scenario: &Scenario) -> Result<(), Failure> {
     let seed = options.seed.unwrap_or(scenario.seed);
     let world = Serving::start(&scenario.world, seed, scenario.limiters.count).map_err(fault)?;
