Proxy: log and count requests that it fails while a server may be running them

The proxy now counts health checks by outcome, attempts that it cancels and requests that it fails before their deadline after giving up an attempt, and logs the latter with all their attempts. No decision changes.

--- a/crates/proxy/src/host/admission.rs
+++ b/crates/proxy/src/host/admission.rs
@@ -131,7 +131,7 @@
                 engine_index: 0,
                 key: AuthorisationKey::default(),
             },
-            attempt_connections: Vec::new(),
+            attempts: Vec::new(),
             may_have_run: false,
             failed_response: None,
         });
--- a/crates/proxy/src/host/metrics.rs
+++ b/crates/proxy/src/host/metrics.rs
@@ -12,6 +12,13 @@
 pub(super) struct ProxyMetrics {
     /// Responses that the proxy itself generated, by status.
     pub(super) local_responses: BTreeMap<u16, u64>,
+    /// Health checks of servers that have ended, by outcome.
+    pub(super) probes: BTreeMap<String, u64>,
+    /// Attempts whose connection the proxy closed before their response.
+    pub(super) attempts_cancelled: u64,
+    /// Requests that the proxy ended by itself before their deadline although a server may have
+    /// been running them.
+    pub(super) running_requests_failed: u64,
     /// Batches of additions to the shared counter.
     pub(super) counter_batches: u64,
     /// Batches whose totals did not arrive in time.
@@ -31,6 +38,23 @@
                 count,
             );
         }
+        for (outcome, count) in &self.probes {
+            text.add_counter(
+                &format!("proxy_health_checks_{}_total", outcome.to_lowercase()),
+                "health checks of servers with this outcome",
+                count,
+            );
+        }
+        text.add_counter(
+            "proxy_attempts_cancelled_total",
+            "attempts whose connection was closed before their response",
+            self.attempts_cancelled,
+        );
+        text.add_counter(
+            "proxy_running_requests_failed_total",
+            "requests ended by the proxy before their deadline although a server may have been running them",
+            self.running_requests_failed,
+        );
         text.add_counter(
             "proxy_counter_batches_total",
             "batches of additions to the shared counter",
--- a/crates/proxy/src/host/mod.rs
+++ b/crates/proxy/src/host/mod.rs
@@ -3,6 +3,7 @@
 
 mod admission;
 mod agent_link;
+mod attempts;
 mod capacity;
 mod clients;
 mod close_reasons;
@@ -38,6 +39,7 @@
 use slotmap::{SecondaryMap, SlotMap};
 use streamarch::{Micros, Outcome, ServerId};
 
+use self::attempts::AttemptRecord;
 use self::close_reasons::CloseReason;
 use self::metrics::ProxyMetrics;
 use self::response_streams::ResponseStream;
@@ -158,8 +160,8 @@
     /// The framing of the body if it is streamed.
     body_framing: Option<BodyFraming>,
     handle: RequestHandle,
-    /// The connections on which it was sent to servers.
-    attempt_connections: Vec<ConnectionId>,
+    /// The attempts that were sent to servers, in order.
+    attempts: Vec<AttemptRecord>,
     /// A server may have run it.
     may_have_run: bool,
     /// A server's failure, which is forwarded if no better response arrives.
@@ -247,6 +249,8 @@
     input_read_until: Micros,
     /// When the closing of a connection before its response was complete was last logged at once.
     close_logged_at: Micros,
+    /// When a request that the proxy ended while a server may be running it was last logged at once.
+    failure_logged_at: Micros,
     metrics_endpoint: MetricsEndpoint,
     metrics: ProxyMetrics,
 }
@@ -345,6 +349,7 @@
             announced_state: NodeState::Unavailable,
             input_read_until: now,
             close_logged_at: 0,
+            failure_logged_at: 0,
             metrics_endpoint: MetricsEndpoint::default(),
             metrics: ProxyMetrics::default(),
             settings,
--- a/crates/proxy/src/host/responses.rs
+++ b/crates/proxy/src/host/responses.rs
@@ -65,9 +65,17 @@
         };
         // An attempt in flight may be running, since it is cancelled only after this.
         request.may_have_run |= self.may_be_running(request.handle);
-        if let Some((head, body)) = request.failed_response.filter(|_| request.may_have_run) {
+        if request.may_have_run
+            && let Some((head, body)) = request.failed_response.take()
+        {
             return self.write_server_response(now, request.client, &head, &body);
         }
+        if request.may_have_run
+            && request.has_given_up_attempt()
+            && now + RESPONSE_MARGIN < request.deadline
+        {
+            self.log_running_request_failed(now, &request, rejection);
+        }
         let response = match rejection {
             EngineRejection::Declined {
                 retry_after,
--- a/crates/proxy/src/host/upstreams.rs
+++ b/crates/proxy/src/host/upstreams.rs
@@ -93,9 +93,9 @@
 
     /// Whether a request is in progress and its route allows another attempt.
     fn can_attempt(&self, request_key: RequestKey) -> bool {
-        self.requests.get(request_key).is_some_and(|request| {
-            request.attempt_connections.len() < request.route.tries.max(1) as usize
-        })
+        self.requests
+            .get(request_key)
+            .is_some_and(|request| request.attempts.len() < request.route.tries.max(1) as usize)
     }
 
     /// Writes a request to the connection of an attempt.
@@ -112,7 +112,9 @@
         ) else {
             return;
         };
-        request.attempt_connections.push(upstream_id);
+        request
+            .attempts
+            .push(AttemptRecord::new(upstream_id, server, now));
         if let Some(Role::Upstream(upstream)) = self.roles.get_mut(upstream_id) {
             upstream.expects_no_body = request.method == "HEAD";
         }
@@ -182,8 +184,11 @@
         }
         // On a connection that an earlier attempt used, a late second response to that attempt could
         // not be distinguished from the response to this one, as both have the same id.
-        let used_connections =
-            request.map_or(Vec::new(), |request| request.attempt_connections.clone());
+        let used_connections: Vec<ConnectionId> = request
+            .into_iter()
+            .flat_map(|request| &request.attempts)
+            .map(|attempt| attempt.connection)
+            .collect();
         // A late second rejection without an id, which belongs to an earlier request, would be taken
         // as a statement that this request has not run.
         let needs_id = request.is_some_and(|request| request.route.kind != Idempotency::Idempotent);
@@ -335,7 +340,7 @@
     }
 
     /// Cancels an attempt for the decision module, by closing its connection.
-    pub(super) fn cancel_attempt(&mut self, _now: Micros, handle: RequestHandle, number: u32) {
+    pub(super) fn cancel_attempt(&mut self, now: Micros, handle: RequestHandle, number: u32) {
         let Some(connection_id) = self
             .attempt_connections
             .get(&(handle.engine_index, handle.key))
@@ -357,8 +362,10 @@
         let may_have_run = self.outcome_if_closed(connection_id) == Some(Outcome::Reset);
         self.attempt_connections
             .remove(&(handle.engine_index, handle.key));
+        self.metrics.attempts_cancelled += 1;
         if let Some(request) = self.requests.get_mut(request) {
             request.may_have_run |= may_have_run;
+            request.record_attempt_end(now, connection_id, Outcome::Cancelled);
         }
         self.close_upstream(connection_id);
     }
@@ -517,6 +524,11 @@
         match purpose {
             UpstreamPurpose::Attempt(key, handle, attempt) => {
                 let response = parts.map(|(head, _, body)| (head, body));
+                if let (Some(request), Some(outcome)) =
+                    (self.requests.get_mut(key), class.outcome())
+                {
+                    request.record_attempt_end(now, connection_id, outcome);
+                }
                 self.handle_attempt_response(now, (key, handle, attempt), server, class, response);
             }
             UpstreamPurpose::Probe(engine_index) => {
@@ -532,12 +544,18 @@
                     Some(503) => Outcome::Rejected,
                     _ => Outcome::Error,
                 };
-                self.router
-                    .handle_probe_result(engine_index, server, outcome);
+                self.handle_probe_result(engine_index, server, outcome);
             }
         }
     }
 
+    /// Records the end of a health check, and reports it to the router.
+    fn handle_probe_result(&mut self, engine_index: usize, server: ServerId, outcome: Outcome) {
+        self.record_probe_result(server, outcome);
+        self.router
+            .handle_probe_result(engine_index, server, outcome);
+    }
+
     /// Reports the outcome of an attempt to the router, and forwards the response if it is final.
     fn handle_attempt_response(
         &mut self,
@@ -598,13 +616,13 @@
                     .remove(&(handle.engine_index, handle.key));
                 if let Some(request) = self.requests.get_mut(request) {
                     request.may_have_run |= outcome == Outcome::Reset;
+                    request.record_attempt_end(now, connection_id, outcome);
                 }
                 self.router
                     .handle_attempt_ended(now, handle, attempt, outcome);
             }
             Some(UpstreamPurpose::Probe(engine_index)) => {
-                self.router
-                    .handle_probe_result(engine_index, server, outcome)
+                self.handle_probe_result(engine_index, server, outcome)
             }
             None => {}
         }
@@ -621,9 +639,7 @@
             match self.acquire_connection(now, server, UpstreamPurpose::Probe(engine_index)) {
                 Ok(connection_id) => connection_id,
                 Err(outcome) => {
-                    return self
-                        .router
-                        .handle_probe_result(engine_index, server, outcome);
+                    return self.handle_probe_result(engine_index, server, outcome);
                 }
             };
         let Some((address, instance_id)) = self.server_table.address_and_instance_id(server) else {
@@ -658,8 +674,7 @@
         if let Some(UpstreamPurpose::Probe(engine_index)) = upstream.state.purpose() {
             let server = upstream.server;
             self.close_upstream(connection_id);
-            self.router
-                .handle_probe_result(engine_index, server, Outcome::TimedOut);
+            self.handle_probe_result(engine_index, server, Outcome::TimedOut);
         }
         let _ = now;
     }
