--- a/crates/proxy/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -118,6 +118,8 @@
     pub reading_paused: bool,
     /// All slots are in use: health checks get no response.
     pub saturated: bool,
+    /// The queue is full as well: health checks are rejected.
+    pub queue_full: bool,
     /// Complete requests received, except health checks.
     pub request_count: usize,
     /// Health checks received.
@@ -549,6 +551,7 @@
             connections: Vec::new(),
             reading_paused: false,
             saturated: false,
+            queue_full: false,
             request_count: 0,
             health_check_count: 0,
         }
@@ -577,6 +580,11 @@
                 if request.target == "/healthz" && self.saturated {
                     continue;
                 }
+                if request.target == "/healthz" && self.queue_full {
+                    let rejected = response_text(503, "X-Not-Run: 1", "");
+                    connection.stream.write(rejected.as_bytes());
+                    continue;
+                }
                 if request.target == "/healthz" {
                     let healthy =
                         response_text(200, &format!("X-Instance-Id: {}", self.list_entry.id), "");
