Module and proxy: a silent server's attempt is kept while another one is sent

Cause: when a server had not responded for the latency target and its health check failed too, the module cancelled all repeatable attempts there and only then looked for another one. None may be possible: the route's tries are used up (the module was told 8), the retry budget is empty, no server is free; or the other attempt fails. The request then ended with the proxy's own answer.

Change: an attempt ends by its server, its deadline or its client alone. The module sends a second attempt beside it, as far as tries, budget and servers allow, and tries again after each failed check. The first good response is forwarded and the other attempt is closed. The module knows each request's tries. The limiter keeps one attempt at a time, as before.

--- a/crates/dataplane/src/engine.rs
+++ b/crates/dataplane/src/engine.rs
@@ -5,7 +5,8 @@
 //! their results. The engine maintains these invariants whatever the module or the host does:
 //!
 //! 1. Each authorisation gets one final response.
-//! 2. An authorisation never has two attempts in flight, and none after its final response.
+//! 2. An authorisation has at most one attempt in flight, or two if silent servers are hedged, and
+//!    none after its final response.
 
 use std::fmt;
 
@@ -34,6 +35,8 @@
     pub customer_limiters: u32,
     /// Number of the first of these limiters.
     pub first_limiter: u32,
+    /// Most attempts; 0 for as many as the settings allow.
+    pub max_attempts: u32,
     /// Whether it is a client's retry; known only where clients say so.
     pub is_client_retry: bool,
     /// When the client's token expires; no attempt starts then or later.
@@ -142,7 +145,7 @@
     plan: Option<ResolvedPlan>,
     /// Number of attempts that the module has ordered.
     attempt_count: u32,
-    in_flight: Option<InFlightAttempt>,
+    in_flight: Vec<InFlightAttempt>,
     may_have_run: bool,
     /// Part of the body was streamed and discarded: there can be no other attempt.
     is_body_discarded: bool,
@@ -156,6 +159,8 @@
     requests: SlotMap<AuthorisationKey, RequestState>,
     max_requests: usize,
     max_attempts: u32,
+    /// Most attempts of an authorisation that are in flight at a time.
+    max_in_flight: usize,
     /// The module runs at most once in this interval.
     run_interval: Micros,
     last_run_at: Option<Micros>,
@@ -165,6 +170,8 @@
     events: Vec<Event>,
     /// Buffer for the actions of a run.
     actions: Vec<Action>,
+    /// Attempts whose authorisation another attempt has finished: to be cancelled by the next run.
+    superseded: Vec<(AuthorisationKey, u32)>,
     /// Abandoned by their clients since the module last ran: it may still decide to send them.
     abandoned: Vec<AuthorisationKey>,
     /// Number of authorisations whose final response is owed.
@@ -187,16 +194,19 @@
             settings.min_handle_interval.max(1),
             settings.max_attempts.max(1),
         );
+        let max_in_flight = if settings.hedges_silent_servers { 2 } else { 1 };
         Engine {
             balancer: Balancer::new(settings, seed),
             requests: SlotMap::with_key(),
             max_requests,
             max_attempts,
+            max_in_flight,
             run_interval,
             last_run_at: None,
             wake_at: None,
             events: Vec::new(),
             actions: Vec::new(),
+            superseded: Vec::new(),
             abandoned: Vec::new(),
             open_request_count: 0,
             plan_resolver: None,
@@ -215,12 +225,19 @@
             .map(|state| state.authorisation.deadline)
     }
 
-    /// The class of an authorisation whose attempt is in flight, and since when it has been.
-    pub fn in_flight_attempt(&self, key: AuthorisationKey) -> Option<(usize, Micros)> {
+    /// The class of an authorisation whose attempt of this number is in flight, and since when it
+    /// has been.
+    pub fn in_flight_attempt(
+        &self,
+        key: AuthorisationKey,
+        attempt: u32,
+    ) -> Option<(usize, Micros)> {
         let state = self.requests.get(key)?;
         state
             .in_flight
-            .map(|attempt| (state.authorisation.class, attempt.sent_at))
+            .iter()
+            .find(|current| current.number == attempt)
+            .map(|current| (state.authorisation.class, current.sent_at))
     }
 
     /// From now on plans are resolved by a plan book, which starts from the plans in the settings.
@@ -270,7 +287,7 @@
             authorisation: authorisation.clone(),
             plan: resolved_plan,
             attempt_count: 0,
-            in_flight: None,
+            in_flight: Vec::new(),
             may_have_run: false,
             is_body_discarded: false,
             is_finished: false,
@@ -286,6 +303,7 @@
             units: authorisation.units,
             customer_gateways: authorisation.customer_limiters,
             first_gateway: authorisation.first_limiter,
+            max_attempts: authorisation.max_attempts,
             is_client_retry: authorisation.is_client_retry,
             shed_rank: authorisation.shed_rank,
             shed_share: authorisation.shed_share,
@@ -294,7 +312,7 @@
     }
 
     /// Handles the end of an attempt. Returns whether its response is the final response, to be
-    /// forwarded now.
+    /// forwarded now; the next run cancels other attempts that are in flight.
     pub fn handle_attempt_ended(
         &mut self,
         now: Micros,
@@ -306,10 +324,13 @@
         let Some(state) = self.requests.get_mut(key) else {
             return false;
         };
-        let Some(ended_attempt) = state.in_flight.take_if(|current| current.number == attempt)
+        let Some(index) = { &state.in_flight }
+            .iter()
+            .position(|current| current.number == attempt)
         else {
             return false;
         };
+        let ended_attempt = state.in_flight.swap_remove(index);
         let is_final_response = outcome == Outcome::Ok && !state.is_finished;
         state.is_finished |= is_final_response;
         state.may_have_run |= !matches!(
@@ -317,32 +338,45 @@
             Outcome::Rejected | Outcome::ConnectFailed | Outcome::NotSent
         );
         let request_finished = state.is_finished;
-        if request_finished {
+        let superseded = if is_final_response {
+            std::mem::take(&mut state.in_flight)
+        } else {
+            Vec::new()
+        };
+        if request_finished && state.in_flight.is_empty() {
             self.requests.remove(key);
         }
         self.open_request_count -= usize::from(is_final_response);
-        self.events.push(Event::AttemptEnd(AttemptEnd {
-            request: request_id(key),
-            attempt,
-            server: ended_attempt.server,
-            outcome,
-            elapsed: now - ended_attempt.sent_at,
-            request_finished,
-            actual_units: None,
-            load_report,
-        }));
+        let attempt_end = |ended: InFlightAttempt, outcome: Outcome| {
+            Event::AttemptEnd(AttemptEnd {
+                request: request_id(key),
+                attempt: ended.number,
+                server: ended.server,
+                outcome,
+                elapsed: now - ended.sent_at,
+                request_finished,
+                actual_units: None,
+                load_report: load_report.filter(|_| ended.number == attempt),
+            })
+        };
+        self.events.push(attempt_end(ended_attempt, outcome));
+        for other in superseded {
+            self.superseded.push((key, other.number));
+            self.events.push(attempt_end(other, Outcome::Cancelled));
+        }
         is_final_response
     }
 
     /// The last byte of an attempt is written. Its duration is measured from now on, so that a slow
     /// upload does not count against the server.
-    pub fn handle_request_written(&mut self, now: Micros, key: AuthorisationKey) {
-        if let Some(attempt) = self
+    pub fn handle_request_written(&mut self, now: Micros, key: AuthorisationKey, attempt: u32) {
+        let in_flight = self
             .requests
             .get_mut(key)
-            .and_then(|state| state.in_flight.as_mut())
-        {
-            attempt.sent_at = now;
+            .into_iter()
+            .flat_map(|state| &mut state.in_flight);
+        for current in in_flight.filter(|current| current.number == attempt) {
+            current.sent_at = now;
         }
     }
 
@@ -363,7 +397,7 @@
     ) {
         if self.finish_request(key, true) {
             self.events.push(Event::ClientDisconnected(request_id(key)));
-            self.cancel_attempt(now, key, engine_actions);
+            self.cancel_attempts(now, key, engine_actions);
         }
     }
 
@@ -438,6 +472,9 @@
             self.events.push(Event::Timer);
         }
         self.last_run_at = Some(now);
+        let superseded = self.superseded.drain(..);
+        engine_actions
+            .extend(superseded.map(|(key, attempt)| EngineAction::CancelAttempt { key, attempt }));
         let mut actions = std::mem::take(&mut self.actions);
         let mut events = std::mem::take(&mut self.events);
         self.balancer.handle(now, &events, &mut actions);
@@ -493,10 +530,11 @@
                     .requests
                     .get(key)
                     .filter(|state| !state.is_body_discarded);
-                if cancellable
-                    .and_then(|state| state.in_flight)
-                    .is_some_and(|current| current.number == attempt)
-                {
+                if cancellable.is_some_and(|state| {
+                    { &state.in_flight }
+                        .iter()
+                        .any(|current| current.number == attempt)
+                }) {
                     engine_actions.push(EngineAction::CancelAttempt { key, attempt });
                     self.handle_attempt_ended(now, key, attempt, Outcome::Cancelled, None);
                 }
@@ -531,10 +569,10 @@
         };
         let attempt = state.attempt_count;
         state.attempt_count += 1;
-        // Invariant 2: never two attempts in flight, and none after the final response. The module
+        // Invariant 2: no more attempts in flight, and none after the final response. The module
         // must learn that this attempt has ended: otherwise it would count it as in flight at
         // that server for ever.
-        if state.in_flight.is_some() || state.is_finished {
+        if state.in_flight.len() >= self.max_in_flight || state.is_finished {
             let end = AttemptEnd {
                 request: request_id(key),
                 attempt,
@@ -552,7 +590,7 @@
             .authorisation
             .token_expires_at
             .is_some_and(|at| at <= now);
-        state.in_flight = Some(InFlightAttempt {
+        state.in_flight.push(InFlightAttempt {
             number: attempt,
             server,
             sent_at: now,
@@ -602,7 +640,7 @@
         };
         state.is_finished = true;
         self.open_request_count -= 1;
-        match (state.in_flight.is_none(), is_unknown) {
+        match (state.in_flight.is_empty(), is_unknown) {
             (true, true) => self.abandoned.push(key),
             (true, false) => _ = self.requests.remove(key),
             (false, _) => {}
@@ -620,23 +658,25 @@
         // Invariant 1: a second final response is dropped.
         if self.finish_request(key, false) {
             engine_actions.push(EngineAction::Reject { key, rejection });
-            self.cancel_attempt(now, key, engine_actions);
+            self.cancel_attempts(now, key, engine_actions);
         }
     }
 
-    /// Cancels the attempt of a finished authorisation.
-    fn cancel_attempt(
+    /// Cancels the attempts of a finished authorisation.
+    fn cancel_attempts(
         &mut self,
         now: Micros,
         key: AuthorisationKey,
         engine_actions: &mut Vec<EngineAction>,
     ) {
-        if let Some(attempt) = self
+        let in_flight: Vec<u32> = self
             .requests
             .get(key)
-            .and_then(|state| state.in_flight)
+            .into_iter()
+            .flat_map(|state| &state.in_flight)
             .map(|current| current.number)
-        {
+            .collect();
+        for attempt in in_flight {
             engine_actions.push(EngineAction::CancelAttempt { key, attempt });
             self.handle_attempt_ended(now, key, attempt, Outcome::Cancelled, None);
         }
--- a/crates/limiter/src/config/platform.rs
+++ b/crates/limiter/src/config/platform.rs
@@ -387,6 +387,8 @@
             can_cancel: permissions.cancelling.0,
             can_probe: permissions.probes.0,
             can_hedge: permissions.hedging.0,
+            // A connection of the limiter is found by its authorisation: one attempt at a time.
+            hedges_silent_servers: false,
             max_attempts: permissions.max_attempts.0,
             retry_budget: RetryBudget::default(),
             initial_concurrency: InitialConcurrency::default(),
--- a/crates/limiter/src/net/host/mod.rs
+++ b/crates/limiter/src/net/host/mod.rs
@@ -1163,12 +1163,12 @@
         connection.output.shrink_to(4 * 1024);
         if let Role::Upstream { service, state, .. } = &mut connection.role {
             let previous_state = std::mem::replace(state, state.on_request_written());
-            if let (true, Some(UpstreamPurpose::Attempt(authorisation, _))) =
+            if let (true, Some(UpstreamPurpose::Attempt(authorisation, attempt))) =
                 (previous_state != *state, state.purpose())
             {
                 self.services[*service]
                     .engine
-                    .handle_request_written(now, authorisation);
+                    .handle_request_written(now, authorisation, attempt);
             }
         }
         match connection.role {
--- a/crates/proxy/src/host/attempts.rs
+++ b/crates/proxy/src/host/attempts.rs
@@ -72,6 +72,14 @@
             .any(|attempt| matches!(attempt.end, None | Some((_, Outcome::Cancelled))))
     }
 
+    /// The connections of its attempts in flight.
+    pub(super) fn connections_in_flight(&self) -> impl Iterator<Item = ConnectionId> {
+        self.attempts
+            .iter()
+            .filter(|attempt| attempt.end.is_none())
+            .map(|attempt| attempt.connection)
+    }
+
     /// Records how the attempt on this connection ended.
     pub(super) fn record_attempt_end(
         &mut self,
--- a/crates/proxy/src/host/mod.rs
+++ b/crates/proxy/src/host/mod.rs
@@ -224,8 +224,8 @@
     router: RequestRouter,
     requests: SlotMap<RequestKey, Request>,
     upstream_pool: ConnectionPool<ConnectionId>,
-    /// The connection of each attempt in flight, by engine index and authorisation.
-    attempt_connections: HashMap<(usize, AuthorisationKey), ConnectionId>,
+    /// The connection of each attempt in flight, by engine index, authorisation and number.
+    attempt_connections: HashMap<(usize, AuthorisationKey, u32), ConnectionId>,
     router_actions: Vec<RouterAction>,
     agent_connection: Option<ConnectionId>,
     /// The agent has sent its complete state at least once.
@@ -556,10 +556,10 @@
             Some(Role::Upstream(upstream)) => {
                 let previous_state = upstream.state;
                 upstream.state = previous_state.on_request_written();
-                if let (true, Some(UpstreamPurpose::Attempt(_, handle, _))) =
+                if let (true, Some(UpstreamPurpose::Attempt(_, handle, number))) =
                     (previous_state != upstream.state, upstream.state.purpose())
                 {
-                    self.router.handle_attempt_written(now, handle);
+                    self.router.handle_attempt_written(now, handle, number);
                 }
             }
             Some(Role::ReadinessCheck {
--- a/crates/proxy/src/host/response_streams.rs
+++ b/crates/proxy/src/host/response_streams.rs
@@ -41,7 +41,7 @@
             return self.close_upstream(connection_id);
         };
         self.attempt_connections
-            .remove(&(handle.engine_index, handle.key));
+            .remove(&(handle.engine_index, handle.key, number));
         let is_final = self
             .router
             .handle_attempt_ended(now, handle, number, Outcome::Ok);
--- a/crates/proxy/src/host/responses.rs
+++ b/crates/proxy/src/host/responses.rs
@@ -64,7 +64,7 @@
             return;
         };
         // An attempt in flight may be running, since it is cancelled only after this.
-        request.may_have_run |= self.may_be_running(request.handle);
+        request.may_have_run |= self.may_be_running(&request);
         if request.may_have_run
             && let Some((head, body)) = request.failed_response.take()
         {
--- a/crates/proxy/src/host/upstreams.rs
+++ b/crates/proxy/src/host/upstreams.rs
@@ -81,7 +81,7 @@
         match result {
             Ok(upstream_id) => {
                 self.attempt_connections
-                    .insert((handle.engine_index, handle.key), upstream_id);
+                    .insert((handle.engine_index, handle.key, attempt), upstream_id);
                 self.write_attempt(now, request_key, upstream_id, server);
             }
             Err(outcome) => {
@@ -264,6 +264,10 @@
         if let Some(Role::Upstream(upstream)) = self.roles.remove(connection_id) {
             self.upstream_pool
                 .record_closed(upstream.server, connection_id);
+            if let Some(UpstreamPurpose::Attempt(_, handle, number)) = upstream.state.purpose() {
+                self.attempt_connections
+                    .remove(&(handle.engine_index, handle.key, number));
+            }
         }
         self.connections.close(connection_id);
     }
@@ -331,37 +335,25 @@
     }
 
     /// Whether an attempt of this request is in flight at a server that may be running it.
-    pub(super) fn may_be_running(&self, handle: RequestHandle) -> bool {
-        let connection_id = self
-            .attempt_connections
-            .get(&(handle.engine_index, handle.key));
-        connection_id.and_then(|connection_id| self.outcome_if_closed(*connection_id))
-            == Some(Outcome::Reset)
+    pub(super) fn may_be_running(&self, request: &Request) -> bool {
+        request
+            .connections_in_flight()
+            .any(|connection| self.outcome_if_closed(connection) == Some(Outcome::Reset))
     }
 
     /// Cancels an attempt for the decision module, by closing its connection.
     pub(super) fn cancel_attempt(&mut self, now: Micros, handle: RequestHandle, number: u32) {
-        let Some(connection_id) = self
-            .attempt_connections
-            .get(&(handle.engine_index, handle.key))
-            .copied()
-        else {
+        let attempt = (handle.engine_index, handle.key, number);
+        let Some(connection_id) = self.attempt_connections.remove(&attempt) else {
             return;
         };
         let Some(Role::Upstream(upstream)) = self.roles.get(connection_id) else {
             return;
         };
-        let Some(UpstreamPurpose::Attempt(request, current_handle, current_number)) =
-            upstream.state.purpose()
-        else {
+        let Some(UpstreamPurpose::Attempt(request, ..)) = upstream.state.purpose() else {
             return;
         };
-        if current_handle != handle || current_number != number {
-            return;
-        }
         let may_have_run = self.outcome_if_closed(connection_id) == Some(Outcome::Reset);
-        self.attempt_connections
-            .remove(&(handle.engine_index, handle.key));
         self.metrics.attempts_cancelled += 1;
         if let Some(request) = self.requests.get_mut(request) {
             request.may_have_run |= may_have_run;
@@ -514,9 +506,9 @@
         if let Some(Role::Upstream(upstream)) = self.roles.get_mut(connection_id) {
             upstream.reusable_until = now + reuse_timeout;
         }
-        if let UpstreamPurpose::Attempt(_, handle, _) = purpose {
+        if let UpstreamPurpose::Attempt(_, handle, number) = purpose {
             self.attempt_connections
-                .remove(&(handle.engine_index, handle.key));
+                .remove(&(handle.engine_index, handle.key, number));
         }
         if !(keep_connection && self.upstream_pool.release(server, connection_id, now)) {
             self.close_upstream(connection_id);
@@ -612,8 +604,6 @@
         self.close_upstream(connection_id);
         match purpose {
             Some(UpstreamPurpose::Attempt(request, handle, attempt)) => {
-                self.attempt_connections
-                    .remove(&(handle.engine_index, handle.key));
                 if let Some(request) = self.requests.get_mut(request) {
                     request.may_have_run |= outcome == Outcome::Reset;
                     request.record_attempt_end(now, connection_id, outcome);
--- a/crates/proxy/src/router/mod.rs
+++ b/crates/proxy/src/router/mod.rs
@@ -154,6 +154,8 @@
     is_admission_recorded: bool,
     tenant: String,
     deadline: Micros,
+    /// Most servers that it may be sent to.
+    tries: u32,
     /// Set if its tenant's local share is exhausted: the time until it is refilled.
     share_retry_after: Option<Micros>,
 }
@@ -261,6 +263,7 @@
             is_admission_recorded: is_shedding_checked,
             tenant: tenant_name,
             deadline,
+            tries: request.route.tries.max(1),
             share_retry_after: None,
         };
         let Some((tenant_name, tenant)) = limited_tenant else {
@@ -549,7 +552,7 @@
         outcome: Outcome,
     ) -> bool {
         let entry = &mut self.engines[handle.engine_index];
-        if let Some((class, sent_at)) = entry.engine.in_flight_attempt(handle.key) {
+        if let Some((class, sent_at)) = entry.engine.in_flight_attempt(handle.key, attempt) {
             let latency = (
                 now - sent_at,
                 LATENCY_TARGETS[class % LATENCY_TARGETS.len()],
@@ -575,10 +578,10 @@
     }
 
     /// The last byte of an attempt has been written.
-    pub fn handle_attempt_written(&mut self, now: Micros, handle: RequestHandle) {
+    pub fn handle_attempt_written(&mut self, now: Micros, handle: RequestHandle, attempt: u32) {
         self.engines[handle.engine_index]
             .engine
-            .handle_request_written(now, handle.key);
+            .handle_request_written(now, handle.key, attempt);
     }
 
     /// The client disconnected.
--- a/crates/proxy/src/router/placement_engine.rs
+++ b/crates/proxy/src/router/placement_engine.rs
@@ -92,6 +92,7 @@
         classes: request_classes(),
         plans,
         can_probe: true,
+        hedges_silent_servers: true,
         max_attempts: 8,
         retry_budget,
         // A server is not considered unresponsive while its response would still be in time.
@@ -168,6 +169,7 @@
             engine_index,
             class,
             deadline,
+            tries,
             ..
         } = pending;
         let SheddingPriority {
@@ -179,6 +181,7 @@
             class,
             deadline,
             customer_limiters: 1,
+            max_attempts: tries,
             shed_rank,
             shed_share,
             ..Authorisation::default()
--- a/crates/proxy/tests/silent_servers.rs
+++ b/crates/proxy/tests/silent_servers.rs
@@ -114,3 +114,47 @@
     assert_eq!(full.harness.request_count(), 1, "the request was moved");
     full.assert_served_by_first_server();
 }
+
+/// Failure: the loser of two attempts keeps running, or its response is forwarded as well.
+#[test]
+fn first_response_of_two_attempts_is_forwarded_and_the_other_attempt_closed() {
+    for first_server_wins in [true, false] {
+        let mut silent = SilentServer::new(2, "");
+        silent.harness.advance_ms(UNTIL_HEALTH_CHECK_FAILED_MS);
+        let second = silent.harness.next_request();
+        let (winner, loser) = if first_server_wins {
+            (&silent.attempt, &second)
+        } else {
+            (&second, &silent.attempt)
+        };
+        silent.harness.respond_ok(winner);
+        let response = silent.harness.next_response(silent.client);
+        assert_eq!((response.status, &response.body[..]), (200, &b"of one"[..]));
+        silent.harness.settle();
+        assert!(silent.harness.connection_mut(loser).stream.closed_by_peer);
+        silent.harness.respond_ok(loser);
+        silent.harness.advance_ms(400);
+        assert!(silent.harness.clients[silent.client].received.is_empty());
+        assert_eq!(silent.harness.request_count(), 2);
+    }
+}
+
+/// Failure: servers work on for a client that has left, or for a request whose time is over.
+#[test]
+fn both_attempts_are_closed_when_the_client_leaves_and_at_the_deadline() {
+    for client_leaves in [true, false] {
+        let mut silent = SilentServer::new(2, "");
+        silent.harness.advance_ms(UNTIL_HEALTH_CHECK_FAILED_MS);
+        let second = silent.harness.next_request();
+        if client_leaves {
+            silent.harness.clients[silent.client].close();
+            silent.harness.settle();
+        } else {
+            silent.harness.advance_ms(1_800);
+            assert_eq!(silent.harness.next_response(silent.client).status, 504);
+        }
+        for attempt in [&silent.attempt, &second] {
+            assert!(silent.harness.connection_mut(attempt).stream.closed_by_peer);
+        }
+    }
+}
--- a/crates/simulation/src/edges/proxies.rs
+++ b/crates/simulation/src/edges/proxies.rs
@@ -222,7 +222,7 @@
                         attempt: leg,
                         ..
                     } => {
-                        proxy.router.handle_attempt_written(now, ticket);
+                        proxy.router.handle_attempt_written(now, ticket, leg);
                         proxy
                             .router
                             .handle_attempt_ended(now, ticket, leg, Outcome::Ok);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -171,6 +171,9 @@
     pub can_probe: bool,
     /// A request may have two attempts in flight at once.
     pub can_hedge: bool,
+    /// While a server does not respond, a second attempt is sent and the first one is kept; the host cancels the other
+    /// one when either is answered. If not set, the first attempt is cancelled before the second one is sent.
+    pub hedges_silent_servers: bool,
     /// Maximum number of attempts of one request.
     pub max_attempts: u32,
     /// Bounds the retries of all requests together.
@@ -308,6 +311,8 @@
     pub customer_gateways: u32,
     /// Index of the first of those gateways; the others follow, wrapping around.
     pub first_gateway: u32,
+    /// Maximum number of attempts of this request; 0 for that of the settings.
+    pub max_attempts: u32,
     /// The client marked the request as a retry of its own.
     pub is_client_retry: bool,
     /// Rank in the shedding order, from 0 to below 1, the same at all gateways; the highest ranks are shed first.
--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -180,12 +180,19 @@
 
     /// Sends an attempt to a server, or gives the request up if none can take it.
     pub(super) fn send_attempt(&mut self, id: RequestId) {
+        if !self.try_send_attempt(id) {
+            self.give_up(id);
+        }
+    }
+
+    /// Sends an attempt to a server; returns whether one can take it.
+    pub(super) fn try_send_attempt(&mut self, id: RequestId) -> bool {
         let Some(server_id) = self.choose_server(id) else {
-            return self.give_up(id);
+            return false;
         };
         let now = self.now;
         let Some(state) = self.requests.get_mut(&id) else {
-            return;
+            return false;
         };
         state.in_flight.push((state.attempts_sent, server_id, now));
         state.attempts_sent += 1;
@@ -205,5 +212,6 @@
             server: server_id,
             timeout: 0,
         });
+        true
     }
 }
--- a/src/policy/requests.rs
+++ b/src/policy/requests.rs
@@ -71,14 +71,12 @@
         {
             customer.units.uncounted += actual_units - state.request.units;
         }
+        state.is_untransmittable |= end.outcome == Outcome::NotSent;
+        state.is_answered |= end.outcome == Outcome::Ok;
         let none_in_flight = state.in_flight.is_empty();
         if end.request_finished || end.outcome == Outcome::Ok || state.is_finished {
             self.close_request(id);
-        } else if none_in_flight
-            && end.outcome != Outcome::NotSent
-            && self.can_retry(id)
-            && self.retry_balance >= 1.0
-        {
+        } else if none_in_flight && self.can_retry(id) && self.retry_balance >= 1.0 {
             self.retry_balance -= if may_have_executed {
                 1.0
             } else {
@@ -92,7 +90,7 @@
 
     /// Whether the request may be sent again: only where it cannot take effect twice, within its attempts
     /// and its deadline.
-    fn can_retry(&self, id: RequestId) -> bool {
+    pub(super) fn can_retry(&self, id: RequestId) -> bool {
         let Some(state) = self.requests.get(&id) else {
             return false;
         };
@@ -107,8 +105,13 @@
             }
             (Idempotency::NotIdempotent, Some(_)) => false,
         };
+        let max_attempts = match state.request.max_attempts {
+            0 => self.settings.max_attempts.max(1),
+            max_attempts => max_attempts,
+        };
         is_safe
-            && state.attempts_sent < self.settings.max_attempts.max(1)
+            && !state.is_untransmittable
+            && state.attempts_sent < max_attempts
             && self.now < state.request.deadline
     }
 
--- a/src/policy/servers.rs
+++ b/src/policy/servers.rs
@@ -251,6 +251,10 @@
             .get(&end.request)
             .map(|state| (state.request.class, state.request.plan))
             .unzip();
+        let is_answered = self
+            .requests
+            .get(&end.request)
+            .is_some_and(|state| state.is_answered);
         let latency_target = class
             .and_then(|c| self.settings.classes.get(c))
             .map_or(SECOND, |c| c.latency_target);
@@ -264,9 +268,11 @@
             min_limit,
         );
         server.update_backoff(now, plan.unwrap_or(usize::MAX), end.outcome);
-        if let Some(plan) =
-            plan.filter(|p| *p < self.settings.plans.len() && end.outcome != Outcome::NotSent)
-        {
+        // An attempt that is cancelled because another one was answered says nothing about its server.
+        let is_superseded = end.outcome == Outcome::Cancelled && is_answered;
+        if let Some(plan) = plan.filter(|p| {
+            *p < self.settings.plans.len() && end.outcome != Outcome::NotSent && !is_superseded
+        }) {
             // A server that fails fast has few attempts in flight, looks idle and would attract ever more of
             // them.
             let is_success = end.outcome == Outcome::Ok;
@@ -388,36 +394,63 @@
     }
 
     /// Confirms that a server is silent: its probe failed too, since one long request alone must not move
-    /// work. Cancels the attempts there whose requests can be sent to another server.
+    /// work. The requests there that can be sent to another server are moved.
     fn confirm_silence(&mut self, id: ServerId) {
-        let unconfirmed = self
-            .servers
-            .get_mut(&id)
-            .filter(|s| s.suspicion.is_some() && !s.silence_confirmed);
-        let Some(server) = unconfirmed else { return };
-        server.silence_confirmed = true;
-        self.log(format!("server {} suspected: no response", id.0));
-        for (request, state) in self
-            .requests
+        let Some(server) = self.servers.get_mut(&id).filter(|s| s.suspicion.is_some()) else {
+            return;
+        };
+        let is_first = !std::mem::replace(&mut server.silence_confirmed, true);
+        if is_first {
+            self.log(format!("server {} suspected: no response", id.0));
+        }
+        if self.settings.hedges_silent_servers {
+            self.hedge_attempts(id);
+        } else if is_first && self.settings.can_cancel {
+            self.cancel_attempts(id);
+        }
+    }
+
+    /// The repeatable requests whose only attempt is in flight at this server.
+    fn movable_requests(&self, server: ServerId) -> Vec<RequestId> {
+        let is_movable = |state: &RequestState| {
+            let class = self.settings.classes.get(state.request.class);
+            let is_repeatable = class.is_some_and(|c| c.idempotency != Idempotency::NotIdempotent);
+            let is_waiting = matches!(state.in_flight[..], [(_, at, _)] if at == server);
+            is_repeatable && is_waiting && !state.is_finished && !state.is_streaming
+        };
+        self.requests
             .iter()
-            .filter(|(_, state)| !state.is_finished && !state.is_streaming)
-        {
-            let idempotency = self
-                .settings
-                .classes
-                .get(state.request.class)
-                .map(|c| c.idempotency);
-            let can_move = self.settings.can_cancel
-                && idempotency.is_some_and(|r| r != Idempotency::NotIdempotent);
-            let attempts = state
+            .filter(|(_, state)| is_movable(state))
+            .map(|(id, _)| *id)
+            .collect()
+    }
+
+    /// Sends a second attempt of each request that waits for this server, as far as servers and the retry budget
+    /// allow; the rest follow after the next failed probe. The first attempt is kept: its server may only be
+    /// slow, and the second attempt may fail.
+    fn hedge_attempts(&mut self, silent_server: ServerId) {
+        for id in self.movable_requests(silent_server) {
+            if self.retry_balance < 1.0 {
+                return;
+            }
+            if self.can_retry(id) && self.try_send_attempt(id) {
+                self.retry_balance -= 1.0;
+            }
+        }
+    }
+
+    /// Cancels the attempts at this server, so that their requests are sent to another one.
+    fn cancel_attempts(&mut self, silent_server: ServerId) {
+        for request in self.movable_requests(silent_server) {
+            let state = &self.requests[&request];
+            let cancels = state
                 .in_flight
                 .iter()
-                .filter(|(_, server, _)| can_move && *server == id);
-            self.actions
-                .extend(attempts.map(|(number, _, _)| Action::Cancel {
-                    request: *request,
-                    attempt: *number,
-                }));
+                .map(|(attempt, _, _)| Action::Cancel {
+                    request,
+                    attempt: *attempt,
+                });
+            self.actions.extend(cancels);
         }
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -183,7 +183,11 @@
     pub(crate) first_execution: Option<FirstExecution>,
     /// The server at which its last attempt ended.
     pub(crate) last_server: Option<ServerId>,
+    /// The host could not transmit an attempt: it will transmit no further one.
+    pub(crate) is_untransmittable: bool,
     pub(crate) is_streaming: bool,
+    /// A server has answered it.
+    pub(crate) is_answered: bool,
     pub(crate) is_finished: bool,
 }
 
--- a/tests/servers.rs
+++ b/tests/servers.rs
@@ -42,6 +42,60 @@
     );
 }
 
+/// Guards against requests that are given up because their server is slow and no other one can take them.
+#[test]
+fn a_silent_servers_requests_are_hedged_within_attempts_and_retry_budget() {
+    let retry_budget = RetryBudget {
+        earned_per_request: 0.0,
+        max_balance: 2.0,
+        unexecuted_cost: 1.0,
+    };
+    let mut gateway = Gateway::with_servers(
+        Settings {
+            hedges_silent_servers: true,
+            retry_budget,
+            ..settings()
+        },
+        4,
+    );
+    let mut sent = Vec::new();
+    for customer in 0..10 {
+        let (id, actions) = gateway.send_request(0, 0, customer);
+        sent.extend(
+            sent_attempts(&actions)
+                .iter()
+                .map(|(_, server)| (id, *server)),
+        );
+    }
+    let silent = sent[0].1;
+    let is_waiting = |(_, server): &&(RequestId, ServerId)| *server == silent;
+    assert!(sent.iter().filter(is_waiting).count() > 1);
+    gateway.advance(500 * MS);
+    let event = Event::ProbeEnd {
+        server: silent,
+        outcome: Outcome::TimedOut,
+        load_report: None,
+    };
+    let actions = gateway.handle_event(event);
+    assert!(
+        !actions
+            .iter()
+            .any(|action| matches!(action, Action::Cancel { .. }))
+    );
+    let hedges = sent_attempts(&actions);
+    // The gateway starts with half of the retry budget.
+    let [(hedged, other)] = hedges[..] else {
+        panic!("{hedges:?}");
+    };
+    assert_ne!(other, silent);
+    let actions = gateway.end_attempt(hedged, 1, other, Outcome::Rejected);
+    assert!(
+        actions
+            .iter()
+            .all(|action| !matches!(action, Action::Shed { .. } | Action::Fail(_)))
+    );
+}
+
 #[test]
 fn suspicion_never_covers_the_whole_fleet() {
     let mut gateway = Gateway::with_servers(settings(), 4);
