--- a/crates/agent/src/host/mod.rs
+++ b/crates/agent/src/host/mod.rs
@@ -211,6 +211,7 @@
         while !self.is_finished {
             self.run_once(HEARTBEAT_INTERVAL, &mut events)?;
         }
+        info!(self.log, #IMMEDIATE, "shutdown finished"; "proxy_connected" => self.proxy.is_some());
         Ok(())
     }
 
--- a/crates/dataplane/src/lifecycle.rs
+++ b/crates/dataplane/src/lifecycle.rs
@@ -113,6 +113,11 @@
         self.shutdown.is_some()
     }
 
+    /// When the shutdown began, if one is in progress.
+    pub fn shutdown_started_at(&self) -> Option<Micros> {
+        self.shutdown.map(|shutdown| shutdown.started_at)
+    }
+
     /// Whether the process may exit.
     pub fn is_finished(&self) -> bool {
         self.shutdown.is_some_and(|shutdown| shutdown.is_finished)
--- a/crates/proxy/src/host/agent_link.rs
+++ b/crates/proxy/src/host/agent_link.rs
@@ -2,7 +2,6 @@
 //! heartbeats, load reports and additions to the shared counter.
 
 use protocol::frames;
-use protocol::log_ring::IMMEDIATE;
 use protocol::messages::{AgentMessage, ClusterView, ControlMessage};
 use slog::{error, info, warn};
 use streamarch::{Outcome, ServerId};
--- a/crates/proxy/src/host/attempts.rs
+++ b/crates/proxy/src/host/attempts.rs
@@ -3,7 +3,6 @@
 
 use std::fmt;
 
-use protocol::log_ring::IMMEDIATE;
 use slog::{info, warn};
 
 use super::*;
--- a/crates/proxy/src/host/close_reasons.rs
+++ b/crates/proxy/src/host/close_reasons.rs
@@ -4,7 +4,6 @@
 use std::fmt;
 
 use dataplane::client_connection::Stage;
-use protocol::log_ring::IMMEDIATE;
 use slog::warn;
 
 use super::*;
--- a/crates/proxy/src/host/mod.rs
+++ b/crates/proxy/src/host/mod.rs
@@ -30,7 +30,7 @@
 use eyre::{WrapErr, eyre};
 use protocol::connections::{ConnectionId, Connections, IoEvent};
 use protocol::items::Route;
-use protocol::log_ring::LogRing;
+use protocol::log_ring::{IMMEDIATE, LogRing};
 use protocol::messages::{CounterAdd, NodeInfo, NodeState};
 use protocol::metrics::MetricsEndpoint;
 use protocol::settings::Settings;
@@ -661,16 +661,26 @@
     /// has received the request, the response states that it may have run.
     fn handle_shutdown_timeout(&mut self, now: Micros) {
         let open_requests: Vec<RequestKey> = self.requests.keys().collect();
+        let unfinished_requests = open_requests.len();
         open_requests
             .into_iter()
             .for_each(|request| self.finish_request(now, request, EngineRejection::Failed));
+        self.finish_shutdown(now, unfinished_requests);
+    }
+
+    /// Ends the event loop after this iteration.
+    fn finish_shutdown(&mut self, now: Micros, unfinished_requests: usize) {
+        let started_at = self.lifecycle.shutdown_started_at().unwrap_or(now);
+        if !self.lifecycle.is_finished() {
+            info!(self.log, #IMMEDIATE, "shutdown finished"; "ms" => (now - started_at) / MS, "unfinished_requests" => unfinished_requests, "clients" => self.client_count);
+        }
         self.lifecycle.finish_shutdown();
     }
 
     /// While shutting down: finishes if every request has its response and no client is connected.
     fn finish_if_drained(&mut self) {
         if self.lifecycle.is_shutting_down() && self.requests.is_empty() && self.client_count == 0 {
-            self.lifecycle.finish_shutdown();
+            self.finish_shutdown(self.clock.now(), 0);
         }
     }
 
