Module: a server that rejects a health check is full, not silent

A rejection is a response. The server stays suspected and gets no new requests until a check passes.

--- a/src/policy/servers.rs
+++ b/src/policy/servers.rs
@@ -464,10 +464,14 @@
             return;
         };
         server.record_load_report(self.now, report);
-        if outcome != Outcome::Ok {
+        if !matches!(outcome, Outcome::Ok | Outcome::Rejected) {
             return self.confirm_silence(id);
         }
         server.silent_since = (server.in_flight > 0).then_some(self.now);
+        // A server that rejects the probe is full, not silent. It stays suspected, and gets no new requests.
+        if outcome == Outcome::Rejected {
+            return;
+        }
         server.suspicion = None;
         if std::mem::take(&mut server.silence_confirmed) {
             self.log(format!("server {} responds again", id.0));
