Proxy tests: the harness seeds the proxy, so that a run repeats

server_receives_no_requests_during_its_warm_up failed once in this work: the proxy's seed was drawn anew in each run, and in about one run of a hundred (3 of 400) none of 40 requests was drawn for the server that had just become ready. The harness said that the start of the clock seeds the proxy; now it does. No check changes.

--- a/crates/proxy/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -264,6 +264,8 @@
             port - 1,
             port + 1
         ));
+        // The proxy draws its seed and its choices from the generator of this thread.
+        fastrand::seed(start_us as u64);
         let clock_us = Arc::new(AtomicI64::new(start_us));
         let host = Host::open(
             settings.unwrap(),
