Proxy: a request that arrives in the second half of a shutdown is rejected

Callers could see 502 at the end of the grace period for a request that the proxy had taken late: over a full link a request, or the end of the response before it, may arrive seconds after SIGTERM, and everything unfinished is ended after 5.6 s of 6. It is rejected with 503 now, which is safe to send again.

Test: request_that_arrives_late_in_a_shutdown_is_rejected; without the check the request goes to its server.

--- a/crates/dataplane/src/lifecycle.rs
+++ b/crates/dataplane/src/lifecycle.rs
@@ -133,6 +133,13 @@
         })
     }
 
+    /// Whether requests that arrive are rejected: in the second half of the time for a shutdown, its
+    /// end might cut them.
+    pub fn should_reject_requests(&self, now: Micros, limits: &Limits) -> bool {
+        self.shutdown
+            .is_some_and(|shutdown| now >= shutdown.started_at + limits.shutdown_timeout / 2)
+    }
+
     /// Whether connections are closed after each response. If the socket is not shared, a client
     /// whose connection is closed during the notice period of a shutdown would only return on a new
     /// connection to this process.
--- a/crates/proxy/src/host/admission.rs
+++ b/crates/proxy/src/host/admission.rs
@@ -79,6 +79,9 @@
         streamed: Option<StreamedBody>,
     ) -> Result<(), LocalResponse> {
         self.check_configuration_loaded()?;
+        if self.lifecycle.should_reject_requests(now, &self.limits) {
+            return Err(retry_later(503, DEFAULT_RETRY_AFTER, "shutting down"));
+        }
         let host = head
             .headers
             .get("Host")
--- a/crates/proxy/tests/lifecycle.rs
+++ b/crates/proxy/tests/lifecycle.rs
@@ -65,6 +65,25 @@
     });
 }
 
+/// Guards against requests that arrive late in a shutdown, on a connection that was in use, and are
+/// cut by its end while their server is running them.
+#[test]
+fn request_that_arrives_late_in_a_shutdown_is_rejected() {
+    let mut harness = ProxyHarness::new(&["a"]);
+    let request = request_text("POST /m/1", "one", "", "");
+    let (start, rest) = request.split_at(20);
+    let now = harness.now_us();
+    harness.host.begin_shutdown(now);
+    harness.advance_ms(2_100);
+    let client = harness.send_from_new_client(start);
+    harness.advance_ms(800);
+    harness.send(client, rest);
+    let response = harness.next_response(client);
+    assert_eq!((response.status, response.keep_alive), (503, false));
+    assert!(response.headers.contains("Retry-After"));
+    assert_eq!(harness.request_count(), 0);
+}
+
 #[test]
 fn restarted_agent_reverts_nothing() {
     let mut harness = ProxyHarness::new(&["a", "a"]);
