--- a/crates/emulator/src/system/fleet.rs
+++ b/crates/emulator/src/system/fleet.rs
@@ -174,6 +174,16 @@
             .for_each(|(_, server)| server.drain_announced_at = Some(visible_at + drain));
     }
 
+    /// The numbers of the servers that run and are not draining, with their configurations.
+    pub fn serving(&self) -> Vec<(usize, ServerConfig)> {
+        let state = self.lock_state();
+        { &state.servers }
+            .iter()
+            .filter(|(_, (_, server))| server.drain_announced_at.is_none())
+            .map(|(number, (_, server))| (*number, server.identity().1.clone()))
+            .collect()
+    }
+
     /// Stops a server and closes all its connections; returns its address.
     pub fn stop_server(&self, number: usize) -> Option<SocketAddr> {
         let mut state = self.lock_state();
--- a/crates/load/src/cli/mod.rs
+++ b/crates/load/src/cli/mod.rs
@@ -36,6 +36,7 @@
   system                             the whole system: control programs, agents and proxies on 127.0.1.x and 127.0.2.x,
                                      a small world around them, and what must hold
   soak                               the same under kills, pauses and lost answers that overlap, for many seeds, with checks all the time
+  soak shutdowns                     the same under planned work alone: SIGTERM, SIGHUP, changes and releases in series, while servers are slow
   run SCENARIO                       a scenario, against limiters in an emulated world or against --target
   compare DIR DIR...                 reports side by side; the first is what the others are measured against
   sweep SCENARIO --key PATH --values A,B,C
@@ -117,7 +118,8 @@
             play(options, seconds(scenario, options)?).map(drop)
         }
         ["system"] => system(options),
-        ["soak"] => soak(options),
+        ["soak"] => soak(options, soak::Trouble::Faults),
+        ["soak", "shutdowns"] => soak(options, soak::Trouble::Shutdowns),
         ["run", path] => play(options, seconds(scenario(Path::new(path))?, options)?).map(drop),
         ["compare", folders @ ..] if folders.len() >= 2 => compare(options, folders),
         ["sweep", path] => sweep(options, Path::new(path)),
@@ -146,11 +148,12 @@
     options.programs.clone().unwrap_or_else(beside)
 }
 
-fn soak(options: &Options) -> Result<(), Failure> {
+fn soak(options: &Options, trouble: soak::Trouble) -> Result<(), Failure> {
     let first = options.seed.unwrap_or(1);
     let (mut violated, stop) = (0, stopped()?);
     for seed in first..first + options.seeds.unwrap_or(1) {
         let plan = soak::Plan {
+            trouble,
             seed,
             seconds: options.seconds.unwrap_or(8.0),
             zones: options.zones.unwrap_or(3),
--- a/crates/load/src/soak/faults.rs
+++ b/crates/load/src/soak/faults.rs
@@ -48,7 +48,7 @@
 }
 
 /// A step of the plan.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Step {
     /// When it is due, since the start of the faults.
     pub at: Duration,
@@ -131,13 +131,39 @@
     steps
 }
 
-/// Carries out the steps and gives when the last one was done. Everything runs afterwards, unless `stop` was set meanwhile.
+/// A shutdown that was carried out.
+#[derive(Clone, Copy, Debug)]
+pub struct Shutdown {
+    /// Which program.
+    pub role: Role,
+    /// On which machine.
+    pub machine: usize,
+    /// When it was told to end.
+    pub began_at: Instant,
+    /// When its end was seen.
+    pub ended_at: Option<Instant>,
+}
+
+/// Notes the end of the shutdown of a program, if it is in one.
+fn record_end(shutdowns: &mut [Shutdown], role: Role, machine: usize) {
+    let last = shutdowns
+        .iter_mut()
+        .rev()
+        .find(|shutdown| (shutdown.role, shutdown.machine) == (role, machine));
+    if let Some(shutdown) = last {
+        shutdown.ended_at.get_or_insert(Instant::now());
+    }
+}
+
+/// Carries out the steps and gives when the last one was done, and the shutdowns. Everything runs afterwards, unless `stop`
+/// was set meanwhile.
 pub fn play(
     machines: &mut Machines,
     steps: Vec<Step>,
     began: Instant,
     stop: &AtomicBool,
-) -> Result<Instant, String> {
+) -> Result<(Instant, Vec<Shutdown>), String> {
+    let mut shutdowns = Vec::new();
     let mut due: std::collections::VecDeque<Step> = steps.into();
     while let Some(mut step) = due.pop_front() {
         let stopped = || stop.load(Ordering::Relaxed).then_some(());
@@ -150,6 +176,14 @@
             Action::Terminate => {
                 // One that is paused would not hear it.
                 machines.resume(role, machine);
+                if machines.is_running(role, machine) && !machines.is_shutting_down(role, machine) {
+                    shutdowns.push(Shutdown {
+                        role,
+                        machine,
+                        began_at: Instant::now(),
+                        ended_at: None,
+                    });
+                }
                 machines.terminate(role, machine);
             }
             Action::Pause => machines.pause(role, machine),
@@ -178,11 +212,12 @@
                     let place = due.partition_point(|other| other.at <= step.at);
                     due.insert(place, step);
                 } else if !machines.is_running(role, machine) {
+                    record_end(&mut shutdowns, role, machine);
                     let started = machines.start(role, machine);
                     started.map_err(|error| format!("starting {role:?} {machine}: {error}"))?;
                 }
             }
         }
     }
-    Ok(Instant::now())
+    Ok((Instant::now(), shutdowns))
 }
--- a/crates/load/src/soak/mod.rs
+++ b/crates/load/src/soak/mod.rs
@@ -9,9 +9,13 @@
 //! | every route is served by its newest version | within 9 s of the end of orders, which go on for 8 s after the last fault, at every edge |
 //! | nothing runs twice, nothing refused runs, every success is the server's own | always |
 //! | the programs' own invariants; no program ends by itself | always |
+//! | a request that a server is running is answered by it, or at its deadline | always, if all work is planned; in the last second of a grace period it may be cut |
+//! | a program that was told to end has ended by the end of the grace period; nothing comes to a server that has left | likewise |
 
 mod faults;
 mod ledger;
+mod releases;
+mod shutdowns;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -54,6 +58,8 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(40);
 /// Routes of each operator: so many that a version mostly lasts longer than `APPLY`, or anything would be allowed.
 const ROUTES: usize = 40;
+/// The share of requests that take longer than the target of their route, where all work is planned.
+const SLOW_REQUESTS: f64 = 0.15;
 /// The share of the orders that set a route; the others remove one.
 const SET_ORDERS: f64 = 0.6;
 /// The share of the orders that are first sent without waiting for the answer.
@@ -64,9 +70,20 @@
     protocol::metrics::PROXY_METRICS_PORT,
 ];
 
+/// What befalls the programs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Trouble {
+    /// Kills, pauses, cuts and shutdowns that overlap.
+    Faults,
+    /// Planned work alone, in series that overlap: shutdowns, reloads and releases of servers, while servers are slow.
+    Shutdowns,
+}
+
 /// What is played.
 #[derive(Clone, Debug)]
 pub struct Plan {
+    /// What befalls the programs.
+    pub trouble: Trouble,
     /// For what is drawn by chance.
     pub seed: u64,
     /// How long faults begin, in seconds.
@@ -168,7 +185,11 @@
     let ctl: Vec<SocketAddr> = (0..cores).map(|core| whole.machines.ctl(core)).collect();
     let http: Vec<SocketAddr> = (0..edges).map(|edge| whole.machines.http(edge)).collect();
     let length = Duration::from_secs_f64(plan.seconds);
-    let steps = faults::draw(plan.seed, length, cores, edges);
+    let steps = match plan.trouble {
+        Trouble::Faults => faults::draw(plan.seed, length, cores, edges),
+        Trouble::Shutdowns => shutdowns::draw(plan.seed, length, cores, edges),
+    };
+    let is_planned = plan.trouble == Trouble::Shutdowns;
     let mut report = Report {
         steps: steps.len(),
         ..Report::default()
@@ -183,7 +204,11 @@
         runs: AtomicU64::new(0),
         violations: Mutex::new(Vec::new()),
     };
+    if is_planned {
+        shutdowns::limit_tries(&mut whole.operator, plan.seed, until)?;
+    }
     let clients = clients(plan, &whole, length + CONTACT + CALM);
+    let mut shutdowns = Vec::new();
     let wrong = std::thread::scope(|scope| {
         let sending = scope.spawn(|| clients.run(stop));
         let operators: Vec<_> = (0..2_u64)
@@ -197,8 +222,13 @@
             scope.spawn(move || watch_edge(shared, *address, seed));
         }
         scope.spawn(|| watch_configuration(&shared, &ctl, plan.seed));
+        if is_planned {
+            let (shared, fleet) = (&shared, &whole.fleet);
+            scope.spawn(move || releases::play(shared, fleet, plan.seed, length));
+        }
         match faults::play(&mut whole.machines, steps, Instant::now(), stop) {
-            Ok(calm_since) => {
+            Ok((calm_since, ended)) => {
+                shutdowns = ended;
                 let mut calm = shared
                     .calm_since
                     .lock()
@@ -234,6 +264,11 @@
     {
         shared.violate(format!("{id} was refused and ran"));
     }
+    let planned_checks = if is_planned {
+        shutdowns::check(&shared, &whole, &shutdowns, &wrong.given_up)
+    } else {
+        0
+    };
     let own_checks = check_programs(&shared, &http);
     for line in whole.machines.unexpected_exits() {
         shared.violate(format!("ended by itself: {line}"));
@@ -244,6 +279,9 @@
         ("runs", shared.runs.into_inner()),
         ("invariants", own_checks),
     ];
+    if is_planned {
+        report.checks.push(("planned work", planned_checks));
+    }
     report.violations = shared.violations.into_inner().unwrap_or_default();
     Ok(report)
 }
@@ -273,6 +311,9 @@
         },
     );
     clients.keeps_connections = true;
+    if plan.trouble == Trouble::Shutdowns {
+        clients.slow_share = SLOW_REQUESTS;
+    }
     clients
 }
 
--- a/crates/load/src/system/clients.rs
+++ b/crates/load/src/system/clients.rs
@@ -33,6 +33,10 @@
 const AT_ONCE: usize = 64;
 /// Longest time that an answer to where-to-go holds.
 const TTL_MAX: Duration = Duration::from_secs(5);
+/// The work of a slow request in milliseconds: longer than the target of its route.
+const SLOW_WORK_MS: std::ops::Range<u32> = 600..1_400;
+/// A request that ends this long before its client's deadline has not used up its time.
+const DEADLINE_MARGIN: Duration = Duration::from_millis(150);
 /// An answer to where-to-go comes within this, or another control program is asked.
 const LOOK_UP: Duration = Duration::from_secs(1);
 
@@ -54,6 +58,21 @@
     pub stale: Vec<String>,
     /// Ids of requests that must not be repeated and were refused: they must not have run.
     pub refused: Vec<String>,
+    /// Requests that ended without their server's answer before their deadline: no server may have been running them.
+    pub given_up: Vec<GivenUp>,
+}
+
+/// A request that ended without its server's answer before its deadline.
+#[derive(Clone, Debug)]
+pub struct GivenUp {
+    /// Its id.
+    pub id: String,
+    /// The edge that it was sent to.
+    pub edge: SocketAddr,
+    /// When it was sent completely, and when it ended.
+    pub sent_and_ended_at: (Instant, Instant),
+    /// The status of the answer, or the failure.
+    pub end: String,
 }
 
 /// All clients.
@@ -72,6 +91,8 @@
     pub rules: Mutex<Rules>,
     /// An open connection is used until it is gone, also to an edge that is not listed any more.
     pub keeps_connections: bool,
+    /// The share of the requests that take their server [`SLOW_WORK_MS`].
+    pub slow_share: f64,
     wrong: Mutex<Wrong>,
     next: AtomicUsize,
     over: AtomicBool,
@@ -102,6 +123,7 @@
             lists,
             rules: Mutex::new(rules),
             keeps_connections: false,
+            slow_share: 0.0,
             wrong: Mutex::default(),
             next: AtomicUsize::new(0),
             over: AtomicBool::new(false),
@@ -198,6 +220,8 @@
         } else {
             String::new()
         };
+        let work_ms =
+            (rng.random::<f64>() < self.slow_share).then(|| rng.random_range(SLOW_WORK_MS));
         let (until, mut intended, mut failed) = (at + DEADLINE, at, None);
         for number in 0..TRIES {
             let list = lock(&self.lists[request % self.places.len()]).clone();
@@ -216,7 +240,7 @@
                 continue;
             };
             let id = id(self.seed, request, number);
-            let (sent, answer) = one(to, &id, &path, &body, open, until);
+            let (sent, answer) = one(to, &id, &path, (&body, work_ms), open, until);
             let outcome = match &answer {
                 Ok(reply) => Outcome::of(reply.status),
                 Err(Failure::NotSent(_)) => Outcome::NotSent,
@@ -228,6 +252,7 @@
             let status = answer.as_ref().map_or(0, |reply| reply.status);
             tries.push(self.ended(request, number, intended, sent, status, outcome));
             self.look(&answer, &id, (&path, prefix, &body), &rules);
+            self.record_given_up(&answer, &id, to, sent, until);
             if answer.is_err() || rng.random::<f64>() < LEAVES {
                 open.remove(&to);
             }
@@ -276,6 +301,32 @@
         }
     }
 
+    /// Records a request that was sent completely and ended before its deadline by the edge's own failure.
+    fn record_given_up(
+        &self,
+        answer: &Result<Reply, Failure>,
+        id: &str,
+        edge: SocketAddr,
+        sent: Option<Instant>,
+        until: Instant,
+    ) {
+        let ended_at = Instant::now();
+        let Some(sent_at) = sent.filter(|_| ended_at + DEADLINE_MARGIN < until) else {
+            return;
+        };
+        let end = match answer {
+            Ok(reply) if matches!(reply.status, 502 | 504) => reply.status.to_string(),
+            Err(failure @ (Failure::Closed | Failure::Broken(_))) => format!("{failure:?}"),
+            _ => return,
+        };
+        lock(&self.wrong).given_up.push(GivenUp {
+            id: id.to_string(),
+            edge,
+            sent_and_ended_at: (sent_at, ended_at),
+            end,
+        });
+    }
+
     /// Whose answer it is, and whether the configuration in force allows it. `rules`: as they were before the sending.
     fn look(
         &self,
@@ -334,7 +385,7 @@
     to: SocketAddr,
     id: &str,
     path: &str,
-    body: &str,
+    (body, work_ms): (&str, Option<u32>),
     open: &mut HashMap<SocketAddr, Connection>,
     until: Instant,
 ) -> (Option<Instant>, Result<Reply, Failure>) {
@@ -350,8 +401,9 @@
         id,
         until.saturating_duration_since(Instant::now()).as_millis(),
     );
+    let work = work_ms.map_or(String::new(), |ms| format!("X-Work-Ms: {ms}\r\n"));
     let request = format!(
-        "{method} {path} HTTP/1.1\r\n{lines}Content-Length: {}\r\n\r\n{body}",
+        "{method} {path} HTTP/1.1\r\n{lines}{work}Content-Length: {}\r\n\r\n{body}",
         body.len()
     );
     if let Err(failure) = connection.send(request.as_bytes(), until) {
--- a/crates/load/tests/soak.rs
+++ b/crates/load/tests/soak.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::AtomicBool;
 
 use emulator::system::machines::built_programs_folder;
-use load::soak::{Plan, run};
+use load::soak::{Plan, Trouble, run};
 
 #[test]
 fn nothing_that_must_hold_is_violated_under_faults_that_overlap() {
@@ -14,21 +14,48 @@
     );
     for seed in [1, 2, 3] {
         let plan = Plan {
+            trouble: Trouble::Faults,
             seed,
             seconds: 6.0,
             zones: 3,
             edges: 1,
             programs: programs.clone(),
         };
-        let report = run(&plan, &AtomicBool::new(false)).unwrap();
-        assert!(
-            report.violations.is_empty(),
-            "seed {seed}: {}",
-            report.text()
-        );
-        // A check that was never made has not held.
-        assert!(report.acknowledged > 3, "seed {seed}: {}", report.text());
-        let made = report.checks.iter().all(|(_, count)| *count > 0);
-        assert!(made, "seed {seed}: {}", report.text());
+        assert_nothing_is_violated(&plan);
     }
 }
+
+/// Guards against requests that a proxy ends although their server is running them: after SIGTERM
+/// one was answered with 502 because its server had been silent for a while.
+#[test]
+fn no_running_request_is_given_up_under_shutdowns_and_releases_in_series() {
+    let programs = built_programs_folder(
+        Path::new(env!("CARGO_BIN_EXE_streamarch-load")),
+        env!("CARGO"),
+    );
+    for seed in [1, 2] {
+        let plan = Plan {
+            trouble: Trouble::Shutdowns,
+            seed,
+            seconds: 8.0,
+            zones: 3,
+            edges: 2,
+            programs: programs.clone(),
+        };
+        assert_nothing_is_violated(&plan);
+    }
+}
+
+fn assert_nothing_is_violated(plan: &Plan) {
+    let seed = plan.seed;
+    let report = run(plan, &AtomicBool::new(false)).unwrap();
+    assert!(
+        report.violations.is_empty(),
+        "seed {seed}: {}",
+        report.text()
+    );
+    // A check that was never made has not held.
+    assert!(report.acknowledged > 3, "seed {seed}: {}", report.text());
+    let made = report.checks.iter().all(|(_, count)| *count > 0);
+    assert!(made, "seed {seed}: {}", report.text());
+}
