Module: an attempt is cancelled only if its request may be sent again

Now only as many are cancelled as may be sent again.

Test: attempts_are_cancelled_only_if_their_requests_may_be_sent_again failed before.

--- a/src/policy/servers.rs
+++ b/src/policy/servers.rs
@@ -439,9 +439,14 @@
         }
     }
 
-    /// Cancels the attempts at this server, so that their requests are sent to another one.
+    /// Cancels the attempts at this server whose requests may be sent to another one, as far as the retry budget
+    /// allows: the others could only fail.
     fn cancel_attempts(&mut self, silent_server: ServerId) {
-        for request in self.movable_requests(silent_server) {
+        let allowed_retries = self.retry_balance as usize;
+        let movable = self.movable_requests(silent_server);
+        let retryable = movable.into_iter().filter(|id| self.can_retry(*id));
+        let retryable: Vec<RequestId> = retryable.take(allowed_retries).collect();
+        for request in retryable {
             let state = &self.requests[&request];
             let cancels = state
                 .in_flight
--- a/tests/servers.rs
+++ b/tests/servers.rs
@@ -96,6 +96,39 @@
     );
 }
 
+/// Guards against requests that are given up because their server is slow, where attempts are cancelled before others
+/// are sent: without attempts or budget left they could only fail.
+#[test]
+fn attempts_are_cancelled_only_if_their_requests_may_be_sent_again() {
+    let no_retries = RetryBudget {
+        earned_per_request: 0.0,
+        max_balance: 0.0,
+        unexecuted_cost: 1.0,
+    };
+    let without_budget = Settings {
+        retry_budget: no_retries,
+        ..settings()
+    };
+    let without_attempts = Settings {
+        max_attempts: 1,
+        ..settings()
+    };
+    for settings in [without_budget, without_attempts] {
+        let mut gateway = Gateway::with_servers(settings, 4);
+        let (_, actions) = gateway.send_request(0, 0, 1);
+        let server = sent_attempts(&actions)[0].1;
+        gateway.advance(500 * MS);
+        let event = Event::ProbeEnd {
+            server,
+            outcome: Outcome::TimedOut,
+            load_report: None,
+        };
+        let actions = gateway.handle_event(event);
+        let is_cancel = |action: &Action| matches!(action, Action::Cancel { .. });
+        assert!(!actions.iter().any(is_cancel), "{actions:?}");
+    }
+}
+
 #[test]
 fn suspicion_never_covers_the_whole_fleet() {
     let mut gateway = Gateway::with_servers(settings(), 4);
