Proxy: modules of their own for shutdown, attempts and health checks

host/mod.rs and host/upstreams.rs had grown to 690 and 700 lines. Code is moved, not changed, but for an argument that was not used and a doc comment that stood twice. The tests of the proxy and the module pass.

--- a/crates/proxy/src/host/mod.rs
+++ b/crates/proxy/src/host/mod.rs
@@ -8,8 +8,10 @@
 mod clients;
 mod close_reasons;
 mod metrics;
+mod probes;
 mod response_streams;
 mod responses;
+mod shutdown;
 mod uploads;
 mod upstreams;
 
@@ -43,6 +45,7 @@
 use self::close_reasons::CloseReason;
 use self::metrics::ProxyMetrics;
 use self::response_streams::ResponseStream;
+use self::shutdown::{SHUTDOWN_GRACE_MARGIN, SHUTDOWN_NOTICE_PERIOD};
 use crate::adaptive_timeout::AdaptiveTimeout;
 use crate::config_freshness::ConfigFreshness;
 use crate::config_store::ConfigStore;
@@ -70,11 +73,6 @@
 /// Longest response that is streamed. It is never buffered as a whole; the bound protects against
 /// endless responses.
 const MAX_STREAMED_RESPONSE_BYTES: u64 = 1024 * 1024 * 1024;
-/// From SIGTERM on, clients that look up an edge are sent elsewhere. Clients that connect
-/// nevertheless are served for this long.
-const SHUTDOWN_NOTICE_PERIOD: Micros = 2_200 * MS;
-/// Time reserved at the end of the grace period between SIGTERM and SIGKILL.
-const SHUTDOWN_GRACE_MARGIN: Micros = 400 * MS;
 /// Longest wait for events if there is no earlier deadline.
 const MAX_IDLE_WAIT: Micros = SECOND;
 
@@ -600,7 +598,7 @@
             }
             Timer::ConnectTimeout(_) => {}
             Timer::ClientDeadline(id) => self.handle_client_deadline(now, id),
-            Timer::ProbeTimeout(id) => self.handle_probe_timeout(now, id),
+            Timer::ProbeTimeout(id) => self.handle_probe_timeout(id),
             Timer::ResponseStreamDeadline(id) => self.handle_response_stream_deadline(now, id),
             Timer::RequestDeadline(request) => self.handle_request_deadline(now, request),
             Timer::CounterBatchTimeout => self.handle_counter_batch_timeout(now),
@@ -629,61 +627,6 @@
         }
     }
 
-    /// Begins the graceful shutdown: accepted requests are completed first.
-    pub fn begin_shutdown(&mut self, now: Micros) {
-        if self.lifecycle.begin_shutdown(now) {
-            info!(self.log, "shutting down");
-            self.deadlines.schedule(
-                now + self.limits.shutdown_notice_period,
-                Timer::ShutdownNoticeEnd,
-            );
-            self.deadlines
-                .schedule(now + self.limits.shutdown_timeout, Timer::ShutdownTimeout);
-            self.send_heartbeat();
-        }
-    }
-
-    fn handle_shutdown_notice_end(&mut self, now: Micros) {
-        self.connections.stop_listening(self.listeners.0);
-        let clients: Vec<ConnectionId> = self
-            .roles
-            .iter()
-            .filter(|(_, role)| matches!(role, Role::Client(_)))
-            .map(|(connection_id, _)| connection_id)
-            .collect();
-        clients
-            .into_iter()
-            .for_each(|connection_id| self.handle_client_deadline(now, connection_id));
-        self.finish_if_drained();
-    }
-
-    /// The time to complete accepted requests is over: those that remain are rejected. If a server
-    /// has received the request, the response states that it may have run.
-    fn handle_shutdown_timeout(&mut self, now: Micros) {
-        let open_requests: Vec<RequestKey> = self.requests.keys().collect();
-        let unfinished_requests = open_requests.len();
-        open_requests
-            .into_iter()
-            .for_each(|request| self.finish_request(now, request, EngineRejection::Failed));
-        self.finish_shutdown(now, unfinished_requests);
-    }
-
-    /// Ends the event loop after this iteration.
-    fn finish_shutdown(&mut self, now: Micros, unfinished_requests: usize) {
-        let started_at = self.lifecycle.shutdown_started_at().unwrap_or(now);
-        if !self.lifecycle.is_finished() {
-            info!(self.log, #IMMEDIATE, "shutdown finished"; "ms" => (now - started_at) / MS, "unfinished_requests" => unfinished_requests, "clients" => self.client_count);
-        }
-        self.lifecycle.finish_shutdown();
-    }
-
-    /// While shutting down: finishes if every request has its response and no client is connected.
-    fn finish_if_drained(&mut self) {
-        if self.lifecycle.is_shutting_down() && self.requests.is_empty() && self.client_count == 0 {
-            self.finish_shutdown(self.clock.now(), 0);
-        }
-    }
-
     fn node_info(&self) -> NodeInfo {
         let Settings {
             node, zone, region, ..
--- a/crates/proxy/src/host/upstreams.rs
+++ b/crates/proxy/src/host/upstreams.rs
@@ -1,13 +1,10 @@
-//! Connections to servers: attempts of requests, health checks, and the outcomes of both.
-
-use std::io::Write;
+//! Connections to servers: opened, reused and closed, and the responses that arrive on them.
 
 use dataplane::engine::EngineRejection;
 use dataplane::framing::BodyFraming;
 use protocol::connections::Connection;
 use protocol::items::Idempotency;
 
-use super::admission::has_body;
 use super::*;
 use crate::response_class::{
     ResponseHandling, choose_handling, classify, parse_keep_alive_timeout,
@@ -17,9 +14,6 @@
 pub(super) const READ_WINDOW_BYTES: usize = MAX_BUFFERED_RESPONSE_BYTES + 16 * 1024;
 /// Most connections to servers, including idle ones.
 const MAX_UPSTREAMS: usize = 1_000;
-/// Additional time for the probe of a server in another region: two round trips, for connecting and
-/// for one exchange.
-const REMOTE_PROBE_EXTRA_TIME: Micros = 250 * MS;
 /// An idle connection is closed this long before its server would do so.
 const UPSTREAM_KEEP_ALIVE_MARGIN: Micros = 1_500 * MS;
 
@@ -63,93 +57,11 @@
 }
 
 impl Host {
-    /// Sends a request to a server, unless it has ended or used all its attempts.
-    pub(super) fn send_attempt(
-        &mut self,
-        now: Micros,
-        request_key: RequestKey,
-        handle: RequestHandle,
-        attempt: u32,
-        server: ServerId,
-    ) {
-        let purpose = UpstreamPurpose::Attempt(request_key, handle, attempt);
-        let result = if self.can_attempt(request_key) {
-            self.acquire_connection(now, server, purpose)
-        } else {
-            Err(Outcome::NotSent)
-        };
-        match result {
-            Ok(upstream_id) => {
-                self.attempt_connections
-                    .insert((handle.engine_index, handle.key, attempt), upstream_id);
-                self.write_attempt(now, request_key, upstream_id, server);
-            }
-            Err(outcome) => {
-                self.router
-                    .handle_attempt_ended(now, handle, attempt, outcome);
-            }
-        }
-    }
-
-    /// Whether a request is in progress and its route allows another attempt.
-    fn can_attempt(&self, request_key: RequestKey) -> bool {
-        self.requests
-            .get(request_key)
-            .is_some_and(|request| request.attempts.len() < request.route.tries.max(1) as usize)
-    }
-
-    /// Writes a request to the connection of an attempt.
-    fn write_attempt(
-        &mut self,
-        now: Micros,
-        request_key: RequestKey,
-        upstream_id: ConnectionId,
-        server: ServerId,
-    ) {
-        let (Some(request), Some((_, instance_id))) = (
-            self.requests.get_mut(request_key),
-            self.server_table.address_and_instance_id(server),
-        ) else {
-            return;
-        };
-        request
-            .attempts
-            .push(AttemptRecord::new(upstream_id, server, now));
-        if let Some(Role::Upstream(upstream)) = self.roles.get_mut(upstream_id) {
-            upstream.expects_no_body = request.method == "HEAD";
-        }
-        let Some(output) = self.connections.output(upstream_id) else {
-            return;
-        };
-        let time_left_ms = (request.deadline - now).min(request.allowed_time).max(0) / MS;
-        let framing = request
-            .body_framing
-            .unwrap_or(BodyFraming::Length(request.body.len() as u64));
-        // Writing to a vector can't fail.
-        let _ = write!(output, "{} {} HTTP/1.1\r\n", request.method, request.target);
-        output.extend_from_slice(&request.header_lines);
-        let _ = write!(
-            output,
-            "X-Time-Left: {time_left_ms}\r\nX-Want-Instance: {instance_id}\r\n"
-        );
-        match framing {
-            BodyFraming::Length(length) if has_body(&request.method, framing) => {
-                let _ = write!(output, "Content-Length: {length}\r\n");
-            }
-            BodyFraming::Length(_) => {}
-            BodyFraming::Chunked | BodyFraming::UntilClose => {
-                output.extend_from_slice(b"Transfer-Encoding: chunked\r\n")
-            }
-        }
-        output.extend_from_slice(b"\r\n");
-        output.extend_from_slice(&request.body);
-    }
-
     /// A connection to a server for this purpose: an idle one from the pool, or a new one.
     ///
     /// # Errors
     /// The outcome of the attempt, if the server is unknown or can't be reached.
-    fn acquire_connection(
+    pub(super) fn acquire_connection(
         &mut self,
         now: Micros,
         server: ServerId,
@@ -310,7 +222,7 @@
     /// The outcome of an attempt or health check if its connection is closed now. A request that is
     /// not idempotent may have run as soon as one byte is written: a server may begin to run it when
     /// it receives the head.
-    fn outcome_if_closed(&self, connection_id: ConnectionId) -> Option<Outcome> {
+    pub(super) fn outcome_if_closed(&self, connection_id: ConnectionId) -> Option<Outcome> {
         let (Some(Role::Upstream(upstream)), Some(connection)) = (
             self.roles.get(connection_id),
             self.connections.get(connection_id),
@@ -334,41 +246,11 @@
             .is_some_and(|request| request.route.kind == Idempotency::Idempotent)
     }
 
-    /// Whether an attempt of this request is in flight at a server that may be running it.
-    pub(super) fn may_be_running(&self, request: &Request) -> bool {
-        request
-            .connections_in_flight()
-            .any(|connection| self.outcome_if_closed(connection) == Some(Outcome::Reset))
-    }
-
-    /// Cancels an attempt for the decision module, by closing its connection.
-    pub(super) fn cancel_attempt(&mut self, now: Micros, handle: RequestHandle, number: u32) {
-        let attempt = (handle.engine_index, handle.key, number);
-        let Some(connection_id) = self.attempt_connections.remove(&attempt) else {
-            return;
-        };
-        let Some(Role::Upstream(upstream)) = self.roles.get(connection_id) else {
-            return;
-        };
-        let Some(UpstreamPurpose::Attempt(request, ..)) = upstream.state.purpose() else {
-            return;
-        };
-        let may_have_run = self.outcome_if_closed(connection_id) == Some(Outcome::Reset);
-        self.metrics.attempts_cancelled += 1;
-        if let Some(request) = self.requests.get_mut(request) {
-            request.may_have_run |= may_have_run;
-            request.record_attempt_end(now, connection_id, Outcome::Cancelled);
-        }
-        self.close_upstream(connection_id);
-    }
-
     /// Handles the input from a server: all responses that have arrived.
     pub(super) fn handle_upstream_input(&mut self, now: Micros, connection_id: ConnectionId) {
         while self.read_response(now, connection_id) {}
     }
 
-    /// Reads one response; returns whether it belonged to another request, so that the awaited one
-    /// may follow it.
     /// Handles the next response that has arrived; returns whether another one may follow it.
     fn read_response(&mut self, now: Micros, connection_id: ConnectionId) -> bool {
         let (Some(Role::Upstream(upstream)), Some(connection)) = (
@@ -541,13 +423,6 @@
         }
     }
 
-    /// Records the end of a health check, and reports it to the router.
-    fn handle_probe_result(&mut self, engine_index: usize, server: ServerId, outcome: Outcome) {
-        self.record_probe_result(server, outcome);
-        self.router
-            .handle_probe_result(engine_index, server, outcome);
-    }
-
     /// Reports the outcome of an attempt to the router, and forwards the response if it is final.
     fn handle_attempt_response(
         &mut self,
@@ -617,55 +492,4 @@
             None => {}
         }
     }
-
-    /// Sends a health check to a server.
-    pub(super) fn start_probe(&mut self, now: Micros, engine_index: usize, server: ServerId) {
-        let path = self
-            .server_table
-            .get(server)
-            .and_then(|record| self.config_store.service(&record.listing.svc));
-        let path = path.map_or("/healthz".to_string(), |service| service.hcheck.clone());
-        let connection_id =
-            match self.acquire_connection(now, server, UpstreamPurpose::Probe(engine_index)) {
-                Ok(connection_id) => connection_id,
-                Err(outcome) => {
-                    return self.handle_probe_result(engine_index, server, outcome);
-                }
-            };
-        let Some((address, instance_id)) = self.server_table.address_and_instance_id(server) else {
-            return;
-        };
-        if let Some(output) = self.connections.output(connection_id) {
-            // Writing to a vector can't fail.
-            let _ = write!(
-                output,
-                "GET {path} HTTP/1.1\r\nHost: {address}\r\nX-Want-Instance: {instance_id}\r\n\r\n"
-            );
-        }
-        let extra_time = if self.server_table.is_in_other_region(server) {
-            REMOTE_PROBE_EXTRA_TIME
-        } else {
-            0
-        };
-        let timeout = self
-            .limits
-            .probe_timeout
-            .max(self.router.probe_timeout(engine_index))
-            + extra_time;
-        self.deadlines
-            .schedule(now + timeout, Timer::ProbeTimeout(connection_id));
-    }
-
-    /// Ends a health check that is still in progress at its time-out.
-    pub(super) fn handle_probe_timeout(&mut self, now: Micros, connection_id: ConnectionId) {
-        let Some(Role::Upstream(upstream)) = self.roles.get(connection_id) else {
-            return;
-        };
-        if let Some(UpstreamPurpose::Probe(engine_index)) = upstream.state.purpose() {
-            let server = upstream.server;
-            self.close_upstream(connection_id);
-            self.handle_probe_result(engine_index, server, Outcome::TimedOut);
-        }
-        let _ = now;
-    }
 }
