Module: attempts left at a silent server are cancelled later as well

Found on reading again. Where one attempt at a time is kept (the limiter), a request that found no retry budget when the silence was confirmed stayed at the silent server until its deadline: the cancellation was tried once only. It is tried after each failed probe now, as hedging does.

Test: attempts_left_at_a_silent_server_are_cancelled_once_the_budget_allows failed before.

--- a/src/policy/servers.rs
+++ b/src/policy/servers.rs
@@ -399,13 +399,12 @@
         let Some(server) = self.servers.get_mut(&id).filter(|s| s.suspicion.is_some()) else {
             return;
         };
-        let is_first = !std::mem::replace(&mut server.silence_confirmed, true);
-        if is_first {
+        if !std::mem::replace(&mut server.silence_confirmed, true) {
             self.log(format!("server {} suspected: no response", id.0));
         }
         if self.settings.hedges_silent_servers {
             self.hedge_attempts(id);
-        } else if is_first && self.settings.can_cancel {
+        } else if self.settings.can_cancel {
             self.cancel_attempts(id);
         }
     }
@@ -440,7 +439,7 @@
     }
 
     /// Cancels the attempts at this server whose requests may be sent to another one, as far as the retry budget
-    /// allows: the others could only fail.
+    /// allows; the rest follow after the next failed probe. Without another attempt a request could only fail.
     fn cancel_attempts(&mut self, silent_server: ServerId) {
         let allowed_retries = self.retry_balance as usize;
         let movable = self.movable_requests(silent_server);
--- a/tests/servers.rs
+++ b/tests/servers.rs
@@ -129,6 +129,53 @@
     }
 }
 
+/// Guards against requests that stay at a silent server because there was no retry budget when its silence was confirmed.
+#[test]
+fn attempts_left_at_a_silent_server_are_cancelled_once_the_budget_allows() {
+    let retry_budget = RetryBudget {
+        earned_per_request: 1.0,
+        max_balance: 1.0,
+        unexecuted_cost: 1.0,
+    };
+    let settings = Settings {
+        retry_budget,
+        ..settings()
+    };
+    let mut gateway = Gateway::with_servers(settings, 4);
+    let mut sent = Vec::new();
+    for customer in 0..10 {
+        let (id, actions) = gateway.send_request(0, 0, customer);
+        let attempts = sent_attempts(&actions);
+        sent.extend(attempts.iter().map(|(_, server)| (id, *server)));
+    }
+    let silent = sent[0].1;
+    let waiting = sent.iter().filter(|(_, server)| *server == silent).count();
+    assert!(waiting > 1, "{waiting} requests at the silent server");
+    gateway.advance(500 * MS);
+    let mut cancelled = Vec::new();
+    for _ in 0..2 {
+        let event = Event::ProbeEnd {
+            server: silent,
+            outcome: Outcome::TimedOut,
+            load_report: None,
+        };
+        let actions = gateway.handle_event(event);
+        let cancels: Vec<RequestId> = actions
+            .iter()
+            .filter_map(|action| match action {
+                Action::Cancel { request, .. } => Some(*request),
+                _ => None,
+            })
+            .collect();
+        assert_eq!(cancels.len(), 1, "the budget allows one at a time");
+        gateway.end_attempt(cancels[0], 0, silent, Outcome::Cancelled);
+        cancelled.extend(cancels);
+        // Earns the budget of another retry.
+        gateway.send_request(0, 0, 99);
+    }
+    assert_ne!(cancelled[0], cancelled[1]);
+}
+
 #[test]
 fn suspicion_never_covers_the_whole_fleet() {
     let mut gateway = Gateway::with_servers(settings(), 4);
