Engine and tests: plain comments, and searches of attempts in one way

Review of the change: two blocks stood round borrows for the formatter's sake, and two heads of tests told of an incident rather than of the failure.

--- a/crates/dataplane/src/engine.rs
+++ b/crates/dataplane/src/engine.rs
@@ -324,10 +324,8 @@
         let Some(state) = self.requests.get_mut(key) else {
             return false;
         };
-        let Some(index) = { &state.in_flight }
-            .iter()
-            .position(|current| current.number == attempt)
-        else {
+        let mut in_flight = state.in_flight.iter();
+        let Some(index) = in_flight.position(|current| current.number == attempt) else {
             return false;
         };
         let ended_attempt = state.in_flight.swap_remove(index);
@@ -526,15 +524,11 @@
                 // If its body was streamed and discarded, cancelling the attempt could only fail
                 // the request. A server that is receiving a long body owes no response yet and is
                 // easily mistaken for one that does not respond.
-                let cancellable = self
+                let is_cancellable = self
                     .requests
                     .get(key)
-                    .filter(|state| !state.is_body_discarded);
-                if cancellable.is_some_and(|state| {
-                    { &state.in_flight }
-                        .iter()
-                        .any(|current| current.number == attempt)
-                }) {
+                    .is_some_and(|state| !state.is_body_discarded);
+                if is_cancellable && self.in_flight_attempt(key, attempt).is_some() {
                     engine_actions.push(EngineAction::CancelAttempt { key, attempt });
                     self.handle_attempt_ended(now, key, attempt, Outcome::Cancelled, None);
                 }
@@ -569,7 +563,7 @@
         };
         let attempt = state.attempt_count;
         state.attempt_count += 1;
-        // Invariant 2: no more attempts in flight, and none after the final response. The module
+        // Invariant 2: no more attempts in flight than allowed, none after the final response. The module
         // must learn that this attempt has ended: otherwise it would count it as in flight at
         // that server for ever.
         if state.in_flight.len() >= self.max_in_flight || state.is_finished {
--- a/crates/load/tests/soak.rs
+++ b/crates/load/tests/soak.rs
@@ -25,8 +25,8 @@
     }
 }
 
-/// Guards against requests that a proxy ends although their server is running them: after SIGTERM
-/// one was answered with 502 because its server had been silent for a while.
+/// Guards against requests that a proxy ends with a 502 of its own although their server is running
+/// them.
 #[test]
 fn no_running_request_is_given_up_under_shutdowns_and_releases_in_series() {
     let programs = built_programs_folder(
--- a/crates/proxy/tests/shedding.rs
+++ b/crates/proxy/tests/shedding.rs
@@ -21,7 +21,7 @@
 const WORK_MS: u64 = 200;
 /// How long the clients send.
 const LOAD_DURATION: Duration = Duration::from_millis(6_000);
-/// Requests sent earlier are not measured: the admission level is not set yet.
+/// Requests sent earlier do not count: the admission level is not set yet.
 const MEASURED_FROM: Duration = Duration::from_millis(2_500);
 
 /// The deadline of an awaited event.
--- a/crates/proxy/tests/silent_servers.rs
+++ b/crates/proxy/tests/silent_servers.rs
@@ -1,6 +1,5 @@
-//! Requests at servers that take longer than usual to respond. Guards against an incident: after
-//! SIGTERM a proxy ended a request with its own 502 while the server was running it, because its
-//! health check had failed and no further attempt was possible.
+//! Requests at servers that take longer than usual to respond. Guards against requests that the
+//! proxy ends with a 502 of its own while their server is running them.
 
 mod common;
 
