Proxy and soak: one way to throttle log lines, typed names of outcomes, counted checks

The throttled warning stood twice with its own interval and field: one macro and LogThrottle now. Names of metrics came from Debug text and cost an allocation for each health check: outcome_name gives them (timed_out, connect_failed, not_sent read so now). The soak's count 'planned work' hid whether any request was looked at: it counts requests and shutdowns.

--- a/crates/load/src/soak/mod.rs
+++ b/crates/load/src/soak/mod.rs
@@ -209,7 +209,7 @@
     }
     let clients = clients(plan, &whole, length + CONTACT + CALM);
     let mut shutdowns = Vec::new();
-    let wrong = std::thread::scope(|scope| {
+    let (tries, wrong) = std::thread::scope(|scope| {
         let sending = scope.spawn(|| clients.run(stop));
         let operators: Vec<_> = (0..2_u64)
             .map(|number| {
@@ -248,7 +248,7 @@
             check_settled(&shared, &whole, &http);
         }
         shared.over.store(true, Ordering::Relaxed);
-        sending.join().map(|(_, wrong)| wrong).unwrap_or_default()
+        sending.join().unwrap_or_default()
     });
     for what in wrong.mixed.iter() {
         shared.violate(format!("an answer that is not the server's: {what}"));
@@ -264,11 +264,9 @@
     {
         shared.violate(format!("{id} was refused and ran"));
     }
-    let planned_checks = if is_planned {
-        shutdowns::check(&shared, &whole, &shutdowns, &wrong.given_up)
-    } else {
-        0
-    };
+    if is_planned {
+        shutdowns::check(&shared, &whole, &shutdowns, &wrong.given_up);
+    }
     let own_checks = check_programs(&shared, &http);
     for line in whole.machines.unexpected_exits() {
         shared.violate(format!("ended by itself: {line}"));
@@ -280,7 +278,11 @@
         ("invariants", own_checks),
     ];
     if is_planned {
-        report.checks.push(("planned work", planned_checks));
+        let requests = tries.iter().filter(|ended| ended.sent.is_some());
+        report.checks.extend([
+            ("requests", requests.count() as u64),
+            ("shutdowns", shutdowns.len() as u64),
+        ]);
     }
     report.violations = shared.violations.into_inner().unwrap_or_default();
     Ok(report)
--- a/crates/load/src/soak/shutdowns.rs
+++ b/crates/load/src/soak/shutdowns.rs
@@ -124,13 +124,8 @@
         })
 }
 
-/// Checks what planned work may not do; gives the number of checks.
-pub fn check(
-    shared: &Shared,
-    whole: &TestSystem,
-    shutdowns: &[Shutdown],
-    given_up: &[GivenUp],
-) -> u64 {
+/// Checks what planned work may not do.
+pub fn check(shared: &Shared, whole: &TestSystem, shutdowns: &[Shutdown], given_up: &[GivenUp]) {
     for shutdown in shutdowns {
         let is_late = shutdown
             .ended_at
@@ -165,7 +160,6 @@
             "{after_drain} requests came to servers that had left"
         ));
     }
-    (shutdowns.len() + given_up.len()) as u64
 }
 
 #[cfg(test)]
--- a/crates/proxy/src/host/attempts.rs
+++ b/crates/proxy/src/host/attempts.rs
@@ -4,15 +4,10 @@
 use std::fmt;
 use std::io::Write;
 
-use slog::warn;
-
 use super::admission::has_body;
+use super::throttled_log::warn_throttled;
 use super::*;
 
-/// Shortest interval between two lines that are written at once; those in between are kept in the
-/// log ring only.
-const FAILURE_LOG_INTERVAL: Micros = SECOND;
-
 /// An attempt of a request.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct AttemptRecord {
@@ -226,11 +221,6 @@
         .to_string();
         let (deadline_ms, tries) = ((request.deadline - now) / MS, request.route.tries);
         let shutting_down = self.lifecycle.is_shutting_down();
-        if now >= self.failure_logged_at + FAILURE_LOG_INTERVAL {
-            self.failure_logged_at = now;
-            warn!(self.log, #IMMEDIATE, "request failed before its deadline although a server may be running it"; "request" => &request.id, "attempts" => attempts, "tries" => tries, "deadline_in_ms" => deadline_ms, "rejection" => ?rejection, "shutting_down" => shutting_down);
-        } else {
-            warn!(self.log, "request failed before its deadline although a server may be running it"; "request" => &request.id, "attempts" => attempts, "tries" => tries, "deadline_in_ms" => deadline_ms, "rejection" => ?rejection, "shutting_down" => shutting_down);
-        }
+        warn_throttled!(self.log, self.failure_log, now, "request failed before its deadline although a server may be running it"; "request" => &request.id, "attempts" => attempts, "tries" => tries, "deadline_in_ms" => deadline_ms, "rejection" => ?rejection, "shutting_down" => shutting_down);
     }
 }
--- a/crates/proxy/src/host/close_reasons.rs
+++ b/crates/proxy/src/host/close_reasons.rs
@@ -4,14 +4,10 @@
 use std::fmt;
 
 use dataplane::client_connection::Stage;
-use slog::warn;
 
+use super::throttled_log::warn_throttled;
 use super::*;
 
-/// Shortest interval between two lines that are written at once; those in between are kept in the
-/// log ring only.
-const CLOSE_LOG_INTERVAL: Micros = SECOND;
-
 /// The reason for closing a client's connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum CloseReason {
@@ -79,11 +75,6 @@
         let text =
             format_args!("client connection closed before its response was complete: {reason}")
                 .to_string();
-        if now >= self.close_logged_at + CLOSE_LOG_INTERVAL {
-            self.close_logged_at = now;
-            warn!(self.log, #IMMEDIATE, "{text}"; "request" => request_id, "stage" => ?stage, "ms" => stage_duration_ms, "unread" => unread_bytes, "unwritten" => unwritten_bytes);
-        } else {
-            warn!(self.log, "{text}"; "request" => request_id, "stage" => ?stage, "ms" => stage_duration_ms, "unread" => unread_bytes, "unwritten" => unwritten_bytes);
-        }
+        warn_throttled!(self.log, self.close_log, now, "{text}"; "request" => request_id, "stage" => ?stage, "ms" => stage_duration_ms, "unread" => unread_bytes, "unwritten" => unwritten_bytes);
     }
 }
--- a/crates/proxy/src/host/metrics.rs
+++ b/crates/proxy/src/host/metrics.rs
@@ -13,7 +13,7 @@
     /// Responses that the proxy itself generated, by status.
     pub(super) local_responses: BTreeMap<u16, u64>,
     /// Health checks of servers that have ended, by outcome.
-    pub(super) probes: BTreeMap<String, u64>,
+    pub(super) probes: BTreeMap<&'static str, u64>,
     /// Attempts whose connection the proxy closed before their response.
     pub(super) attempts_cancelled: u64,
     /// Requests that the proxy ended by itself before their deadline although a server may have
@@ -29,6 +29,20 @@
     pub(super) counter_batches_failed: u64,
 }
 
+/// The outcome as part of a metric's name.
+pub(super) fn outcome_name(outcome: Outcome) -> &'static str {
+    match outcome {
+        Outcome::Ok => "ok",
+        Outcome::Error => "error",
+        Outcome::Rejected => "rejected",
+        Outcome::TimedOut => "timed_out",
+        Outcome::ConnectFailed => "connect_failed",
+        Outcome::Reset => "reset",
+        Outcome::Cancelled => "cancelled",
+        Outcome::NotSent => "not_sent",
+    }
+}
+
 impl ProxyMetrics {
     fn write_to(&self, text: &mut MetricsText) {
         for (status, count) in &self.local_responses {
@@ -40,7 +54,7 @@
         }
         for (outcome, count) in &self.probes {
             text.add_counter(
-                &format!("proxy_health_checks_{}_total", outcome.to_lowercase()),
+                &format!("proxy_health_checks_{outcome}_total"),
                 "health checks of servers with this outcome",
                 count,
             );
--- a/crates/proxy/src/host/mod.rs
+++ b/crates/proxy/src/host/mod.rs
@@ -12,6 +12,7 @@
 mod response_streams;
 mod responses;
 mod shutdown;
+mod throttled_log;
 mod uploads;
 mod upstreams;
 
@@ -46,6 +47,7 @@
 use self::metrics::ProxyMetrics;
 use self::response_streams::ResponseStream;
 use self::shutdown::{SHUTDOWN_GRACE_MARGIN, SHUTDOWN_NOTICE_PERIOD};
+use self::throttled_log::LogThrottle;
 use crate::adaptive_timeout::AdaptiveTimeout;
 use crate::config_freshness::ConfigFreshness;
 use crate::config_store::ConfigStore;
@@ -245,10 +247,10 @@
     announced_state: NodeState,
     /// All input that arrived before this time has been read.
     input_read_until: Micros,
-    /// When the closing of a connection before its response was complete was last logged at once.
-    close_logged_at: Micros,
-    /// When a request that the proxy ended while a server may be running it was last logged at once.
-    failure_logged_at: Micros,
+    /// For connections that are closed before their response was complete.
+    close_log: LogThrottle,
+    /// For requests that the proxy ends while a server may be running them.
+    failure_log: LogThrottle,
     metrics_endpoint: MetricsEndpoint,
     metrics: ProxyMetrics,
 }
@@ -346,8 +348,8 @@
             pending_reads: Vec::new(),
             announced_state: NodeState::Unavailable,
             input_read_until: now,
-            close_logged_at: 0,
-            failure_logged_at: 0,
+            close_log: LogThrottle::default(),
+            failure_log: LogThrottle::default(),
             metrics_endpoint: MetricsEndpoint::default(),
             metrics: ProxyMetrics::default(),
             settings,
--- a/crates/proxy/src/host/probes.rs
+++ b/crates/proxy/src/host/probes.rs
@@ -4,6 +4,7 @@
 
 use slog::info;
 
+use super::metrics::outcome_name;
 use super::*;
 
 /// Additional time for the probe of a server in another region: two round trips, for connecting and
@@ -75,12 +76,11 @@
 
     /// Counts the end of a health check, and logs it unless the server is healthy.
     pub(super) fn record_probe_result(&mut self, server: ServerId, outcome: Outcome) {
-        let count = self
+        *self
             .metrics
             .probes
-            .entry(format!("{outcome:?}"))
-            .or_default();
-        *count += 1;
+            .entry(outcome_name(outcome))
+            .or_default() += 1;
         if outcome == Outcome::Ok {
             return;
         }
