Proxy and control: tell when a configuration is partial and what is forwarded meanwhile

A request that is forwarded without its key's tenant left no trace, nor did the time at which a proxy began to admit requests and the time at which its configuration was complete; a replica did not say that it had caught up, or had sent an agent items before.

Change, without a change of logic: the proxy logs requests that it forwards with an unknown key, with what it knew, and counts them and the requests admitted before `Complete`; control logs both events.

Tests of control and proxy: no failure.

--- a/crates/control/src/core/agents.rs
+++ b/crates/control/src/core/agents.rs
@@ -7,6 +7,7 @@
 use protocol::items::{Item, ItemName};
 use protocol::messages::{AgentMessage, ClusterView, ControlMessage, CounterAdd, NodeInfo};
 
+use super::events::Event;
 use super::ids::{ReplicaId, SingletonRole};
 use super::transfer::split_into_chunks;
 use super::{Output, Replica};
@@ -267,6 +268,10 @@
     /// Starts to send an agent the server list and the items that it lacks.
     fn start_sync(&mut self, now: i64, link: u64, out: &mut Vec<Output>) {
         let digests = self.agents.known_digests.remove(&link);
+        if !self.catch_up.is_up_to_date() {
+            let items = self.chosen.len();
+            out.push(Output::Log(Event::PartialTransfer { link, items }));
+        }
         if self.server_list.is_known() {
             out.push(Output::SendToAgents(vec![link], self.servers_message(now)));
         }
--- a/crates/control/src/core/catch_up.rs
+++ b/crates/control/src/core/catch_up.rs
@@ -10,6 +10,7 @@
 use std::collections::BTreeMap;
 
 use super::anti_entropy::DigestExchange;
+use super::events::Event;
 use super::ids::{Incarnation, ReplicaId};
 use super::quorum_read::ReadPurpose;
 use super::replicas::Sender;
@@ -165,6 +166,8 @@
         if epoch == self.catch_up.epoch
             && !std::mem::replace(&mut self.catch_up.is_up_to_date, true)
         {
+            let items = self.chosen.len();
+            out.push(Output::Log(Event::CaughtUp { items }));
             self.announce_complete(out);
         }
     }
--- a/crates/control/src/core/chosen.rs
+++ b/crates/control/src/core/chosen.rs
@@ -86,6 +86,16 @@
             .is_some_and(|known| known.ver >= item.ver)
     }
 
+    /// The number of items, removed ones included.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether no item is known to be chosen.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
     /// All entries, in the order of their names.
     pub fn entries(&self) -> impl Iterator<Item = &(Ballot, Item)> {
         self.entries.values()
@@ -104,7 +114,7 @@
     /// The summary with which agents' summaries are compared.
     pub fn summary(&self) -> ItemSummary {
         ItemSummary {
-            items: self.entries.len() as u32,
+            items: self.len() as u32,
             digest: self.version_digests.combined(),
         }
     }
--- a/crates/control/src/core/events.rs
+++ b/crates/control/src/core/events.rs
@@ -37,6 +37,18 @@
         /// The number of recovered items.
         items: usize,
     },
+    /// A quorum read has shown that this replica knows all items in force.
+    CaughtUp {
+        /// The number of known items, removed ones included.
+        items: usize,
+    },
+    /// An agent is sent the known items before this replica has caught up: items may be missing.
+    PartialTransfer {
+        /// The agent's link.
+        link: u64,
+        /// The number of known items, removed ones included.
+        items: usize,
+    },
     /// The disk rejects writes: this replica makes no new promises, acceptances or lease grants.
     VotingSuspended,
     /// The disk accepts writes again.
@@ -53,6 +65,10 @@
             Event::AbandonedIncarnation => "newer incarnation was never completed, recovering",
             Event::IncarnationReclaimed => "newer incarnation is unreachable, recovering",
             Event::RecoveryCompleted { .. } => "recovery completed",
+            Event::CaughtUp { .. } => "caught up with all items in force",
+            Event::PartialTransfer { .. } => {
+                "items sent to an agent before this replica has caught up"
+            }
             Event::VotingSuspended => "disk rejects writes, voting suspended",
             Event::VotingResumed => "disk accepts writes, voting resumed",
         }
@@ -67,6 +83,8 @@
             | Event::RecoveryCompleted { .. } => true,
             Event::RoleAcquired { .. }
             | Event::AbandonedIncarnation
+            | Event::CaughtUp { .. }
+            | Event::PartialTransfer { .. }
             | Event::VotingSuspended
             | Event::VotingResumed => false,
         }
@@ -97,6 +115,11 @@
                 serializer.emit_u32("incarnation", incarnation.number)?;
                 serializer.emit_usize("items", *items)
             }
+            Event::CaughtUp { items } => serializer.emit_usize("items", *items),
+            Event::PartialTransfer { link, items } => {
+                serializer.emit_u64("link", *link)?;
+                serializer.emit_usize("items", *items)
+            }
             Event::Superseded
             | Event::AbandonedIncarnation
             | Event::IncarnationReclaimed
--- a/crates/proxy/src/config_store.rs
+++ b/crates/proxy/src/config_store.rs
@@ -168,6 +168,11 @@
         self.items.len()
     }
 
+    /// The number of tenants in force.
+    pub fn tenant_count(&self) -> usize {
+        self.tenants.len()
+    }
+
     /// Whether there is any route.
     pub fn has_routes(&self) -> bool {
         !self.routes.is_empty()
--- a/crates/proxy/src/host/admission.rs
+++ b/crates/proxy/src/host/admission.rs
@@ -4,6 +4,7 @@
 
 use super::clients::RESPONSE_MARGIN;
 use super::responses::{DEFAULT_RETRY_AFTER, LocalResponse, local_response, retry_later};
+use super::throttled_log::warn_throttled;
 use super::*;
 use crate::response_class::is_hop_by_hop_field;
 use crate::router::RoutingRequest;
@@ -103,6 +104,12 @@
         if tenant.is_none() && !route.public && self.config_store.requires_api_keys() {
             return Err(self.unknown_route_or_key_response(now, 401, "no such key"));
         }
+        self.record_admission(
+            now,
+            &request_id,
+            &route,
+            tenant.is_none() && api_key(&head.headers).is_some(),
+        );
         let allowed_time = allowed_time(&head.headers, &route);
         let extra_time = streamed.as_ref().map_or(0, |body| body.extra_time);
         let service = choose_service(&route).ok_or(retry_later(
@@ -167,6 +174,22 @@
         Err(retry_later(503, startup_retry_after(), reason))
     }
 
+    /// Counts a request that is admitted, and logs it if its API key is unknown: its server does not learn the tenant.
+    fn record_admission(
+        &mut self,
+        now: Micros,
+        request_id: &str,
+        route: &Route,
+        has_unknown_key: bool,
+    ) {
+        self.metrics.admitted_before_complete += u64::from(!self.has_complete_state);
+        if !has_unknown_key {
+            return;
+        }
+        self.metrics.unknown_keys_forwarded += 1;
+        warn_throttled!(self.log, self.unknown_key_log, now, "request with an unknown API key is forwarded"; "request" => request_id, "prefix" => &route.prefix, "public" => route.public, "items" => self.config_store.item_count(), "tenants" => self.config_store.tenant_count(), "complete" => self.has_complete_state, "current" => self.config_freshness.is_current(now));
+    }
+
     /// The response if the configuration has no such route or key: final, unless this proxy may lack a change.
     fn unknown_route_or_key_response(
         &self,
--- a/crates/proxy/src/host/agent_link.rs
+++ b/crates/proxy/src/host/agent_link.rs
@@ -121,10 +121,14 @@
                 self.router.set_counter_term(counter.map(|(_, term)| term));
             }
             ControlMessage::Items(items) => {
+                let had_items = self.config_store.item_count() > 0;
                 let (change, errors) = self.config_store.apply(items);
                 for error in errors {
                     warn!(self.log, #IMMEDIATE, "configuration item rejected: {error}"; "step" => "reading items", "peer" => "agent");
                 }
+                if !had_items {
+                    self.log_configuration("first configuration items received");
+                }
                 self.handle_config_change(now, change);
             }
             ControlMessage::Servers { version, servers } => {
@@ -132,7 +136,11 @@
                     self.update_servers(now);
                 }
             }
-            ControlMessage::Complete => self.has_complete_state = true,
+            ControlMessage::Complete => {
+                if !std::mem::replace(&mut self.has_complete_state, true) {
+                    self.log_configuration("configuration complete");
+                }
+            }
             ControlMessage::Confirmed { age_us } => {
                 // The clock may have jumped since this iteration began.
                 let confirmed_at = self.clock.now() - age_us;
@@ -162,6 +170,10 @@
         }
     }
 
+    fn log_configuration(&self, message: &'static str) {
+        info!(self.log, "{message}"; "items" => self.config_store.item_count(), "tenants" => self.config_store.tenant_count());
+    }
+
     fn handle_config_change(&mut self, now: Micros, change: ConfigChange) {
         if let Some(limits) = self
             .config_store
--- a/crates/proxy/src/host/metrics.rs
+++ b/crates/proxy/src/host/metrics.rs
@@ -19,6 +19,10 @@
     /// Requests that the proxy ended by itself before their deadline although a server may have
     /// been running them.
     pub(super) running_requests_failed: u64,
+    /// Requests forwarded although their API key belongs to no known tenant.
+    pub(super) unknown_keys_forwarded: u64,
+    /// Requests admitted before the agent had sent its complete state.
+    pub(super) admitted_before_complete: u64,
     /// Batches of additions to the shared counter.
     pub(super) counter_batches: u64,
     /// Batches whose totals did not arrive in time.
@@ -69,6 +73,16 @@
             "requests ended by the proxy before their deadline although a server may have been running them",
             self.running_requests_failed,
         );
+        text.add_counter(
+            "proxy_unknown_keys_forwarded_total",
+            "requests forwarded although their API key belongs to no known tenant",
+            self.unknown_keys_forwarded,
+        );
+        text.add_counter(
+            "proxy_admitted_before_complete_total",
+            "requests admitted before the configuration was complete",
+            self.admitted_before_complete,
+        );
         text.add_counter(
             "proxy_counter_batches_total",
             "batches of additions to the shared counter",
@@ -125,6 +139,16 @@
             "items in force, removed ones included",
             self.config_store.item_count(),
         );
+        text.add_gauge(
+            "proxy_config_tenants",
+            "tenants in force",
+            self.config_store.tenant_count(),
+        );
+        text.add_gauge(
+            "proxy_config_complete",
+            "1 once the agent has sent its complete state",
+            u8::from(self.has_complete_state),
+        );
         text.add_gauge(
             "proxy_quota_shares_binding",
             "1 while quotas are enforced by local shares",
--- a/crates/proxy/src/host/mod.rs
+++ b/crates/proxy/src/host/mod.rs
@@ -251,6 +251,8 @@
     close_log: LogThrottle,
     /// For requests that the proxy ends while a server may be running them.
     failure_log: LogThrottle,
+    /// For requests that are forwarded although their API key is unknown.
+    unknown_key_log: LogThrottle,
     metrics_endpoint: MetricsEndpoint,
     metrics: ProxyMetrics,
 }
@@ -350,6 +352,7 @@
             input_read_until: now,
             close_log: LogThrottle::default(),
             failure_log: LogThrottle::default(),
+            unknown_key_log: LogThrottle::default(),
             metrics_endpoint: MetricsEndpoint::default(),
             metrics: ProxyMetrics::default(),
             settings,
