--- /dev/null
+++ b/crates/proxy/tests/partial_configuration.rs
@@ -0,0 +1,115 @@
+//! What a proxy does with a part of the configuration: no request is forwarded by what the part lacks.
+
+mod common;
+
+use common::{ProxyHarness, START, item, request_text, route};
+use protocol::items::{Item, ItemKind};
+use protocol::messages::{ClusterView, ControlMessage};
+
+const KEY: &str = "Authorization: Bearer k\r\n";
+/// Longer than a confirmation is valid.
+const SILENCE_MS: i64 = 10_000;
+
+fn service() -> Item {
+    item(ItemKind::Service, "s", 1, r#"{"hcheck":"/healthz"}"#)
+}
+
+fn tenant() -> Item {
+    item(
+        ItemKind::Tenant,
+        "t",
+        1,
+        r#"{"apikeys":["k"],"prio":1,"per_s":0,"burst":0,"pins":[]}"#,
+    )
+}
+
+/// A proxy that is connected to an agent which has sent these items and the servers, and has not said that they are all.
+fn harness_with_part(items: Vec<Item>) -> ProxyHarness {
+    let mut harness = ProxyHarness::without_state(START, &["a"], "");
+    harness.send_control(ControlMessage::ClusterView(ClusterView {
+        limiter_count: 1,
+        zone_limiter_count: 1,
+        has_quorum: true,
+        ..ClusterView::default()
+    }));
+    harness.send_control(ControlMessage::Items(items));
+    harness.send_server_list();
+    harness
+}
+
+/// Sends a GET request; returns the status of the response that the proxy itself generates, and checks that no server received the
+/// request.
+fn refusal_status(harness: &mut ProxyHarness, path: &str, extra_headers: &str) -> u16 {
+    let before = harness.request_count();
+    let client = harness.send_from_new_client(request_text(
+        &format!("GET {path}"),
+        "r1",
+        extra_headers,
+        "",
+    ));
+    harness.settle();
+    assert_eq!(
+        harness.request_count(),
+        before,
+        "GET {path} was forwarded: {:?}",
+        harness.take_request().map(|attempt| attempt.request)
+    );
+    harness.next_response(client).status
+}
+
+/// Sends a GET request that is forwarded; returns the tenant that the server was told.
+fn forwarded_tenant(harness: &mut ProxyHarness, path: &str, extra_headers: &str) -> Option<String> {
+    let client = harness.send_from_new_client(request_text(
+        &format!("GET {path}"),
+        "r2",
+        extra_headers,
+        "",
+    ));
+    let attempt = harness.next_request();
+    let tenant = attempt.request.headers.get("X-Tenant").map(str::to_string);
+    harness.respond_ok(&attempt);
+    assert_eq!(harness.next_response(client).status, 200);
+    tenant
+}
+
+/// Guards against UNASKED (issue 52): a proxy that had routes and no tenants yet forwarded a request without its key's tenant.
+#[test]
+fn keyed_request_is_not_forwarded_before_the_tenants_have_arrived() {
+    let mut harness = harness_with_part(vec![route("/k/", 1, "idem", ""), service()]);
+    assert_eq!(refusal_status(&mut harness, "/k/1", KEY), 503);
+    harness.send_control(ControlMessage::Items(vec![tenant()]));
+    harness.confirm_complete_state();
+    let tenant = forwarded_tenant(&mut harness, "/k/1", KEY);
+    assert_eq!(tenant.as_deref(), Some("t"));
+}
+
+/// Guards against UNASKED (issue 52): the first half of an order after an empty configuration, which was complete.
+#[test]
+fn keyed_request_is_not_forwarded_after_the_half_of_the_first_order_that_has_no_tenants() {
+    let mut harness = harness_with_part(Vec::new());
+    harness.confirm_complete_state();
+    harness.send_control(ControlMessage::Items(vec![
+        route("/k/", 1, "idem", ""),
+        service(),
+    ]));
+    harness.settle();
+    assert_eq!(refusal_status(&mut harness, "/k/1", KEY), 503);
+    harness.send_control(ControlMessage::Items(vec![tenant()]));
+    harness.settle();
+    let tenant = forwarded_tenant(&mut harness, "/k/1", KEY);
+    assert_eq!(tenant.as_deref(), Some("t"));
+}
+
+/// Guards against UNASKED (issue 52): an old configuration can't tell whose key a new one is, on a public route either.
+#[test]
+fn request_with_an_unknown_key_on_a_public_route_is_not_forwarded_by_an_old_configuration() {
+    let public = route("/p/", 1, "idem", r#","public":true"#);
+    let mut harness = harness_with_part(vec![public, service(), tenant()]);
+    harness.confirm_complete_state();
+    harness.advance_ms(SILENCE_MS);
+    let other_key = "Authorization: Bearer other\r\n";
+    assert_eq!(refusal_status(&mut harness, "/p/1", other_key), 503);
+    assert_eq!(forwarded_tenant(&mut harness, "/p/1", ""), None);
+    let tenant = forwarded_tenant(&mut harness, "/p/1", KEY);
+    assert_eq!(tenant.as_deref(), Some("t"));
+}
