Soak: losses of power and disks, and a check of the tenant that servers are told

Change: `streamarch-load soak disks` lets disks of control programs reject writes, kills all or many programs at once, starts some of them without their disks, pauses others meanwhile, and restarts edges by kill, SIGTERM and SIGHUP, under orders in quick succession and a configuration larger than one message. In every soak each request that reaches a server has to name a tenant. The logs of a run that violates something are kept. Test and soak share the programs that ignore SIGXFSZ.

--- a/crates/control/tests/system.rs
+++ b/crates/control/tests/system.rs
@@ -5,7 +5,9 @@
 use std::time::{Duration, Instant};
 
 use emulator::system::client::{Connection, call};
-use emulator::system::machines::{Role, built_programs_folder, unused_net};
+use emulator::system::machines::{
+    Role, built_programs_folder, programs_ignoring_file_size_signal, unused_net,
+};
 use emulator::system::operator::Change;
 use emulator::system::test_system::{HOST, READ_PREFIX, SERVICES, Size, TestSystem, route};
 use emulator::system::wait_for;
@@ -168,25 +170,10 @@
     assert_eq!(system.machines.stop(), Vec::<String>::new());
 }
 
-/// The built programs, each started with SIGXFSZ ignored: otherwise a write beyond the file size
-/// limit ends the process instead of failing.
+/// The built programs, which fail to write beyond the file size limit instead of ending.
 fn programs_ignoring_sigxfsz(folder: &TempDir) -> std::path::PathBuf {
-    let (programs, built) = (
-        folder.path().join("programs"),
-        built_programs_folder(Path::new(PROGRAM), env!("CARGO")),
-    );
-    std::fs::create_dir(&programs).unwrap();
-    for role in [Role::Control, Role::Agent, Role::Proxy] {
-        let (path, program) = (programs.join(role.program()), built.join(role.program()));
-        let text = format!(
-            "#!/bin/sh\ntrap '' XFSZ\nexec '{}' \"$@\"\n",
-            program.display()
-        );
-        std::fs::write(&path, text).unwrap();
-        std::fs::set_permissions(&path, std::os::unix::fs::PermissionsExt::from_mode(0o755))
-            .unwrap();
-    }
-    programs
+    let built = built_programs_folder(Path::new(PROGRAM), env!("CARGO"));
+    programs_ignoring_file_size_signal(folder.path(), &built).unwrap()
 }
 
 #[test]
@@ -223,13 +210,7 @@
     };
     assert_eq!(patch(1, SERVICES[0]).status, 200);
     // The write-ahead log can't grow any more, and all writes are appended to it.
-    let wal_bytes = std::fs::metadata(folder.path().join("disk-0/headworks.db-wal"))
-        .unwrap()
-        .len();
-    system
-        .machines
-        .limit_file_size(Role::Control, 0, Some(wal_bytes))
-        .unwrap();
+    system.machines.fail_disk(0, true).unwrap();
     let rejected = wait_for(deadline(), || {
         Some(patch(2, SERVICES[1])).filter(|reply| reply.status == 503)
     });
@@ -253,10 +234,7 @@
         .then_some(())
     };
     assert!(wait_for(deadline(), is_read_back).is_some());
-    system
-        .machines
-        .limit_file_size(Role::Control, 0, None)
-        .unwrap();
+    system.machines.fail_disk(0, false).unwrap();
     assert_logs(&system, "INFO disk accepts writes again");
     assert_eq!(patch(4, SERVICES[0]).status, 200);
     assert_eq!(system.machines.stop(), Vec::<String>::new());
--- a/crates/emulator/src/system/machines.rs
+++ b/crates/emulator/src/system/machines.rs
@@ -5,6 +5,7 @@
 use std::fs::File;
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
+use std::os::unix::fs::PermissionsExt;
 use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
@@ -179,7 +180,7 @@
             Role::Proxy => [("http", at(HTTP_PORT)), ("readyz", at(READYZ_PORT))].into(),
             Role::Agent => BTreeMap::new(),
         };
-        let folder = self.plan.folder.join(format!("disk-{number}"));
+        let folder = self.disk_folder(number);
         if core {
             std::fs::create_dir_all(&folder)?;
         }
@@ -301,6 +302,35 @@
         Ok(())
     }
 
+    /// Makes the disk of a core machine reject whatever its control program appends, or accept writes again. The programs must be
+    /// [`programs_ignoring_file_size_signal`].
+    ///
+    /// # Errors
+    /// The program is not running, or the operating system refuses.
+    pub fn fail_disk(&self, number: usize, fails: bool) -> io::Result<()> {
+        let most = if fails {
+            let wal = self.disk_folder(number).join("headworks.db-wal");
+            Some(std::fs::metadata(wal)?.len())
+        } else {
+            None
+        };
+        self.limit_file_size(Role::Control, number, most)
+    }
+
+    /// Kills a control program, and removes its disk. Its settings say that it does not start the system anew.
+    ///
+    /// # Errors
+    /// The folder can't be removed or written.
+    pub fn lose_disk(&mut self, number: usize) -> io::Result<()> {
+        self.kill(Role::Control, number);
+        std::fs::remove_dir_all(self.disk_folder(number))?;
+        self.write_settings(Role::Control, number, false)
+    }
+
+    fn disk_folder(&self, number: usize) -> PathBuf {
+        self.plan.folder.join(format!("disk-{number}"))
+    }
+
     /// Lets a program open no further descriptors, so that it neither accepts nor opens connections, or restores the
     /// limit. Open connections stay; a program that is also paused loses them, and is then isolated while it runs.
     ///
@@ -501,3 +531,23 @@
     }
     folder
 }
+
+/// Programs in a new folder that start the built ones with SIGXFSZ ignored: otherwise a write beyond the file size limit ends the
+/// process instead of failing.
+///
+/// # Errors
+/// The folder can't be created or written.
+pub fn programs_ignoring_file_size_signal(folder: &Path, built: &Path) -> io::Result<PathBuf> {
+    let programs = folder.join("programs");
+    std::fs::create_dir(&programs)?;
+    for role in [Role::Control, Role::Agent, Role::Proxy] {
+        let (path, program) = (programs.join(role.program()), built.join(role.program()));
+        let text = format!(
+            "#!/bin/sh\ntrap '' XFSZ\nexec '{}' \"$@\"\n",
+            program.display()
+        );
+        std::fs::write(&path, text)?;
+        std::fs::set_permissions(&path, std::fs::Permissions::from_mode(0o755))?;
+    }
+    Ok(programs)
+}
--- a/crates/emulator/src/system/server.rs
+++ b/crates/emulator/src/system/server.rs
@@ -124,6 +124,8 @@
     pub misdirected: u64,
     /// Requests that carried a client's key.
     pub with_client_key: u64,
+    /// Requests that named no tenant.
+    pub without_tenant: u64,
     /// Requests that arrived too long after the list showed the server as draining.
     pub after_drain: u64,
     /// Answers with an injected fault.
@@ -264,6 +266,7 @@
         if !health {
             run_counts.counts.arrived += 1;
             run_counts.counts.with_client_key += u64::from(request.has_key);
+            run_counts.counts.without_tenant += u64::from(request.tenant.is_empty());
         }
         if request
             .wanted_instance
--- a/crates/load/src/cli/mod.rs
+++ b/crates/load/src/cli/mod.rs
@@ -36,6 +36,7 @@
   system                             the whole system: control programs, agents and proxies on 127.0.1.x and 127.0.2.x,
                                      a small world around them, and what must hold
   soak                               the same under kills, pauses and lost answers that overlap, for many seeds, with checks all the time
+  soak disks                         the same under losses of power and disks, and disks that reject writes
   soak shutdowns                     the same under planned work alone: SIGTERM, SIGHUP, changes and releases in series, while servers are slow
   run SCENARIO                       a scenario, against limiters in an emulated world or against --target
   compare DIR DIR...                 reports side by side; the first is what the others are measured against
@@ -119,6 +120,7 @@
         }
         ["system"] => system(options),
         ["soak"] => soak(options, soak::Trouble::Faults),
+        ["soak", "disks"] => soak(options, soak::Trouble::LostDisks),
         ["soak", "shutdowns"] => soak(options, soak::Trouble::Shutdowns),
         ["run", path] => play(options, seconds(scenario(Path::new(path))?, options)?).map(drop),
         ["compare", folders @ ..] if folders.len() >= 2 => compare(options, folders),
--- a/crates/load/src/soak/faults.rs
+++ b/crates/load/src/soak/faults.rs
@@ -39,6 +39,12 @@
     RunCutOff,
     /// The end of a cut.
     Heal,
+    /// The disk of a control program rejects writes.
+    FailDisk,
+    /// The end of that.
+    MendDisk,
+    /// A control program is killed, and its disk is lost.
+    LoseDisk,
     /// SIGHUP.
     Reload,
     /// The end of a kill or of a graceful shutdown.
@@ -187,6 +193,12 @@
                 machines.terminate(role, machine);
             }
             Action::Pause => machines.pause(role, machine),
+            // One that does not run has no disk to fail.
+            Action::FailDisk => _ = machines.fail_disk(machine, true),
+            Action::MendDisk => _ = machines.fail_disk(machine, false),
+            Action::LoseDisk => machines
+                .lose_disk(machine)
+                .map_err(|error| format!("the disk of {machine}: {error}"))?,
             Action::Resume | Action::RunCutOff => machines.resume(role, machine),
             // One that has been killed meanwhile is not there to be cut off or healed.
             Action::Cut => {
--- a/crates/load/src/soak/mod.rs
+++ b/crates/load/src/soak/mod.rs
@@ -5,6 +5,7 @@
 //! | --- | --- |
 //! | a read of the configuration holds everything that was acknowledged before it was sent | always |
 //! | a route that was acknowledged longer than `apply` ago is not refused with 404 | always, at every edge |
+//! | a server that receives a request is told the tenant of its key | always, by every edge |
 //! | a request runs by a version that may be in force | at edges in contact: without any fault for 5 s |
 //! | every route is served by its newest version | within 9 s of the end of orders, which go on for 8 s after the last fault, at every edge |
 //! | nothing runs twice, nothing refused runs, every success is the server's own | always |
@@ -14,6 +15,7 @@
 
 mod faults;
 mod ledger;
+mod lost_disks;
 mod releases;
 mod shutdowns;
 
@@ -25,7 +27,7 @@
 use std::time::{Duration, Instant};
 
 use emulator::system::client::{Connection, Failure, Reply, call};
-use emulator::system::machines::{unused_net, zones};
+use emulator::system::machines::{programs_ignoring_file_size_signal, unused_net, zones};
 use emulator::system::operator::{Change, Operator};
 use emulator::system::test_system::{
     READ_PREFIX, SERVICES, Size, TestSystem, WRITE_PREFIX, request_headers, route,
@@ -56,6 +58,8 @@
 const RATE: f64 = 60.0;
 /// Between two checks of one thread.
 const CHECK_INTERVAL: Duration = Duration::from_millis(40);
+/// The same where edges are looked at while they start.
+const SHORT_CHECK_INTERVAL: Duration = Duration::from_millis(8);
 /// Routes of each operator: so many that a version mostly lasts longer than `APPLY`, or anything would be allowed.
 const ROUTES: usize = 40;
 /// The share of requests that take longer than the target of their route, where all work is planned.
@@ -75,6 +79,8 @@
 pub enum Trouble {
     /// Kills, pauses, cuts and shutdowns that overlap.
     Faults,
+    /// Losses of power and disks, and disks that reject writes, with a configuration that no message holds whole.
+    LostDisks,
     /// Planned work alone, in series that overlap: shutdowns, reloads and releases of servers, while servers are slow.
     Shutdowns,
 }
@@ -107,6 +113,8 @@
     pub checks: Vec<(&'static str, u64)>,
     /// What did not hold.
     pub violations: Vec<String>,
+    /// The logs and settings of the programs, kept if something did not hold.
+    pub logs: Option<PathBuf>,
 }
 
 impl Report {
@@ -128,6 +136,8 @@
                 .iter()
                 .map(|line| format!("  VIOLATED: {line}")),
         );
+        let logs = self.logs.iter();
+        lines.extend(logs.map(|folder| format!("  logs: {}", folder.display())));
         lines.join("\n")
     }
 }
@@ -180,13 +190,19 @@
         net: unused_net(),
     };
     let until = Instant::now() + READY;
-    let mut whole = TestSystem::start(folder.path(), &plan.programs, size, until)?;
+    let programs = match plan.trouble {
+        Trouble::LostDisks => programs_ignoring_file_size_signal(folder.path(), &plan.programs)
+            .map_err(|error| format!("the programs: {error}"))?,
+        Trouble::Faults | Trouble::Shutdowns => plan.programs.clone(),
+    };
+    let mut whole = TestSystem::start(folder.path(), &programs, size, until)?;
     let (cores, edges) = (whole.machines.cores(), whole.machines.edges());
     let ctl: Vec<SocketAddr> = (0..cores).map(|core| whole.machines.ctl(core)).collect();
     let http: Vec<SocketAddr> = (0..edges).map(|edge| whole.machines.http(edge)).collect();
     let length = Duration::from_secs_f64(plan.seconds);
     let steps = match plan.trouble {
         Trouble::Faults => faults::draw(plan.seed, length, cores, edges),
+        Trouble::LostDisks => lost_disks::draw(plan.seed, length, cores, edges),
         Trouble::Shutdowns => shutdowns::draw(plan.seed, length, cores, edges),
     };
     let is_planned = plan.trouble == Trouble::Shutdowns;
@@ -204,9 +220,15 @@
         runs: AtomicU64::new(0),
         violations: Mutex::new(Vec::new()),
     };
-    if is_planned {
-        shutdowns::limit_tries(&mut whole.operator, plan.seed, until)?;
+    match plan.trouble {
+        Trouble::Faults => {}
+        Trouble::LostDisks => lost_disks::enlarge_configuration(&mut whole.operator, until)?,
+        Trouble::Shutdowns => shutdowns::limit_tries(&mut whole.operator, plan.seed, until)?,
     }
+    let check_interval = match plan.trouble {
+        Trouble::LostDisks => SHORT_CHECK_INTERVAL,
+        Trouble::Faults | Trouble::Shutdowns => CHECK_INTERVAL,
+    };
     let clients = clients(plan, &whole, length + CONTACT + CALM);
     let mut shutdowns = Vec::new();
     let (tries, wrong) = std::thread::scope(|scope| {
@@ -219,7 +241,7 @@
             .collect();
         for (edge, address) in http.iter().enumerate() {
             let (shared, seed) = (&shared, plan.seed * 1_000 + edge as u64);
-            scope.spawn(move || watch_edge(shared, *address, seed));
+            scope.spawn(move || watch_edge(shared, *address, seed, check_interval));
         }
         scope.spawn(|| watch_configuration(&shared, &ctl, plan.seed));
         if is_planned {
@@ -254,6 +276,12 @@
         shared.violate(format!("an answer that is not the server's: {what}"));
     }
     let counts = whole.fleet.counts();
+    if counts.without_tenant > 0 {
+        shared.violate(format!(
+            "{} requests reached a server without the tenant of their key",
+            counts.without_tenant
+        ));
+    }
     if counts.repeated_mutating > 0 {
         shared.violate(format!("{} requests ran twice", counts.repeated_mutating));
     }
@@ -276,6 +304,7 @@
         ("refusals", shared.refusals.into_inner()),
         ("runs", shared.runs.into_inner()),
         ("invariants", own_checks),
+        ("tenants", counts.arrived),
     ];
     if is_planned {
         let requests = tries.iter().filter(|ended| ended.sent.is_some());
@@ -285,6 +314,11 @@
         ]);
     }
     report.violations = shared.violations.into_inner().unwrap_or_default();
+    if !report.violations.is_empty() {
+        // What the programs still hold back of their logs is written when they end.
+        whole.machines.stop();
+        report.logs = Some(folder.keep());
+    }
     Ok(report)
 }
 
@@ -370,11 +404,11 @@
 }
 
 /// Sends requests on the operators' routes to one edge, on a connection that is kept until it is gone.
-fn watch_edge(shared: &Shared, edge: SocketAddr, seed: u64) {
+fn watch_edge(shared: &Shared, edge: SocketAddr, seed: u64, interval: Duration) {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let (mut connection, mut number) = (None, 0_u64);
     while !shared.is_over() {
-        std::thread::sleep(CHECK_INTERVAL);
+        std::thread::sleep(interval);
         let Some(route) = shared.ledger.routes().choose(&mut rng).cloned() else {
             continue;
         };
