--- a/crates/agent/src/config_cache.rs
+++ b/crates/agent/src/config_cache.rs
@@ -3,7 +3,7 @@
 use overload::admission_controller::AdmissionLevel;
 use protocol::digests::Digests;
 use protocol::items::{Item, Items};
-use protocol::messages::{AgentMessage, ClusterView, ControlMessage};
+use protocol::messages::{AgentMessage, ClusterView, Completeness, ControlMessage};
 use protocol::metrics::MetricsText;
 use protocol::platform::Server;
 
@@ -38,8 +38,7 @@
     has_quorum: bool,
     /// Whether this limiter is isolated, and the proxy was notified of it.
     is_isolated: bool,
-    /// Whether the initial transfer has been completed once.
-    is_complete: bool,
+    completeness: Completeness,
     /// The cache contains everything that was in force at this time.
     confirmed_at: Option<i64>,
     /// The limiters' clock when it was received, and the time of the receipt on the local clock.
@@ -108,10 +107,8 @@
                 });
                 Some(ControlMessage::Servers { version, servers })
             }
-            ControlMessage::Complete => {
-                let is_first = !std::mem::replace(&mut self.is_complete, true);
-                is_first.then_some(ControlMessage::Complete)
-            }
+            ControlMessage::SnapshotComplete => self.raise_completeness(Completeness::Snapshot),
+            ControlMessage::Complete => self.raise_completeness(Completeness::Complete),
             ControlMessage::Clock(time) => {
                 // The clock that is furthest ahead wins.
                 let is_ahead = self.limiter_clock(now).is_none_or(|cached| cached < time);
@@ -132,6 +129,10 @@
         }
     }
 
+    fn raise_completeness(&mut self, to: Completeness) -> Option<ControlMessage> {
+        self.completeness.raise(to).then(|| to.message()).flatten()
+    }
+
     /// Records that the cache contains everything that was in force at this time.
     pub fn confirm_current_at(&mut self, confirmed_at: i64) {
         self.confirmed_at = self.confirmed_at.max(Some(confirmed_at));
@@ -215,7 +216,7 @@
                 servers: list.servers.iter().map(with_remaining_warm_up).collect(),
             }
         });
-        let complete = self.is_complete.then_some(ControlMessage::Complete);
+        let complete = self.completeness.message();
         let levels =
             self.levels
                 .iter()
--- a/crates/agent/src/host/mod.rs
+++ b/crates/agent/src/host/mod.rs
@@ -428,7 +428,9 @@
                 self.forward(now, message);
                 self.handle_clock_answer(now, from);
             }
-            ControlMessage::Servers { .. } => self.forward(now, message),
+            ControlMessage::Servers { .. } | ControlMessage::SnapshotComplete => {
+                self.forward(now, message)
+            }
             ControlMessage::Complete => {
                 self.forward(now, message);
                 self.handle_complete(now, from);
--- a/crates/agent/tests/restarts.rs
+++ b/crates/agent/tests/restarts.rs
@@ -41,6 +41,27 @@
     bench.expect_at_proxy(&[items(&[4])]);
 }
 
+#[test]
+fn proxy_is_told_of_a_snapshot_at_once_and_after_a_restart_until_it_is_complete() {
+    let mut bench = Bench::new();
+    bench.connect_proxy();
+    let snapshot = [
+        cluster_view(None),
+        items(&[3]),
+        ControlMessage::SnapshotComplete,
+    ];
+    bench.send_from_replica(&snapshot);
+    let expected = [&[items(&[])], &snapshot[..]].concat();
+    bench.expect_at_proxy(&expected);
+    bench.connect_proxy();
+    bench.expect_at_proxy(&snapshot);
+    // What was complete stays so.
+    bench.send_from_replica(&[ControlMessage::Complete, ControlMessage::SnapshotComplete]);
+    bench.expect_at_proxy(&[ControlMessage::Complete]);
+    bench.connect_proxy();
+    bench.expect_at_proxy(&[cluster_view(None), items(&[3]), ControlMessage::Complete]);
+}
+
 #[test]
 fn agent_registers_and_forwards_only_once_a_proxy_is_connected() {
     let mut bench = Bench::new();
--- a/crates/control/src/core/agents.rs
+++ b/crates/control/src/core/agents.rs
@@ -5,7 +5,9 @@
 use std::net::SocketAddr;
 
 use protocol::items::{Item, ItemName};
-use protocol::messages::{AgentMessage, ClusterView, ControlMessage, CounterAdd, NodeInfo};
+use protocol::messages::{
+    AgentMessage, ClusterView, Completeness, ControlMessage, CounterAdd, NodeInfo,
+};
 
 use super::events::Event;
 use super::ids::{ReplicaId, SingletonRole};
@@ -268,7 +270,7 @@
     /// Starts to send an agent the server list and the items that it lacks.
     fn start_sync(&mut self, now: i64, link: u64, out: &mut Vec<Output>) {
         let digests = self.agents.known_digests.remove(&link);
-        if !self.catch_up.is_up_to_date() {
+        if !self.catch_up.has_been_up_to_date() {
             let items = self.chosen.len();
             out.push(Output::Log(Event::PartialTransfer { link, items }));
         }
@@ -328,9 +330,19 @@
         }
         if !has_more {
             self.agents.pending_syncs.remove(&link);
-            if self.catch_up.is_up_to_date() && self.table.has_quorum_contact(now) {
-                out.push(Output::SendToAgents(vec![link], ControlMessage::Complete));
-            }
+            let message = self.completeness(now).message();
+            out.extend(message.map(|message| Output::SendToAgents(vec![link], message)));
+        }
+    }
+
+    /// How much of the configuration this replica knows.
+    fn completeness(&self, now: i64) -> Completeness {
+        if self.catch_up.is_up_to_date() && self.table.has_quorum_contact(now) {
+            Completeness::Complete
+        } else if self.catch_up.has_been_up_to_date() {
+            Completeness::Snapshot
+        } else {
+            Completeness::Partial
         }
     }
 
--- a/crates/control/src/core/catch_up.rs
+++ b/crates/control/src/core/catch_up.rs
@@ -27,6 +27,8 @@
     /// each.
     matched_replicas: u128,
     is_up_to_date: bool,
+    /// Whether this has been so at any time since the start.
+    has_been_up_to_date: bool,
     /// The read begins at this time at the latest, even if digests still differ.
     read_due_at: Option<i64>,
     /// Counts the resets: a read that began before the last one does not make this replica up to date.
@@ -44,6 +46,7 @@
         CatchUp {
             matched_replicas: 0,
             is_up_to_date: false,
+            has_been_up_to_date: false,
             read_due_at: None,
             epoch: 0,
             digest_mismatches: BTreeMap::new(),
@@ -60,6 +63,12 @@
         self.is_up_to_date
     }
 
+    /// Whether all items that were chosen at some earlier time are known here. Before that, the known ones may be any part: a
+    /// replica that lost its disk learns the items of new proposals before the older ones.
+    pub(super) fn has_been_up_to_date(&self) -> bool {
+        self.has_been_up_to_date
+    }
+
     /// Earliest time of the next request for another replica's chosen items.
     pub(super) fn next_request_at(&self) -> i64 {
         self.next_request_at
@@ -166,6 +175,7 @@
         if epoch == self.catch_up.epoch
             && !std::mem::replace(&mut self.catch_up.is_up_to_date, true)
         {
+            self.catch_up.has_been_up_to_date = true;
             let items = self.chosen.len();
             out.push(Output::Log(Event::CaughtUp { items }));
             self.announce_complete(out);
--- a/crates/control/src/core/events.rs
+++ b/crates/control/src/core/events.rs
@@ -42,7 +42,7 @@
         /// The number of known items, removed ones included.
         items: usize,
     },
-    /// An agent is sent the known items before this replica has caught up: items may be missing.
+    /// An agent is sent the known items before this replica has caught up for the first time: any item may be missing.
     PartialTransfer {
         /// The agent's link.
         link: u64,
--- a/crates/control/tests/distribution.rs
+++ b/crates/control/tests/distribution.rs
@@ -6,7 +6,7 @@
 use control::core::ids::Incarnation;
 use control::core::{Input, Output, RecoveredState, Replica, ReplicaConfig, ReplicaMetadata};
 use control::operator_api::Reply;
-use protocol::messages::{AgentMessage, ControlMessage, CounterAdd, NodeState};
+use protocol::messages::{AgentMessage, Completeness, ControlMessage, CounterAdd, NodeState};
 use simulation::cluster::{Cluster, MS, SECOND, service};
 
 use common::{ALL, edge, started};
@@ -50,6 +50,45 @@
     assert_eq!(received(&cluster), ["0 items", "1 items", "Complete"]);
 }
 
+/// What the agent on this link was sent of the configuration: its completeness, in the order of the messages.
+fn completeness_sent_to(cluster: &Cluster, replica: usize, agent: u64) -> Vec<Completeness> {
+    let sent = cluster.nodes[replica].told.iter();
+    let sent = sent.filter(|(link, _)| *link == agent);
+    sent.filter_map(|(_, message)| message.completeness())
+        .collect()
+}
+
+/// Guards against edges that serve by a part of the configuration (issue 52), and against edges that serve nothing while control has no
+/// quorum.
+#[test]
+fn replica_without_a_quorum_sends_a_snapshot_only_if_it_was_up_to_date_since_its_start() {
+    let mut cluster = started(14);
+    assert_eq!(cluster.ask(0, service("s", 7, 1)), Some(Reply::Done));
+    cluster.run(SECOND);
+    (1..6).for_each(|replica| cluster.kill(replica));
+    cluster.run(3 * SECOND);
+    let hello = |name: &str| Input::AgentMessage(1, AgentMessage::Hello(edge(name, "a")));
+    cluster.feed(0, hello("e1"));
+    cluster.run(SECOND);
+    assert_eq!(
+        completeness_sent_to(&cluster, 0, 1),
+        [Completeness::Snapshot]
+    );
+    // After its restart it can't tell whether its disk has everything.
+    cluster.kill(0);
+    cluster.nodes[0].told.clear();
+    cluster.start(0);
+    cluster.feed(0, hello("e2"));
+    cluster.run(3 * SECOND);
+    assert_eq!(completeness_sent_to(&cluster, 0, 1), []);
+    (1..6).for_each(|replica| cluster.start(replica));
+    cluster.run(3 * SECOND);
+    assert_eq!(
+        completeness_sent_to(&cluster, 0, 1),
+        [Completeness::Complete]
+    );
+}
+
 #[test]
 fn single_replica_sends_complete() {
     let metadata = ReplicaMetadata {
--- a/crates/protocol/src/messages.rs
+++ b/crates/protocol/src/messages.rs
@@ -140,4 +140,48 @@
         /// The maximum age of the configuration, in microseconds.
         age_us: i64,
     },
+    /// Everything that was in force at some earlier time was sent. Changes since then may be missing, as the sender can't verify
+    /// them without a quorum.
+    SnapshotComplete,
+}
+
+/// How much of the configuration a receiver has.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Completeness {
+    /// Any item may be missing: nothing follows from the absence of one.
+    #[default]
+    Partial,
+    /// Everything that was in force at some earlier time.
+    Snapshot,
+    /// Everything that was in force when it was last confirmed.
+    Complete,
+}
+
+impl ControlMessage {
+    /// How much of the configuration has been sent, if this message tells.
+    pub fn completeness(&self) -> Option<Completeness> {
+        match self {
+            ControlMessage::SnapshotComplete => Some(Completeness::Snapshot),
+            ControlMessage::Complete => Some(Completeness::Complete),
+            _ => None,
+        }
+    }
+}
+
+impl Completeness {
+    /// Raises it to that of a message. Returns whether it was lower: a configuration that was received stays received.
+    pub fn raise(&mut self, to: Completeness) -> bool {
+        let is_higher = to > *self;
+        *self = to.max(*self);
+        is_higher
+    }
+
+    /// The message that tells a receiver; `None` if it is partial.
+    pub fn message(self) -> Option<ControlMessage> {
+        match self {
+            Completeness::Partial => None,
+            Completeness::Snapshot => Some(ControlMessage::SnapshotComplete),
+            Completeness::Complete => Some(ControlMessage::Complete),
+        }
+    }
 }
--- a/crates/protocol/tests/golden.rs
+++ b/crates/protocol/tests/golden.rs
@@ -182,6 +182,7 @@
             },
         ),
         ("confirmed", ControlMessage::Confirmed { age_us: 300_000 }),
+        ("snapshot complete", ControlMessage::SnapshotComplete),
     ];
     insta::assert_snapshot!("from-control", variants(&examples));
 }
--- a/crates/proxy/src/host/admission.rs
+++ b/crates/proxy/src/host/admission.rs
@@ -159,12 +159,15 @@
         self.submit_request(now, connection_id, &routing)
     }
 
-    /// Checks that the configuration and the servers have been received.
+    /// Checks that a whole configuration and the servers have been received. Of a part nothing is served: a longer prefix, the
+    /// tenants, or the evacuation of a zone may be missing.
     ///
     /// # Errors
     /// The response until then, which asks clients to retry.
     fn check_configuration_loaded(&self) -> Result<(), LocalResponse> {
-        let reason = if !self.config_store.has_routes() {
+        let has_configuration =
+            self.completeness >= Completeness::Snapshot && self.config_store.has_routes();
+        let reason = if !has_configuration {
             "no configuration yet"
         } else if !self.server_table.has_servers() {
             "no server is known yet"
@@ -182,12 +185,13 @@
         route: &Route,
         has_unknown_key: bool,
     ) {
-        self.metrics.admitted_before_complete += u64::from(!self.has_complete_state);
+        self.metrics.admitted_before_complete +=
+            u64::from(self.completeness < Completeness::Complete);
         if !has_unknown_key {
             return;
         }
         self.metrics.unknown_keys_forwarded += 1;
-        warn_throttled!(self.log, self.unknown_key_log, now, "request with an unknown API key is forwarded"; "request" => request_id, "prefix" => &route.prefix, "public" => route.public, "items" => self.config_store.item_count(), "tenants" => self.config_store.tenant_count(), "complete" => self.has_complete_state, "current" => self.config_freshness.is_current(now));
+        warn_throttled!(self.log, self.unknown_key_log, now, "request with an unknown API key is forwarded"; "request" => request_id, "prefix" => &route.prefix, "public" => route.public, "items" => self.config_store.item_count(), "tenants" => self.config_store.tenant_count(), "completeness" => ?self.completeness, "current" => self.config_freshness.is_current(now));
     }
 
     /// The response if the configuration has no such route or key: final, unless this proxy may lack a change.
--- a/crates/proxy/src/host/agent_link.rs
+++ b/crates/proxy/src/host/agent_link.rs
@@ -2,7 +2,7 @@
 //! heartbeats, load reports and additions to the shared counter.
 
 use protocol::frames;
-use protocol::messages::{AgentMessage, ClusterView, ControlMessage};
+use protocol::messages::{AgentMessage, ClusterView, Completeness, ControlMessage};
 use slog::{error, info, warn};
 use streamarch::{Outcome, ServerId};
 
@@ -136,11 +136,8 @@
                     self.update_servers(now);
                 }
             }
-            ControlMessage::Complete => {
-                if !std::mem::replace(&mut self.has_complete_state, true) {
-                    self.log_configuration("configuration complete");
-                }
-            }
+            ControlMessage::SnapshotComplete => self.raise_completeness(Completeness::Snapshot),
+            ControlMessage::Complete => self.raise_completeness(Completeness::Complete),
             ControlMessage::Confirmed { age_us } => {
                 // The clock may have jumped since this iteration began.
                 let confirmed_at = self.clock.now() - age_us;
@@ -170,6 +167,15 @@
         }
     }
 
+    fn raise_completeness(&mut self, to: Completeness) {
+        if self.completeness.raise(to) {
+            self.log_configuration(match to {
+                Completeness::Complete => "configuration complete",
+                Completeness::Snapshot | Completeness::Partial => "configuration snapshot complete",
+            });
+        }
+    }
+
     fn log_configuration(&self, message: &'static str) {
         info!(self.log, "{message}"; "items" => self.config_store.item_count(), "tenants" => self.config_store.tenant_count());
     }
--- a/crates/proxy/src/host/metrics.rs
+++ b/crates/proxy/src/host/metrics.rs
@@ -147,7 +147,7 @@
         text.add_gauge(
             "proxy_config_complete",
             "1 once the agent has sent its complete state",
-            u8::from(self.has_complete_state),
+            u8::from(self.completeness == Completeness::Complete),
         );
         text.add_gauge(
             "proxy_quota_shares_binding",
--- a/crates/proxy/src/host/mod.rs
+++ b/crates/proxy/src/host/mod.rs
@@ -34,7 +34,7 @@
 use protocol::connections::{ConnectionId, Connections, IoEvent};
 use protocol::items::Route;
 use protocol::log_ring::{IMMEDIATE, LogRing};
-use protocol::messages::{CounterAdd, NodeInfo, NodeState};
+use protocol::messages::{Completeness, CounterAdd, NodeInfo, NodeState};
 use protocol::metrics::MetricsEndpoint;
 use protocol::settings::Settings;
 use signal_hook::consts::{SIGHUP, SIGTERM};
@@ -228,8 +228,8 @@
     attempt_connections: HashMap<(usize, AuthorisationKey, u32), ConnectionId>,
     router_actions: Vec<RouterAction>,
     agent_connection: Option<ConnectionId>,
-    /// The agent has sent its complete state at least once.
-    has_complete_state: bool,
+    /// How much of the configuration the agent has sent.
+    completeness: Completeness,
     config_freshness: ConfigFreshness,
     /// Additions to the shared counter that are sent at the end of the iteration.
     pending_adds: Vec<CounterAdd>,
@@ -339,7 +339,7 @@
             attempt_connections: HashMap::new(),
             router_actions: Vec::new(),
             agent_connection: None,
-            has_complete_state: false,
+            completeness: Completeness::Partial,
             config_freshness: ConfigFreshness::new(settings.bounds.apply.0),
             pending_adds: Vec::new(),
             counter_batches: VecDeque::new(),
@@ -622,7 +622,7 @@
     fn node_state(&self) -> NodeState {
         match (
             self.lifecycle.is_shutting_down(),
-            self.has_complete_state
+            self.completeness == Completeness::Complete
                 && self.config_store.has_routes()
                 && self.server_table.has_servers(),
         ) {
--- a/crates/proxy/tests/partial_configuration.rs
+++ b/crates/proxy/tests/partial_configuration.rs
@@ -83,6 +83,38 @@
     assert_eq!(tenant.as_deref(), Some("t"));
 }
 
+/// Guards against a service running requests that no configuration sends to it (found with issue 52): of two routes that match, the
+/// one with the longer prefix had not arrived.
+#[test]
+fn request_is_not_forwarded_by_a_shorter_prefix_before_the_longer_one_has_arrived() {
+    let public = r#","public":true"#;
+    let mut harness = harness_with_part(vec![route("/a/", 1, "idem", public), service()]);
+    assert_eq!(refusal_status(&mut harness, "/a/b/1", ""), 503);
+    let longer = r#"{"host":"h","prefix":"/a/b/","kind":"idem","timeout":"3s","target_time":"500ms","svc":"other","tries":1,"public":true}"#;
+    harness.send_control(ControlMessage::Items(vec![item(
+        ItemKind::Route,
+        "/a/b/",
+        1,
+        longer,
+    )]));
+    harness.confirm_complete_state();
+    // The servers of the other service are not there.
+    assert_eq!(refusal_status(&mut harness, "/a/b/1", ""), 503);
+    assert_eq!(forwarded_tenant(&mut harness, "/a/1", ""), None);
+}
+
+/// Guards against requests to servers of an evacuated zone (found with issue 52): the evacuation had not arrived.
+#[test]
+fn request_is_not_sent_to_a_zone_before_its_evacuation_has_arrived() {
+    let public = r#","public":true"#;
+    let mut harness = harness_with_part(vec![route("/a/", 1, "idem", public), service()]);
+    assert_eq!(refusal_status(&mut harness, "/a/1", ""), 503);
+    let evacuated = item(ItemKind::Zone, "a", 1, "true");
+    harness.send_control(ControlMessage::Items(vec![evacuated]));
+    harness.confirm_complete_state();
+    assert_eq!(refusal_status(&mut harness, "/a/1", ""), 503);
+}
+
 /// Guards against UNASKED (issue 52): the first half of an order after an empty configuration, which was complete.
 #[test]
 fn keyed_request_is_not_forwarded_after_the_half_of_the_first_order_that_has_no_tenants() {
--- a/crates/proxy/tests/stale_configuration.rs
+++ b/crates/proxy/tests/stale_configuration.rs
@@ -45,6 +45,14 @@
     harness.configure();
     harness.settle();
     assert_eq!(response_status(&mut harness, "/other/", ""), 503);
+    assert_eq!(
+        response_status(&mut harness, "/i/", ""),
+        503,
+        "what the agent has sent so far may be any part"
+    );
+    harness.send_control(ControlMessage::SnapshotComplete);
+    harness.settle();
+    assert_eq!(response_status(&mut harness, "/other/", ""), 503);
     assert_known_route_is_served(&mut harness);
     harness.send_control(ControlMessage::Complete);
     harness.settle();
--- a/crates/simulation/src/edges/proxies.rs
+++ b/crates/simulation/src/edges/proxies.rs
@@ -67,6 +67,7 @@
                 }
             }
             ControlMessage::Complete => proxy.told = true,
+            ControlMessage::SnapshotComplete => {}
             ControlMessage::Clock(time) => {
                 proxy.ahead = proxy.ahead.max(time - steady);
                 proxy.router.handle_clock_jump(time, time - now);
