--- a/crates/proxy/src/config_store.rs
+++ b/crates/proxy/src/config_store.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 
 use protocol::items::{
-    ClientLimits, ConfigError, Item, ItemKind, Items, Route, Service, Tenant, parse_spec,
+    ClientLimits, ConfigError, Item, ItemKind, ItemName, Items, Route, Service, Tenant, parse_spec,
 };
 
 /// A tenant and its name.
@@ -17,6 +17,15 @@
     pub tenant: Tenant,
 }
 
+/// Why a request is not allowed by its API key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AuthenticationError {
+    /// No tenant has the key, or there is none although the route requires one.
+    UnknownKey,
+    /// There is a key, but there has never been a tenant: the first ones have yet to arrive.
+    NoTenants,
+}
+
 /// The configuration: the highest version of each item received since the start of the process.
 #[derive(Debug, Default)]
 pub struct ConfigStore {
@@ -138,6 +147,39 @@
         routes.iter().find(|route| path.starts_with(&route.prefix))
     }
 
+    /// The tenant of a request to this route with this API key; `None` if it needs none and has no key.
+    ///
+    /// # Errors
+    /// The key is missing or unknown. A request with an unknown key is not allowed on a public route either: its tenant, and thus its
+    /// regions and quota, are unknown.
+    pub fn authenticate(
+        &self,
+        api_key: Option<&str>,
+        route: &Route,
+    ) -> Result<Option<&Rc<NamedTenant>>, AuthenticationError> {
+        match api_key {
+            Some(api_key) => match self.tenant_by_api_key(api_key) {
+                Some(tenant) => Ok(Some(tenant)),
+                None if self.has_had_tenants() => Err(AuthenticationError::UnknownKey),
+                None => Err(AuthenticationError::NoTenants),
+            },
+            None if route.public || !self.requires_api_keys() => Ok(None),
+            None => Err(AuthenticationError::UnknownKey),
+        }
+    }
+
+    /// Whether there is or was any tenant: removed items are kept with their version.
+    fn has_had_tenants(&self) -> bool {
+        let first = ItemName {
+            kind: ItemKind::Tenant,
+            name: String::new(),
+        };
+        let mut names = self.items.range(first..).map(|(name, _)| name);
+        names
+            .next()
+            .is_some_and(|name| name.kind == ItemKind::Tenant)
+    }
+
     /// The tenant to which an API key belongs.
     pub fn tenant_by_api_key(&self, api_key: &str) -> Option<&Rc<NamedTenant>> {
         self.tenants_by_api_key.get(api_key)
--- a/crates/proxy/src/host/admission.rs
+++ b/crates/proxy/src/host/admission.rs
@@ -4,8 +4,8 @@
 
 use super::clients::RESPONSE_MARGIN;
 use super::responses::{DEFAULT_RETRY_AFTER, LocalResponse, local_response, retry_later};
-use super::throttled_log::warn_throttled;
 use super::*;
+use crate::config_store::AuthenticationError;
 use crate::response_class::is_hop_by_hop_field;
 use crate::router::RoutingRequest;
 use crate::shedding::SheddingRequest;
@@ -50,11 +50,12 @@
         let (Some((service, _)), None) = (services.next(), services.next()) else {
             return false;
         };
-        let tenant =
-            api_key(&head.headers).and_then(|api_key| self.config_store.tenant_by_api_key(api_key));
-        if tenant.is_none() && !route.public && self.config_store.requires_api_keys() {
+        let Ok(tenant) = self
+            .config_store
+            .authenticate(api_key(&head.headers), route)
+        else {
             return false;
-        }
+        };
         let tenant = tenant.map(|named| (named.name.as_str(), &named.tenant));
         let shedding_request = SheddingRequest {
             request_id,
@@ -90,7 +91,7 @@
         let route = self
             .config_store
             .find_route(host, &head.target)
-            .ok_or_else(|| self.unknown_route_or_key_response(now, 404, "no route"))?
+            .ok_or_else(|| self.refusal_by_configuration(now, 404, "no route"))?
             .clone();
         let request_id = head
             .headers
@@ -98,18 +99,15 @@
             .filter(|request_id| !request_id.is_empty() && request_id.len() <= MAX_REQUEST_ID_BYTES)
             .ok_or(local_response(400, "X-Request-Id"))?
             .to_string();
-        let tenant = api_key(&head.headers)
-            .and_then(|api_key| self.config_store.tenant_by_api_key(api_key))
+        let tenant = self
+            .config_store
+            .authenticate(api_key(&head.headers), &route)
+            .map_err(|error| self.authentication_error_response(now, error))?
             .cloned();
-        if tenant.is_none() && !route.public && self.config_store.requires_api_keys() {
-            return Err(self.unknown_route_or_key_response(now, 401, "no such key"));
-        }
-        self.record_admission(
-            now,
-            &request_id,
-            &route,
-            tenant.is_none() && api_key(&head.headers).is_some(),
-        );
+        let has_key = api_key(&head.headers).is_some();
+        self.forwarded_keys.check(tenant.is_some() || !has_key);
+        self.metrics.admitted_before_complete +=
+            u64::from(self.completeness < Completeness::Complete);
         let allowed_time = allowed_time(&head.headers, &route);
         let extra_time = streamed.as_ref().map_or(0, |body| body.extra_time);
         let service = choose_service(&route).ok_or(retry_later(
@@ -177,25 +175,23 @@
         Err(retry_later(503, startup_retry_after(), reason))
     }
 
-    /// Counts a request that is admitted, and logs it if its API key is unknown: its server does not learn the tenant.
-    fn record_admission(
-        &mut self,
+    fn authentication_error_response(
+        &self,
         now: Micros,
-        request_id: &str,
-        route: &Route,
-        has_unknown_key: bool,
-    ) {
-        self.metrics.admitted_before_complete +=
-            u64::from(self.completeness < Completeness::Complete);
-        if !has_unknown_key {
-            return;
+        error: AuthenticationError,
+    ) -> LocalResponse {
+        match error {
+            AuthenticationError::UnknownKey => {
+                self.refusal_by_configuration(now, 401, "no such key")
+            }
+            AuthenticationError::NoTenants => {
+                retry_later(503, startup_retry_after(), "no tenant is known yet")
+            }
         }
-        self.metrics.unknown_keys_forwarded += 1;
-        warn_throttled!(self.log, self.unknown_key_log, now, "request with an unknown API key is forwarded"; "request" => request_id, "prefix" => &route.prefix, "public" => route.public, "items" => self.config_store.item_count(), "tenants" => self.config_store.tenant_count(), "completeness" => ?self.completeness, "current" => self.config_freshness.is_current(now));
     }
 
-    /// The response if the configuration has no such route or key: final, unless this proxy may lack a change.
-    fn unknown_route_or_key_response(
+    /// The response to a request that the configuration does not allow: final, unless this proxy may lack a change.
+    fn refusal_by_configuration(
         &self,
         now: Micros,
         status: u16,
--- a/crates/proxy/src/host/metrics.rs
+++ b/crates/proxy/src/host/metrics.rs
@@ -19,8 +19,6 @@
     /// Requests that the proxy ended by itself before their deadline although a server may have
     /// been running them.
     pub(super) running_requests_failed: u64,
-    /// Requests forwarded although their API key belongs to no known tenant.
-    pub(super) unknown_keys_forwarded: u64,
     /// Requests admitted before the agent had sent its complete state.
     pub(super) admitted_before_complete: u64,
     /// Batches of additions to the shared counter.
@@ -73,11 +71,6 @@
             "requests ended by the proxy before their deadline although a server may have been running them",
             self.running_requests_failed,
         );
-        text.add_counter(
-            "proxy_unknown_keys_forwarded_total",
-            "requests forwarded although their API key belongs to no known tenant",
-            self.unknown_keys_forwarded,
-        );
         text.add_counter(
             "proxy_admitted_before_complete_total",
             "requests admitted before the configuration was complete",
@@ -160,6 +153,7 @@
             u8::from(self.config_freshness.is_current(now)),
         );
         text.add_invariant(self.config_freshness.invariant());
+        text.add_invariant(&self.forwarded_keys);
         text
     }
 }
--- a/crates/proxy/src/host/mod.rs
+++ b/crates/proxy/src/host/mod.rs
@@ -32,6 +32,7 @@
 use dataplane::upstreams::{ConnectionPool, UpstreamState};
 use eyre::{WrapErr, eyre};
 use protocol::connections::{ConnectionId, Connections, IoEvent};
+use protocol::invariant::Invariant;
 use protocol::items::Route;
 use protocol::log_ring::{IMMEDIATE, LogRing};
 use protocol::messages::{Completeness, CounterAdd, NodeInfo, NodeState};
@@ -251,8 +252,8 @@
     close_log: LogThrottle,
     /// For requests that the proxy ends while a server may be running them.
     failure_log: LogThrottle,
-    /// For requests that are forwarded although their API key is unknown.
-    unknown_key_log: LogThrottle,
+    /// A request with an API key is forwarded only with the key's tenant.
+    forwarded_keys: Invariant,
     metrics_endpoint: MetricsEndpoint,
     metrics: ProxyMetrics,
 }
@@ -352,7 +353,7 @@
             input_read_until: now,
             close_log: LogThrottle::default(),
             failure_log: LogThrottle::default(),
-            unknown_key_log: LogThrottle::default(),
+            forwarded_keys: Invariant::new("forwarded_keys_have_a_tenant"),
             metrics_endpoint: MetricsEndpoint::default(),
             metrics: ProxyMetrics::default(),
             settings,
--- a/crates/proxy/tests/partial_configuration.rs
+++ b/crates/proxy/tests/partial_configuration.rs
@@ -145,3 +145,28 @@
     let tenant = forwarded_tenant(&mut harness, "/p/1", KEY);
     assert_eq!(tenant.as_deref(), Some("t"));
 }
+
+#[test]
+fn request_with_an_unknown_key_on_a_public_route_is_rejected_for_good_by_a_current_configuration() {
+    let public = route("/p/", 1, "idem", r#","public":true"#);
+    let mut harness = harness_with_part(vec![public, service(), tenant()]);
+    harness.confirm_complete_state();
+    let other_key = "Authorization: Bearer other\r\n";
+    assert_eq!(refusal_status(&mut harness, "/p/1", other_key), 401);
+    assert_eq!(forwarded_tenant(&mut harness, "/p/1", ""), None);
+}
+
+/// What is dropped is known to be dropped: the answer is final.
+#[test]
+fn key_of_the_last_tenant_is_rejected_for_good_after_the_tenant_was_removed() {
+    let mut harness = harness_with_part(vec![route("/k/", 1, "idem", ""), service(), tenant()]);
+    harness.confirm_complete_state();
+    let removed = Item {
+        spec: None,
+        ver: 2,
+        ..tenant()
+    };
+    harness.send_control(ControlMessage::Items(vec![removed]));
+    harness.settle();
+    assert_eq!(refusal_status(&mut harness, "/k/1", KEY), 401);
+}
