A request beyond limits that may be old is rejected with 503, not 413 or 431

What callers would see: a proxy that has just started has built-in limits (16 KiB of head, 34 MB of body) until the operators' arrive, and refused what those allow (64 MiB) for good; so did one with an old configuration.

Change: before admission, 413 and 431 are final only while the configuration is current, as 404 and 401 are. A body that turns out too long while it is forwarded is still answered with 413: a server may have answered before it has read it, so 503 would promise too much.

`request_beyond_the_limits_is_rejected_for_good_by_a_current_configuration_only` failed before with 431 in place of 503.

--- a/crates/proxy/src/host/admission.rs
+++ b/crates/proxy/src/host/admission.rs
@@ -191,7 +191,7 @@
     }
 
     /// The response to a request that the configuration does not allow: final, unless this proxy may lack a change.
-    fn refusal_by_configuration(
+    pub(super) fn refusal_by_configuration(
         &self,
         now: Micros,
         status: u16,
--- a/crates/proxy/src/host/clients.rs
+++ b/crates/proxy/src/host/clients.rs
@@ -3,7 +3,7 @@
 use dataplane::client_connection::Stage;
 use dataplane::framing::{self, ParseError};
 
-use super::responses::{DEFAULT_RETRY_AFTER, local_response, retry_later};
+use super::responses::{DEFAULT_RETRY_AFTER, LocalResponse, local_response, retry_later};
 use super::*;
 
 /// Bytes read ahead from a client while its request is in progress.
@@ -179,7 +179,8 @@
         self.buffered_bytes = self.buffered_bytes + buffered_bytes - client.buffered_bytes;
         client.buffered_bytes = buffered_bytes;
         if let Err(error) = result {
-            return self.reject_input(now, connection_id, error);
+            let response = self.invalid_input_response(now, error);
+            return self.write_closing_response(now, connection_id, &response);
         }
         if client.incoming.is_complete() {
             let incoming = std::mem::take(&mut client.incoming);
@@ -262,19 +263,14 @@
         }
     }
 
-    /// Rejects input that is not a valid request, or too long.
-    pub(super) fn reject_input(
-        &mut self,
-        now: Micros,
-        connection_id: ConnectionId,
-        error: ParseError,
-    ) {
-        let reason = match error {
-            ParseError::Syntax => "no request",
-            ParseError::HeadTooLarge => "head too large",
-            ParseError::BodyTooLarge => "body too large",
-        };
-        self.write_closing_response(now, connection_id, &local_response(error.status(), reason));
+    /// The response to input that is not a valid request, or too long by a configuration that may be old.
+    fn invalid_input_response(&self, now: Micros, error: ParseError) -> LocalResponse {
+        match error {
+            ParseError::Syntax => local_response(error.status(), invalid_input_reason(error)),
+            ParseError::HeadTooLarge | ParseError::BodyTooLarge => {
+                self.refusal_by_configuration(now, error.status(), invalid_input_reason(error))
+            }
+        }
     }
 
     /// Sends `100 Continue`, upon which the client sends its body.
@@ -333,3 +329,12 @@
         }
     }
 }
+
+/// The text of the response to invalid input.
+pub(super) fn invalid_input_reason(error: ParseError) -> &'static str {
+    match error {
+        ParseError::Syntax => "no request",
+        ParseError::HeadTooLarge => "head too large",
+        ParseError::BodyTooLarge => "body too large",
+    }
+}
--- a/crates/proxy/src/host/uploads.rs
+++ b/crates/proxy/src/host/uploads.rs
@@ -5,7 +5,8 @@
 use dataplane::upload::Upload;
 
 use super::admission::StreamedBody;
-use super::clients::MAX_READ_AHEAD_BYTES;
+use super::clients::{MAX_READ_AHEAD_BYTES, invalid_input_reason};
+use super::responses::local_response;
 use super::*;
 
 impl Host {
@@ -162,7 +163,9 @@
         {
             self.abandon_request(now, key);
         }
-        self.reject_input(now, connection_id, error);
+        // Not as a request that has not run: a server may have answered before it has read the whole body.
+        let response = local_response(error.status(), invalid_input_reason(error));
+        self.write_closing_response(now, connection_id, &response);
     }
 
     /// Ends a request whose streamed body has arrived completely, if its deadline is over.
--- a/crates/proxy/tests/partial_configuration.rs
+++ b/crates/proxy/tests/partial_configuration.rs
@@ -170,3 +170,28 @@
     harness.settle();
     assert_eq!(refusal_status(&mut harness, "/k/1", KEY), 401);
 }
+
+/// Guards against final refusals (found with issue 52): before the operators' limits have arrived, and by old ones, a request that they
+/// allow was rejected with 413 or 431.
+#[test]
+fn request_beyond_the_limits_is_rejected_for_good_by_a_current_configuration_only() {
+    let public = r#","public":true"#;
+    let limits = item(
+        ItemKind::Limits,
+        "",
+        1,
+        r#"{"hdr_bytes":400,"body_bytes":100,"hdr":"3s","idle":"15s"}"#,
+    );
+    let long_head = format!("X-Long: {}\r\n", "x".repeat(20_000));
+    let long_body = "Content-Length: 40000000\r\n";
+    let mut harness = harness_with_part(vec![route("/p/", 1, "idem", public), service()]);
+    assert_eq!(refusal_status(&mut harness, "/p/1", &long_head), 503);
+    assert_eq!(refusal_status(&mut harness, "/p/1", long_body), 503);
+    harness.send_control(ControlMessage::Items(vec![limits]));
+    harness.confirm_complete_state();
+    assert_eq!(refusal_status(&mut harness, "/p/1", &long_head), 431);
+    assert_eq!(refusal_status(&mut harness, "/p/1", long_body), 413);
+    harness.advance_ms(SILENCE_MS);
+    assert_eq!(refusal_status(&mut harness, "/p/1", &long_head), 503);
+    assert_eq!(refusal_status(&mut harness, "/p/1", long_body), 503);
+}
