Simulation: an edge that was told that it has a whole configuration has it

Its deliberate fault `whole` says it too early, and is seen within 20 schedules of a second loss with edges.

--- a/crates/simulation/src/cluster.rs
+++ b/crates/simulation/src/cluster.rs
@@ -66,6 +66,8 @@
     pub disk: Disk,
     /// Starts of its process.
     pub incarnation: u64,
+    /// When its process last started.
+    pub(crate) started_at: i64,
     /// Its steady clock.
     pub clock: Steady,
     /// It stands still; what comes waits.
@@ -110,6 +112,16 @@
     Edge(usize, u64, Due),
 }
 
+/// A replica told an edge that what it has sent is the whole configuration of some time since the replica's start.
+#[derive(Clone, Debug)]
+pub(crate) struct CompletenessClaim {
+    pub(crate) edge: usize,
+    /// When the replica's process started.
+    pub(crate) started_at: i64,
+    /// The versions that the edge's agent had then.
+    pub(crate) versions: BTreeMap<ItemName, u64>,
+}
+
 /// The cluster.
 pub struct Cluster {
     /// The instant, in microseconds; no program sees it.
@@ -149,6 +161,8 @@
     shown: BTreeMap<(usize, u64, ItemName), u64>,
     /// Since when more than one polls.
     pollers: Option<i64>,
+    /// Edges that were told that they have a whole configuration, not checked yet.
+    pub(crate) completeness_claims: Vec<CompletenessClaim>,
     /// Rules that were broken.
     pub faults: Vec<Fault>,
     /// Deliberate harm.
@@ -205,6 +219,7 @@
             contents: BTreeMap::new(),
             shown: BTreeMap::new(),
             pollers: None,
+            completeness_claims: Vec::new(),
             faults: Vec::new(),
             bug,
             grants: Grants::default(),
--- a/crates/simulation/src/cluster/machines.rs
+++ b/crates/simulation/src/cluster/machines.rs
@@ -46,6 +46,7 @@
             busy: 0,
             peers: Vec::new(),
             tick: 0,
+            started_at: 0,
             told: Vec::new(),
             second: (0, 0),
             most: 0,
@@ -72,6 +73,7 @@
             _ => {}
         }
         node.incarnation += 1;
+        node.started_at = self.now;
         node.transferred = 0;
         let setup = ReplicaConfig {
             zones: self.zones.clone(),
--- a/crates/simulation/src/edges/agents.rs
+++ b/crates/simulation/src/edges/agents.rs
@@ -11,7 +11,7 @@
 use streamarch::Outcome;
 
 use super::{AGAIN, BEAT, CONNECT, Conn, Due, LOAD, Link};
-use crate::cluster::{Cluster, Event, MS};
+use crate::cluster::{Cluster, CompletenessClaim, Event, MS};
 use crate::harm::Bug;
 
 impl Cluster {
@@ -330,16 +330,36 @@
     pub(super) fn pass_on(&mut self, at: usize, message: ControlMessage) {
         let now = self.steady(at);
         let all = matches!(message, ControlMessage::Items(_)) && self.has(Bug::News);
+        let completeness = message.completeness();
         let message = if all {
             Some(message)
         } else {
             self.edges[at].agent.known.apply(now, message)
         };
+        if completeness.is_some() {
+            self.record_completeness_claim(at);
+        }
         if let Some(message) = message {
             self.proxy_heard(at, message);
         }
     }
 
+    /// The agent's replica says that what it has sent is whole.
+    fn record_completeness_claim(&mut self, at: usize) {
+        let agent = &self.edges[at].agent;
+        let link = agent.link.as_ref();
+        let Some(conn) = link.and_then(|link| self.conns.get(&link.conn)) else {
+            return;
+        };
+        let items = agent.known.items();
+        let claim = CompletenessClaim {
+            edge: at,
+            started_at: self.nodes[conn.node].started_at,
+            versions: items.map(|item| (item.name.clone(), item.ver)).collect(),
+        };
+        self.completeness_claims.push(claim);
+    }
+
     pub(super) fn open_link(&mut self, at: usize) {
         if self.edges[at].agent.link.is_some() {
             return;
--- a/crates/simulation/src/harm.rs
+++ b/crates/simulation/src/harm.rs
@@ -90,6 +90,8 @@
     Partial,
     /// A transfer of state leaves out what was dropped.
     Undropped,
+    /// Agents are told that what they have is a whole configuration before it is.
+    Whole,
 }
 
 impl Bug {
@@ -132,6 +134,7 @@
         ("leave", Bug::Leave),
         ("partial", Bug::Partial),
         ("undropped", Bug::Undropped),
+        ("whole", Bug::Whole),
     ];
 }
 
@@ -448,6 +451,9 @@
                     ..who
                 })
             }
+            ControlMessage::Items(items) if items.is_empty() && self.has(Bug::Whole) => {
+                ControlMessage::SnapshotComplete
+            }
             ControlMessage::ClusterView(who) if self.has(Bug::Totals) => {
                 // It goes on as the holder of the last term that it had.
                 let own = self
--- a/crates/simulation/src/play/rules.rs
+++ b/crates/simulation/src/play/rules.rs
@@ -121,6 +121,7 @@
         self.check_copies();
         self.check_transfers();
         self.check_bad();
+        self.check_completeness();
         self.probes();
         self.check_duties();
         self.check_members();
@@ -374,6 +375,30 @@
             .for_each(|text| self.fault("apply", text));
     }
 
+    /// An edge that was told that it has the whole configuration has all that was acknowledged before the start of the replica that
+    /// told it.
+    fn check_completeness(&mut self) {
+        for claim in std::mem::take(&mut self.cluster.completeness_claims) {
+            let mut missing = Vec::new();
+            for (name, acked) in &self.acked {
+                let due = acked
+                    .iter()
+                    .filter(|(when, _)| *when < claim.started_at)
+                    .map(|(_, ver)| *ver)
+                    .max();
+                let known = claim.versions.get(name).copied();
+                if due > known {
+                    missing.push(format!("{name} at {due:?}, has {known:?}"));
+                }
+            }
+            if !missing.is_empty() {
+                let edge = claim.edge;
+                let missing = missing.join(", ");
+                self.fault("snapshot", format!("edge {edge} lacks {missing}"));
+            }
+        }
+    }
+
     /// What must hold after the calm.
     pub(super) fn end(&mut self) {
         let replicas = self.cluster.holding();
--- a/crates/simulation/tests/bugs.rs
+++ b/crates/simulation/tests/bugs.rs
@@ -79,6 +79,12 @@
     ..REPLACED
 };
 
+/// Edges that start while disks are lost.
+const SECOND_WITH_EDGES: Plan = Plan {
+    often: Often::SecondLoss,
+    ..ANY
+};
+
 /// Hundreds of changes, and replicas that were away for some of them.
 const MANY_CHANGES: Plan = Plan {
     often: Often::ManyChanges,
@@ -122,6 +128,7 @@
 #[test_case(Bug::Hollow, SECOND_OF_SIX, 20, &["copies", "bytes"]; "a rebuilt replica hears of no items")]
 #[test_case(Bug::Untold, SECOND_OF_SIX, 40, &["copies", "bytes"]; "what is chosen is told once")]
 #[test_case(Bug::Leave, SECOND_OF_THREE, 20, &["handover"]; "a process ends without handing over")]
+#[test_case(Bug::Whole, SECOND_WITH_EDGES, 20, &["snapshot"]; "a part of the configuration is said to be whole")]
 fn harm_is_found(bug: Bug, plan: Plan, within: u64, rules: &[&str]) {
     let harmed = |seed| {
         play(&draw(
