--- a/crates/agent/src/config_cache.rs
+++ b/crates/agent/src/config_cache.rs
@@ -129,6 +129,11 @@
         }
     }
 
+    /// Whether any item may be missing: nothing was received yet that was whole.
+    pub fn is_partial(&self) -> bool {
+        self.completeness == Completeness::Partial
+    }
+
     fn raise_completeness(&mut self, to: Completeness) -> Option<ControlMessage> {
         self.completeness.raise(to).then(|| to.message()).flatten()
     }
--- a/crates/agent/src/host/control_link.rs
+++ b/crates/agent/src/host/control_link.rs
@@ -218,10 +218,13 @@
     }
 
     /// Handles a cluster view: the first one on a candidate makes it the link, or closes it if its control program has no
-    /// quorum and there is a link already.
+    /// quorum and there is a link already. While no whole configuration was received, such a candidate is kept until its
+    /// time-out instead: its replica may have the snapshot that the replica of the link lacks since a restart.
     pub(super) fn handle_cluster_view(&mut self, now: i64, from: ConnectionId, view: ClusterView) {
         if self.is_candidate(from) && (view.has_quorum || self.link.is_none()) {
             self.promote(now, from);
+        } else if self.is_candidate(from) && self.cache.is_partial() {
+            return self.selection.add_unconfirmed_replicas(&view.replicas);
         } else if self.close_candidate(from).is_some() {
             return self.selection.add_unconfirmed_replicas(&view.replicas);
         }
--- a/crates/control/src/core/status.rs
+++ b/crates/control/src/core/status.rs
@@ -38,6 +38,10 @@
     pub items: u32,
     /// The digest of their names and versions, in hexadecimal: equal at replicas that know the same items.
     pub digest: String,
+    /// Whether it has known, at some time since its start, all items in force. Before that it tells agents that what they get may be a
+    /// part.
+    #[serde(default)]
+    pub caught_up: bool,
     /// The number of accepted items that are not known to be chosen.
     #[serde(rename = "unfinished")]
     pub unconfirmed_items: usize,
@@ -131,6 +135,7 @@
             disk_full: self.disk.is_full,
             items: summary.items,
             digest: format!("{:016x}", summary.digest),
+            caught_up: self.catch_up.has_been_up_to_date(),
             unconfirmed_items: self.pending.len(),
             server_list_version: self.server_list.version(),
             replicas: replicas.map(|id| self.replica_status(now, id)).collect(),
--- a/crates/control/tests/cut_off_programs.rs
+++ b/crates/control/tests/cut_off_programs.rs
@@ -17,12 +17,16 @@
 }
 
 fn start_system(folder: &TempDir) -> TestSystem {
+    start_system_of(folder, 3)
+}
+
+fn start_system_of(folder: &TempDir, zones: usize) -> TestSystem {
     let programs = built_programs_folder(Path::new(env!("CARGO_BIN_EXE_control")), env!("CARGO"));
     TestSystem::start(
         folder.path(),
         &programs,
         Size {
-            zones: 3,
+            zones,
             edges: 1,
             net: unused_net(),
         },
@@ -170,3 +174,62 @@
     assert_eq!(system.operator.differences(deadline()), Ok(Vec::new()));
     assert_eq!(system.machines.stop(), Vec::<String>::new());
 }
+
+/// Kills the programs of an edge and starts them again; waits until it serves requests.
+fn assert_serves_after_a_restart(system: &mut TestSystem, edge: usize) {
+    for role in [Role::Agent, Role::Proxy] {
+        system.machines.kill(role, edge);
+        system.machines.start(role, edge).unwrap();
+    }
+    let is_served =
+        || (system.served_by(edge, "/read/1").as_deref() == Some(SERVICES[0])).then_some(());
+    assert!(
+        wait_for(deadline(), is_served).is_some(),
+        "edge {edge} answers {:?}",
+        system
+            .send_request(edge, "/read/1")
+            .map(|reply| reply.text().to_string())
+    );
+}
+
+/// Guards against edges that wait for a quorum before they serve anything, since issue 52 made them wait for a whole configuration.
+#[test]
+fn restarted_edge_serves_by_the_snapshot_of_a_replica_that_has_lost_its_quorum() {
+    let folder = TempDir::new().unwrap();
+    let mut system = start_system(&folder);
+    kill_quorum(&mut system, 1..3);
+    assert_serves_after_a_restart(&mut system, 0);
+    assert_serves_after_a_restart(&mut system, 2);
+}
+
+/// Kills these control programs, once the first one has caught up and so can send snapshots.
+fn kill_quorum(system: &mut TestSystem, replicas: std::ops::Range<usize>) {
+    wait_until(
+        || status(system, 0)["caught_up"] == true,
+        "the replica that is left has caught up",
+    );
+    for replica in replicas {
+        system.machines.kill(Role::Control, replica);
+    }
+    wait_until(
+        || status(system, 0)["in_touch"] == false,
+        "it has lost its quorum",
+    );
+}
+
+/// As above, where the replica of the edge's zone has restarted and can't tell what it lacks: another one can.
+#[test]
+fn restarted_edge_serves_by_a_snapshot_although_the_replica_of_its_zone_has_restarted() {
+    let folder = TempDir::new().unwrap();
+    let mut system = start_system_of(&folder, 5);
+    kill_quorum(&mut system, 2..5);
+    system.machines.kill(Role::Control, 1);
+    system.machines.start(Role::Control, 1).unwrap();
+    wait_until(
+        || status(&system, 1)["in_touch"] == false,
+        "the other replica has restarted",
+    );
+    for edge in [0, 1, 4] {
+        assert_serves_after_a_restart(&mut system, edge);
+    }
+}
--- a/crates/control/tests/golden.rs
+++ b/crates/control/tests/golden.rs
@@ -443,6 +443,7 @@
         disk_full: false,
         items: 350,
         digest: "0123456789abcdef".into(),
+        caught_up: true,
         unconfirmed_items: 2,
         server_list_version: (4, 9),
         replicas: vec![ReplicaStatus {
