--- a/crates/load/tests/soak.rs
+++ b/crates/load/tests/soak.rs
@@ -46,6 +46,26 @@
     }
 }
 
+/// Guards against edges that serve by a part of the configuration: a server was not told the tenant of a request's key.
+#[test]
+fn nothing_that_must_hold_is_violated_when_power_and_disks_are_lost() {
+    let programs = built_programs_folder(
+        Path::new(env!("CARGO_BIN_EXE_streamarch-load")),
+        env!("CARGO"),
+    );
+    for seed in [517, 522] {
+        let plan = Plan {
+            trouble: Trouble::LostDisks,
+            seed,
+            seconds: 8.0,
+            zones: 5,
+            edges: 2,
+            programs: programs.clone(),
+        };
+        assert_nothing_is_violated(&plan);
+    }
+}
+
 fn assert_nothing_is_violated(plan: &Plan) {
     let seed = plan.seed;
     let report = run(plan, &AtomicBool::new(false)).unwrap();
