--- a/crates/agent/src/host/control_link.rs
+++ b/crates/agent/src/host/control_link.rs
@@ -223,9 +223,10 @@
     pub(super) fn handle_cluster_view(&mut self, now: i64, from: ConnectionId, view: ClusterView) {
         if self.is_candidate(from) && (view.has_quorum || self.link.is_none()) {
             self.promote(now, from);
-        } else if self.is_candidate(from) && self.cache.is_partial() {
-            return self.selection.add_unconfirmed_replicas(&view.replicas);
-        } else if self.close_candidate(from).is_some() {
+        } else if self.is_candidate(from) {
+            if !self.cache.is_partial() {
+                self.close_candidate(from);
+            }
             return self.selection.add_unconfirmed_replicas(&view.replicas);
         }
         let link = self.link.as_mut();
