Soak: disks are lost only while the system is to bear it, and ended control programs are started again

Trace: two of five disks were lost, and a third control program was started on a disk that rejected writes, on which it ends by design (`docs/disk.md`: it is started again by what started it); nothing started it, so that neither of the two could rebuild, and the next loss took a third disk. Three of five lost at once is beyond what has to be borne.

Change: a control program that has ended so is started again once its disk is mended; a disk is lost only if less than half of the replicas, this one included, lack their state by their own status, else the program is killed and keeps it. No check is changed.

--- a/crates/load/src/soak/faults.rs
+++ b/crates/load/src/soak/faults.rs
@@ -1,14 +1,17 @@
 //! The faults of a run: which processes are killed, stopped, paused or signalled, and when. Two or three begin within a
 //! second of each other, the later ones amid what the first has set going.
 
+use std::collections::BTreeSet;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
+use emulator::system::client::call;
 use emulator::system::machines::{Machines, Role};
 use emulator::system::wait_for;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use serde_json::Value;
 
 /// Faults that overlap begin within this of the first.
 const OVERLAP: Duration = Duration::from_millis(900);
@@ -20,6 +23,8 @@
 const CUT_PAUSE: Duration = Duration::from_millis(2_200);
 /// The chance that a fault is long.
 const LONG_FAULTS: f64 = 0.2;
+/// A control program reports its status within this.
+const STATUS_TIMEOUT: Duration = Duration::from_millis(300);
 /// A process that ends late is looked at again after this.
 const RECHECK: Duration = Duration::from_millis(50);
 
@@ -161,6 +166,45 @@
     }
 }
 
+/// The control programs that have lost their disks and have not rebuilt their state yet.
+#[derive(Debug, Default)]
+struct LostDisks(BTreeSet<usize>);
+
+impl LostDisks {
+    /// Whether this core machine may lose its disk too, so that less than half of them lack their state; if so, it counts as lost.
+    fn may_lose_another(&mut self, machines: &Machines, core: usize) -> bool {
+        self.0.retain(|lost| !takes_part(machines, *lost));
+        self.0.insert(core);
+        let may_lose = self.0.len() <= (machines.cores() - 1) / 2;
+        if !may_lose {
+            self.0.remove(&core);
+        }
+        may_lose
+    }
+}
+
+/// Whether a control program reports that it takes part: it has rebuilt its state if its disk was lost.
+fn takes_part(machines: &Machines, core: usize) -> bool {
+    let until = Instant::now() + STATUS_TIMEOUT;
+    call(machines.ctl(core), "GET", "/api/status", "", b"", until)
+        .ok()
+        .and_then(|reply| serde_json::from_slice::<Value>(reply.body()).ok())
+        .is_some_and(|status| status["takes_part"] == true)
+}
+
+/// A control program that starts on a disk that rejects writes ends with an error (`docs/disk.md`): what started it starts it again.
+fn restart_after_disk_failure(machines: &mut Machines, core: usize) -> Result<(), String> {
+    let has_ended = !machines.is_shutting_down(Role::Control, core)
+        && machines
+            .wait_for_exit(Role::Control, core, Instant::now())
+            .is_some();
+    if has_ended {
+        let started = machines.start(Role::Control, core);
+        started.map_err(|error| format!("starting control {core}: {error}"))?;
+    }
+    Ok(())
+}
+
 /// Carries out the steps and gives when the last one was done, and the shutdowns. Everything runs afterwards, unless `stop`
 /// was set meanwhile.
 pub fn play(
@@ -169,7 +213,7 @@
     began: Instant,
     stop: &AtomicBool,
 ) -> Result<(Instant, Vec<Shutdown>), String> {
-    let mut shutdowns = Vec::new();
+    let (mut shutdowns, mut lost_disks) = (Vec::new(), LostDisks::default());
     let mut due: std::collections::VecDeque<Step> = steps.into();
     while let Some(mut step) = due.pop_front() {
         let stopped = || stop.load(Ordering::Relaxed).then_some(());
@@ -195,7 +239,14 @@
             Action::Pause => machines.pause(role, machine),
             // One that does not run has no disk to fail.
             Action::FailDisk => _ = machines.fail_disk(machine, true),
-            Action::MendDisk => _ = machines.fail_disk(machine, false),
+            Action::MendDisk => {
+                let _ = machines.fail_disk(machine, false);
+                restart_after_disk_failure(machines, machine)?;
+            }
+            // Beyond what the system is to bear, acknowledged orders may be lost.
+            Action::LoseDisk if !lost_disks.may_lose_another(machines, machine) => {
+                machines.kill(role, machine);
+            }
             Action::LoseDisk => machines
                 .lose_disk(machine)
                 .map_err(|error| format!("the disk of {machine}: {error}"))?,
