--- a/crates/simulation/src/edges/agents.rs
+++ b/crates/simulation/src/edges/agents.rs
@@ -336,7 +336,8 @@
         } else {
             self.edges[at].agent.known.apply(now, message)
         };
-        if completeness.is_some() {
+        // With this harm items bypass the agent's cache, which the claim is compared with.
+        if completeness.is_some() && !self.has(Bug::News) {
             self.record_completeness_claim(at);
         }
         if let Some(message) = message {
