Tests: an order handed over at each of its cuts, with a client at the door

Cause: every harness handed a configuration over whole, and the tests of a part picked single cuts.

Change: an order of four items that depend on each other is handed to a proxy in two parts, at all sixteen cuts, with a client that asks in between: a starting proxy forwards nothing, one that was complete before forwards a key only with its tenant. Comments above the tests name the failure and no longer the incident.

--- a/crates/control/tests/cut_off_programs.rs
+++ b/crates/control/tests/cut_off_programs.rs
@@ -192,7 +192,7 @@
     );
 }
 
-/// Guards against edges that wait for a quorum before they serve anything, since issue 52 made them wait for a whole configuration.
+/// Guards against edges that wait for a quorum before they serve anything.
 #[test]
 fn restarted_edge_serves_by_the_snapshot_of_a_replica_that_has_lost_its_quorum() {
     let folder = TempDir::new().unwrap();
--- a/crates/proxy/tests/partial_configuration.rs
+++ b/crates/proxy/tests/partial_configuration.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{ProxyHarness, START, item, request_text, route};
-use protocol::items::{Item, ItemKind};
+use protocol::items::{Item, ItemKind, ItemName};
 use protocol::messages::{ClusterView, ControlMessage};
 
 const KEY: &str = "Authorization: Bearer k\r\n";
@@ -72,7 +72,7 @@
     tenant
 }
 
-/// Guards against UNASKED (issue 52): a proxy that had routes and no tenants yet forwarded a request without its key's tenant.
+/// Guards against UNASKED: a proxy that had routes and no tenants yet forwarded a request without its key's tenant.
 #[test]
 fn keyed_request_is_not_forwarded_before_the_tenants_have_arrived() {
     let mut harness = harness_with_part(vec![route("/k/", 1, "idem", ""), service()]);
@@ -83,7 +83,7 @@
     assert_eq!(tenant.as_deref(), Some("t"));
 }
 
-/// Guards against a service running requests that no configuration sends to it (found with issue 52): of two routes that match, the
+/// Guards against a service running requests that no configuration sends to it: of two routes that match, the
 /// one with the longer prefix had not arrived.
 #[test]
 fn request_is_not_forwarded_by_a_shorter_prefix_before_the_longer_one_has_arrived() {
@@ -103,7 +103,7 @@
     assert_eq!(forwarded_tenant(&mut harness, "/a/1", ""), None);
 }
 
-/// Guards against requests to servers of an evacuated zone (found with issue 52): the evacuation had not arrived.
+/// Guards against requests to servers of an evacuated zone: the evacuation had not arrived.
 #[test]
 fn request_is_not_sent_to_a_zone_before_its_evacuation_has_arrived() {
     let public = r#","public":true"#;
@@ -115,7 +115,7 @@
     assert_eq!(refusal_status(&mut harness, "/a/1", ""), 503);
 }
 
-/// Guards against UNASKED (issue 52): the first half of an order after an empty configuration, which was complete.
+/// Guards against UNASKED: the first half of an order after an empty configuration, which was complete.
 #[test]
 fn keyed_request_is_not_forwarded_after_the_half_of_the_first_order_that_has_no_tenants() {
     let mut harness = harness_with_part(Vec::new());
@@ -132,7 +132,7 @@
     assert_eq!(tenant.as_deref(), Some("t"));
 }
 
-/// Guards against UNASKED (issue 52): an old configuration can't tell whose key a new one is, on a public route either.
+/// Guards against UNASKED: an old configuration can't tell whose key a new one is, on a public route either.
 #[test]
 fn request_with_an_unknown_key_on_a_public_route_is_not_forwarded_by_an_old_configuration() {
     let public = route("/p/", 1, "idem", r#","public":true"#);
@@ -171,7 +171,7 @@
     assert_eq!(refusal_status(&mut harness, "/k/1", KEY), 401);
 }
 
-/// Guards against final refusals (found with issue 52): before the operators' limits have arrived, and by old ones, a request that they
+/// Guards against final refusals: before the operators' limits have arrived, and by old ones, a request that they
 /// allow was rejected with 413 or 431.
 #[test]
 fn request_beyond_the_limits_is_rejected_for_good_by_a_current_configuration_only() {
@@ -195,3 +195,67 @@
     assert_eq!(refusal_status(&mut harness, "/p/1", &long_head), 503);
     assert_eq!(refusal_status(&mut harness, "/p/1", long_body), 503);
 }
+
+/// An order of which each item depends on others: a keyed route, one with a longer prefix to a service without servers, and the tenant.
+fn order() -> Vec<Item> {
+    let deep = r#"{"host":"h","prefix":"/k/deep/","kind":"idem","timeout":"3s","target_time":"500ms","svc":"other","tries":1}"#;
+    vec![
+        route("/k/", 1, "idem", ""),
+        item(ItemKind::Route, "/k/deep/", 1, deep),
+        service(),
+        tenant(),
+    ]
+}
+
+/// Every way to hand over an order in two parts, by the items of the first one.
+fn cuts() -> impl Iterator<Item = (Vec<Item>, Vec<Item>)> {
+    (0..1_usize << order().len()).map(|cut| {
+        let numbered = order().into_iter().enumerate();
+        let (first, rest): (Vec<_>, Vec<_>) =
+            numbered.partition(|(number, _)| cut & (1 << number) != 0);
+        let items = |part: Vec<(usize, Item)>| part.into_iter().map(|(_, item)| item).collect();
+        (items(first), items(rest))
+    })
+}
+
+/// Guards against requests that are forwarded by a part of an order, wherever it is cut: nothing is forwarded before it is said to be
+/// whole.
+#[test]
+fn starting_proxy_forwards_nothing_by_any_part_of_an_order() {
+    for (first, rest) in cuts() {
+        let mut harness = harness_with_part(first);
+        assert_eq!(refusal_status(&mut harness, "/k/1", KEY), 503);
+        assert_eq!(refusal_status(&mut harness, "/k/deep/1", KEY), 503);
+        harness.send_control(ControlMessage::Items(rest));
+        harness.confirm_complete_state();
+        let tenant = forwarded_tenant(&mut harness, "/k/1", KEY);
+        assert_eq!(tenant.as_deref(), Some("t"));
+        assert_eq!(refusal_status(&mut harness, "/k/deep/1", KEY), 503);
+    }
+}
+
+/// Guards against a request without its key's tenant at a proxy that was complete before the order, wherever that is cut.
+#[test]
+fn complete_proxy_forwards_a_key_only_with_its_tenant_at_any_part_of_an_order() {
+    for (first, rest) in cuts() {
+        let knows = |name: &ItemName| first.iter().any(|item| item.name == *name);
+        let [route, _, _, tenant] = &order()[..] else {
+            unreachable!("the order has four items")
+        };
+        let is_known = knows(&route.name) && knows(&tenant.name);
+        let mut harness = harness_with_part(Vec::new());
+        harness.confirm_complete_state();
+        harness.send_control(ControlMessage::Items(first));
+        harness.settle();
+        if is_known {
+            let tenant = forwarded_tenant(&mut harness, "/k/1", KEY);
+            assert_eq!(tenant.as_deref(), Some("t"));
+        } else {
+            refusal_status(&mut harness, "/k/1", KEY);
+        }
+        harness.send_control(ControlMessage::Items(rest));
+        harness.settle();
+        let tenant = forwarded_tenant(&mut harness, "/k/1", KEY);
+        assert_eq!(tenant.as_deref(), Some("t"));
+    }
+}
