Proxy: a key is parsed once; tests share their set-ups and say in one line what they guard

Cause: admission parsed the key twice for each request, the set-up of a cluster view and of the built programs stood twice and thrice, and comments above tests told what had been seen.

Change: one parse; `ProxyHarness::send_cluster_view` and `programs()`. No check is changed.

--- a/crates/control/tests/distribution.rs
+++ b/crates/control/tests/distribution.rs
@@ -58,8 +58,7 @@
         .collect()
 }
 
-/// Guards against edges that serve by a part of the configuration, and against edges that serve nothing while control has no
-/// quorum.
+/// Guards against edges that serve by a part of the configuration, and against those that serve nothing without a quorum.
 #[test]
 fn replica_without_a_quorum_sends_a_snapshot_only_if_it_was_up_to_date_since_its_start() {
     let mut cluster = started(14);
--- a/crates/load/tests/soak.rs
+++ b/crates/load/tests/soak.rs
@@ -1,17 +1,21 @@
 //! A short soak of the built programs; many seeds are played by hand (`streamarch-load soak`).
 
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::sync::atomic::AtomicBool;
 
 use emulator::system::machines::built_programs_folder;
 use load::soak::{Plan, Trouble, run};
 
-#[test]
-fn nothing_that_must_hold_is_violated_under_faults_that_overlap() {
-    let programs = built_programs_folder(
+fn programs() -> PathBuf {
+    built_programs_folder(
         Path::new(env!("CARGO_BIN_EXE_streamarch-load")),
         env!("CARGO"),
-    );
+    )
+}
+
+#[test]
+fn nothing_that_must_hold_is_violated_under_faults_that_overlap() {
+    let programs = programs();
     for seed in [1, 2, 3] {
         let plan = Plan {
             trouble: Trouble::Faults,
@@ -29,10 +33,7 @@
 /// them.
 #[test]
 fn no_running_request_is_given_up_under_shutdowns_and_releases_in_series() {
-    let programs = built_programs_folder(
-        Path::new(env!("CARGO_BIN_EXE_streamarch-load")),
-        env!("CARGO"),
-    );
+    let programs = programs();
     for seed in [1, 2] {
         let plan = Plan {
             trouble: Trouble::Shutdowns,
@@ -46,13 +47,10 @@
     }
 }
 
-/// Guards against edges that serve by a part of the configuration: a server was not told the tenant of a request's key.
+/// Guards against edges that serve by a part of the configuration, and so don't tell servers the tenant of a key.
 #[test]
 fn nothing_that_must_hold_is_violated_when_power_and_disks_are_lost() {
-    let programs = built_programs_folder(
-        Path::new(env!("CARGO_BIN_EXE_streamarch-load")),
-        env!("CARGO"),
-    );
+    let programs = programs();
     for seed in [517, 522] {
         let plan = Plan {
             trouble: Trouble::LostDisks,
--- a/crates/proxy/src/host/admission.rs
+++ b/crates/proxy/src/host/admission.rs
@@ -99,13 +99,14 @@
             .filter(|request_id| !request_id.is_empty() && request_id.len() <= MAX_REQUEST_ID_BYTES)
             .ok_or(local_response(400, "X-Request-Id"))?
             .to_string();
+        let api_key = api_key(&head.headers);
         let tenant = self
             .config_store
-            .authenticate(api_key(&head.headers), &route)
+            .authenticate(api_key, &route)
             .map_err(|error| self.authentication_error_response(now, error))?
             .cloned();
-        let has_key = api_key(&head.headers).is_some();
-        self.forwarded_keys.check(tenant.is_some() || !has_key);
+        self.forwarded_keys
+            .check(tenant.is_some() || api_key.is_none());
         self.metrics.admitted_before_complete +=
             u64::from(self.completeness < Completeness::Complete);
         let allowed_time = allowed_time(&head.headers, &route);
--- a/crates/proxy/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -303,14 +303,19 @@
             .map(|(prefix, kind)| route(prefix, 1, kind, extra_fields))
             .collect();
         items.push(item(ItemKind::Service, "s", 1, r#"{"hcheck":"/healthz"}"#));
+        self.send_cluster_view();
+        self.send_control(ControlMessage::Items(items));
+        self.send_server_list();
+    }
+
+    /// The agent sends that this is the only limiter, and that its replica has a quorum.
+    pub fn send_cluster_view(&mut self) {
         self.send_control(ControlMessage::ClusterView(ClusterView {
             limiter_count: 1,
             zone_limiter_count: 1,
             has_quorum: true,
             ..ClusterView::default()
         }));
-        self.send_control(ControlMessage::Items(items));
-        self.send_server_list();
     }
 
     /// Runs one turn of the proxy's event loop and reads what has arrived at the agent, the servers
--- a/crates/proxy/tests/partial_configuration.rs
+++ b/crates/proxy/tests/partial_configuration.rs
@@ -4,7 +4,7 @@
 
 use common::{ProxyHarness, START, item, request_text, route};
 use protocol::items::{Item, ItemKind, ItemName};
-use protocol::messages::{ClusterView, ControlMessage};
+use protocol::messages::ControlMessage;
 
 const KEY: &str = "Authorization: Bearer k\r\n";
 /// Longer than a confirmation is valid.
@@ -26,12 +26,7 @@
 /// A proxy that is connected to an agent which has sent these items and the servers, and has not said that they are all.
 fn harness_with_part(items: Vec<Item>) -> ProxyHarness {
     let mut harness = ProxyHarness::without_state(START, &["a"], "");
-    harness.send_control(ControlMessage::ClusterView(ClusterView {
-        limiter_count: 1,
-        zone_limiter_count: 1,
-        has_quorum: true,
-        ..ClusterView::default()
-    }));
+    harness.send_cluster_view();
     harness.send_control(ControlMessage::Items(items));
     harness.send_server_list();
     harness
@@ -72,7 +67,7 @@
     tenant
 }
 
-/// Guards against UNASKED: a proxy that had routes and no tenants yet forwarded a request without its key's tenant.
+/// Guards against requests without their key's tenant, forwarded by a proxy that has routes and no tenants yet.
 #[test]
 fn keyed_request_is_not_forwarded_before_the_tenants_have_arrived() {
     let mut harness = harness_with_part(vec![route("/k/", 1, "idem", ""), service()]);
@@ -83,8 +78,7 @@
     assert_eq!(tenant.as_deref(), Some("t"));
 }
 
-/// Guards against a service running requests that no configuration sends to it: of two routes that match, the
-/// one with the longer prefix had not arrived.
+/// Guards against requests at the wrong service, by a route whose longer neighbour is yet to arrive.
 #[test]
 fn request_is_not_forwarded_by_a_shorter_prefix_before_the_longer_one_has_arrived() {
     let public = r#","public":true"#;
@@ -103,7 +97,7 @@
     assert_eq!(forwarded_tenant(&mut harness, "/a/1", ""), None);
 }
 
-/// Guards against requests to servers of an evacuated zone: the evacuation had not arrived.
+/// Guards against requests to servers of an evacuated zone whose evacuation is yet to arrive.
 #[test]
 fn request_is_not_sent_to_a_zone_before_its_evacuation_has_arrived() {
     let public = r#","public":true"#;
@@ -115,7 +109,7 @@
     assert_eq!(refusal_status(&mut harness, "/a/1", ""), 503);
 }
 
-/// Guards against UNASKED: the first half of an order after an empty configuration, which was complete.
+/// Guards against requests without their key's tenant, where an order follows an empty configuration that is complete.
 #[test]
 fn keyed_request_is_not_forwarded_after_the_half_of_the_first_order_that_has_no_tenants() {
     let mut harness = harness_with_part(Vec::new());
@@ -132,7 +126,7 @@
     assert_eq!(tenant.as_deref(), Some("t"));
 }
 
-/// Guards against UNASKED: an old configuration can't tell whose key a new one is, on a public route either.
+/// Guards against requests without their key's tenant on a public route: an old configuration can't tell whose a new key is.
 #[test]
 fn request_with_an_unknown_key_on_a_public_route_is_not_forwarded_by_an_old_configuration() {
     let public = route("/p/", 1, "idem", r#","public":true"#);
@@ -171,8 +165,7 @@
     assert_eq!(refusal_status(&mut harness, "/k/1", KEY), 401);
 }
 
-/// Guards against final refusals: before the operators' limits have arrived, and by old ones, a request that they
-/// allow was rejected with 413 or 431.
+/// Guards against final answers by built-in or old limits to requests that the operators' limits allow.
 #[test]
 fn request_beyond_the_limits_is_rejected_for_good_by_a_current_configuration_only() {
     let public = r#","public":true"#;
@@ -218,8 +211,7 @@
     })
 }
 
-/// Guards against requests that are forwarded by a part of an order, wherever it is cut: nothing is forwarded before it is said to be
-/// whole.
+/// Guards against requests that are forwarded by a part of an order, wherever that is cut.
 #[test]
 fn starting_proxy_forwards_nothing_by_any_part_of_an_order() {
     for (first, rest) in cuts() {
