--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -4,4 +4,16 @@
 folder="$(cd "$(dirname "$0")" && pwd)"
 cd "$folder/../.." || exit 2
 [ -x target/review/release/review-standin ] || { echo "review/build.sh has not run" >&2; exit 2; }
-exec target/review/release/review-standin unframed "$folder"
+# All processes of the play are in one group, which ends with this script whatever happens.
+set -m
+target/review/release/review-standin unframed "$folder" &
+play=$!
+set +m
+trap 'kill -KILL -- -$play 2>/dev/null' EXIT
+trap 'exit 2' INT TERM
+for _ in $(seq 1150); do
+    kill -0 $play 2>/dev/null || { wait $play; exit $?; }
+    sleep 0.1
+done
+echo "not done after 115 s" >&2
+exit 2
