--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -6,7 +6,7 @@
 [ -x target/review/release/review-standin ] || { echo "review/build.sh has not run" >&2; exit 2; }
 # All processes of the play are in one group, which ends with this script whatever happens.
 set -m
-target/review/release/review-standin unframed "$folder" &
+target/review/release/review-standin unframed "$folder/record.txt" &
 play=$!
 set +m
 trap 'kill -KILL -- -$play 2>/dev/null' EXIT
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -1,5 +1,5 @@
-//! The cases of the review that are scripts: `review-standin CASE FOLDER`. With `TROUBLE=0` a case is played without its
-//! disruption. Exit code 0: the rule held; 1: it was broken; 2: the case could not run.
+//! The cases of the review that are scripts: `review-standin CASE RECORD`. With `TROUBLE=0` a case is played without its
+//! disruption. RECORD is the file that takes what was sent, answered and run. Exit code 0: the rule held; 1: it was broken; 2: the case could not run.
 
 mod readback;
 mod unframed;
@@ -10,8 +10,8 @@
 
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
-    let [_, case, folder] = arguments.as_slice() else {
-        world::fail_to_run("usage: review-standin CASE FOLDER");
+    let [_, case, record_path] = arguments.as_slice() else {
+        world::fail_to_run("usage: review-standin CASE RECORD");
     };
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let record = world::Record::new();
@@ -27,7 +27,7 @@
         Some(false) => "the rule was broken",
         None => "the case could not run",
     });
-    record.write(&Path::new(folder).join("record.txt"));
+    record.write(Path::new(record_path));
     std::process::exit(match held {
         Some(true) => 0,
         Some(false) => 1,
