Proxy: a response without a length ends with its connection, whatever its status

Cause: `ResponseHead::parse` (dataplane) took any response without a length for one without a body, unless its status was 200; `classify` (proxy) then refused those that end with their connection, and `Host` handled a close in order like a reset. Nothing in the proxy knew of a response that a close completes.

Change: the framing no longer depends on the status (204 and 304 have no body). The close of a server's sending direction completes such a response, buffered or streamed; a reset does not. Where the body is not forwarded (not run, wrong server, health check) the head is enough, and an answer to another request that ends with its connection ends the attempt: before, its body was parsed as the answer to this request. The gateway in service (limiter) forwards bodies of 200 only and handles other statuses by their head, as before.

--- a/crates/dataplane/src/framing.rs
+++ b/crates/dataplane/src/framing.rs
@@ -10,7 +10,7 @@
 
 pub use self::body::{BodyFraming, BodyReader};
 pub use self::head::{Head, Headers, RequestHead, ResponseHead};
-use self::head::{body_framing, parse_final_head, parse_response_head};
+use self::head::{body_framing, parse_response_head};
 pub use self::incoming::IncomingMessage;
 pub use self::write::{write_chunk, write_head, write_response};
 use crate::limits::Limits;
@@ -167,21 +167,16 @@
     is_closed: bool,
     limits: &Limits,
 ) -> Result<Option<(Response, usize)>, ParseError> {
-    let Some((head, head_length)) = parse_final_head(bytes, limits)? else {
+    let Some((head, framing, head_length)) = ResponseHead::parse(bytes, limits)? else {
         return Ok(None);
     };
-    let has_no_body = matches!(head.status, 204 | 304);
-    let framing = if has_no_body {
-        BodyFraming::Length(0)
-    } else {
-        body_framing(&head.headers, BodyFraming::UntilClose)?
-    };
     let complete_body = parse_body(&bytes[head_length..], framing, is_closed, limits)?;
     Ok(complete_body.map(|(body, length)| (Response::new(head, body), head_length + length)))
 }
 
-/// Like [`parse_response`], but rejects a response whose end is neither given by a length nor by an
-/// announced close of the connection.
+/// Like [`parse_response`] on an open connection, but rejects a response whose end is neither given
+/// by a length nor by an announced close of the connection: on a connection that stays open its end
+/// would be awaited in vain, and it would swallow the responses after it.
 ///
 /// # Errors
 /// The input is not such a response, or exceeds the limits.
@@ -192,6 +187,9 @@
     let Some((head, framing, head_length)) = ResponseHead::parse(bytes, limits)? else {
         return Ok(None);
     };
+    if framing == BodyFraming::UntilClose && head.keep_alive {
+        return Err(ParseError::Syntax);
+    }
     let complete_body = parse_body(&bytes[head_length..], framing, false, limits)?;
     Ok(complete_body.map(|(body, length)| (Response::new(head, body), head_length + length)))
 }
--- a/crates/dataplane/src/framing/head.rs
+++ b/crates/dataplane/src/framing/head.rs
@@ -198,9 +198,8 @@
 }
 
 impl Head for ResponseHead {
-    /// A response without a length ends with its connection only if it also announces that the
-    /// connection is closed. Otherwise a truncated response would look complete, or its end would
-    /// be awaited in vain on a connection that stays open.
+    /// A response without a length ends with its connection, whatever its status (RFC 9112, section
+    /// 6.3). The response to a `HEAD` request has no body; only the caller knows the method.
     fn parse(
         bytes: &[u8],
         limits: &Limits,
@@ -210,10 +209,7 @@
         };
         let framing = match head.status {
             204 | 304 => BodyFraming::Length(0),
-            _ if head.has_length() => body_framing(&head.headers, BodyFraming::UntilClose)?,
-            200 if head.keep_alive => return Err(ParseError::Syntax),
-            200 => BodyFraming::UntilClose,
-            _ => BodyFraming::Length(0),
+            _ => body_framing(&head.headers, BodyFraming::UntilClose)?,
         };
         Ok(Some((head, framing, head_length)))
     }
@@ -256,7 +252,7 @@
 
 /// Parses the head of the final response after any interim ones. Returns it with the index at which
 /// its body begins.
-pub(super) fn parse_final_head(
+fn parse_final_head(
     bytes: &[u8],
     limits: &Limits,
 ) -> Result<Option<(ResponseHead, usize)>, ParseError> {
--- a/crates/limiter/src/net/host/responses.rs
+++ b/crates/limiter/src/net/host/responses.rs
@@ -162,16 +162,22 @@
             return;
         }
         let is_long = incoming.is_body_longer_than(self.limits.max_buffered_body_bytes as u64);
+        let stays_open = incoming.head().is_some_and(|head| head.keep_alive);
         match (
             incoming.is_complete(),
             incoming.head().map(|head| head.status),
         ) {
+            // The end would be awaited in vain.
+            (_, Some(200)) if incoming.ends_at_close() && stays_open => {
+                self.end_upstream_request(service, server, purpose, Outcome::Error, None);
+                _ = self.close(key);
+            }
             (_, Some(200)) if is_long && matches!(purpose, UpstreamPurpose::Attempt(..)) => {
                 self.begin_relay(key, incoming)
             }
             (true, _) => self.handle_response(key, purpose, incoming),
-            // Of other long responses only the head matters.
-            (_, Some(_)) if is_long => {
+            // Of responses other than 200 only the head matters.
+            (_, Some(status)) if is_long || status != 200 && incoming.ends_at_close() => {
                 self.handle_response(key, purpose, incoming);
                 _ = self.close(key);
             }
--- a/crates/proxy/src/host/mod.rs
+++ b/crates/proxy/src/host/mod.rs
@@ -508,9 +508,8 @@
             IoEvent::Connected(connection_id) => self.handle_connected(now, connection_id),
             IoEvent::Received(connection_id) => self.handle_received(now, connection_id),
             IoEvent::Flushed(connection_id) => self.handle_flushed(now, connection_id),
-            IoEvent::PeerClosed(connection_id) | IoEvent::Failed(connection_id) => {
-                self.handle_connection_lost(now, connection_id)
-            }
+            IoEvent::PeerClosed(connection_id) => self.handle_peer_closed(now, connection_id),
+            IoEvent::Failed(connection_id) => self.handle_connection_lost(now, connection_id),
         }
     }
 
@@ -573,6 +572,13 @@
         }
     }
 
+    fn handle_peer_closed(&mut self, now: Micros, connection_id: ConnectionId) {
+        match self.roles.get(connection_id) {
+            Some(Role::Upstream(_)) => self.handle_upstream_end(now, connection_id),
+            _ => self.handle_connection_lost(now, connection_id),
+        }
+    }
+
     fn handle_connection_lost(&mut self, now: Micros, connection_id: ConnectionId) {
         match self.roles.get(connection_id) {
             Some(Role::Client(_)) => {
--- a/crates/proxy/src/host/response_streams.rs
+++ b/crates/proxy/src/host/response_streams.rs
@@ -169,6 +169,22 @@
         }
     }
 
+    /// The server has closed its sending direction in order: that completes a response without a
+    /// length, and truncates any other.
+    pub(super) fn handle_response_stream_end(&mut self, now: Micros, connection_id: ConnectionId) {
+        let Some(Role::Upstream(upstream)) = self.roles.get_mut(connection_id) else {
+            return;
+        };
+        let Some(stream) = &mut upstream.response_stream else {
+            return;
+        };
+        let output = self.connections.output(stream.client);
+        match output.is_some_and(|output| stream.relay.handle_close(output)) {
+            true => self.finish_response_stream(now, connection_id, true),
+            false => self.abort_response_stream(now, connection_id, CloseReason::ServerClosed),
+        }
+    }
+
     /// All that was forwarded is written to the client: more may be read.
     pub(super) fn resume_response_stream(&mut self, upstream: ConnectionId) {
         if let Some(connection) = self.connections.get_mut(upstream) {
--- a/crates/proxy/src/host/upstreams.rs
+++ b/crates/proxy/src/host/upstreams.rs
@@ -1,7 +1,6 @@
 //! Connections to servers: opened, reused and closed, and the responses that arrive on them.
 
 use dataplane::engine::EngineRejection;
-use dataplane::framing::BodyFraming;
 use protocol::connections::Connection;
 use protocol::items::Idempotency;
 
@@ -39,7 +38,6 @@
 fn classify_for_purpose(
     purpose: UpstreamPurpose,
     head: &ResponseHead,
-    framing: BodyFraming,
     requests: &SlotMap<RequestKey, Request>,
 ) -> Option<ResponseClass> {
     match purpose {
@@ -51,7 +49,7 @@
         UpstreamPurpose::Probe(_) => Some(ResponseClass::Final),
         UpstreamPurpose::Attempt(key, ..) => {
             let request = requests.get(key)?;
-            Some(classify(head, framing, &request.id))
+            Some(classify(head, &request.id))
         }
     }
 }
@@ -285,9 +283,9 @@
         let Some(head) = upstream.incoming.head() else {
             return false;
         };
-        let response_class = upstream.response_class.or_else(|| {
-            classify_for_purpose(purpose, head, upstream.incoming.framing, &self.requests)
-        });
+        let response_class = upstream
+            .response_class
+            .or_else(|| classify_for_purpose(purpose, head, &self.requests));
         let Some(response_class) = response_class else {
             self.close_upstream(connection_id);
             return false;
@@ -298,7 +296,16 @@
             self.finish_exchange(now, connection_id, purpose, response_class);
             return false;
         }
-        if !upstream.incoming.is_complete() && !upstream.expects_no_body {
+        // A body that ends with its connection, and is not forwarded, need not be awaited.
+        let is_rest_irrelevant = upstream.incoming.ends_at_close()
+            && (!response_class.may_be_forwarded() || matches!(purpose, UpstreamPurpose::Probe(_)));
+        if is_rest_irrelevant && response_class == ResponseClass::OtherRequest {
+            // No response can follow on this connection.
+            self.finish_exchange(now, connection_id, purpose, ResponseClass::Malformed);
+            return false;
+        }
+        let is_complete = upstream.incoming.is_complete() || upstream.expects_no_body;
+        if !is_complete && !is_rest_irrelevant {
             self.handle_partial_response(now, connection_id, purpose, response_class);
             return false;
         }
@@ -463,8 +470,25 @@
         }
     }
 
+    /// Handles the orderly end of the bytes from a server, which completes a response without a
+    /// length. A connection that is reset does not.
+    pub(super) fn handle_upstream_end(&mut self, now: Micros, connection_id: ConnectionId) {
+        let Some(Role::Upstream(upstream)) = self.roles.get(connection_id) else {
+            return;
+        };
+        if upstream.response_stream.is_some() {
+            return self.handle_response_stream_end(now, connection_id);
+        }
+        match (upstream.state.purpose(), upstream.response_class) {
+            (Some(purpose), Some(class)) if upstream.incoming.ends_at_close() => {
+                self.finish_exchange(now, connection_id, purpose, class)
+            }
+            _ => self.handle_upstream_closed(now, connection_id),
+        }
+    }
+
     /// Handles the loss of a connection to a server: it failed, was never established, or was closed
-    /// by the server.
+    /// by the server before its response was complete.
     pub(super) fn handle_upstream_closed(&mut self, now: Micros, connection_id: ConnectionId) {
         let Some(Role::Upstream(upstream)) = self.roles.get(connection_id) else {
             return;
--- a/crates/proxy/src/response_class.rs
+++ b/crates/proxy/src/response_class.rs
@@ -1,6 +1,6 @@
 //! Classifies the responses of servers. Performs no I/O.
 
-use dataplane::framing::{BodyFraming, IncomingMessage, ResponseHead};
+use dataplane::framing::{IncomingMessage, ResponseHead};
 use dataplane::limits::Limits;
 use streamarch::{Micros, Outcome};
 
@@ -33,10 +33,15 @@
             ResponseClass::OtherRequest => None,
         }
     }
+
+    /// Whether the body may be forwarded to the client. Otherwise the head is all that counts.
+    pub fn may_be_forwarded(self) -> bool {
+        matches!(self, ResponseClass::Final | ResponseClass::Failure)
+    }
 }
 
 /// Classifies a response by its head. `request_id`: of the request that waits for it.
-pub fn classify(head: &ResponseHead, framing: BodyFraming, request_id: &str) -> ResponseClass {
+pub fn classify(head: &ResponseHead, request_id: &str) -> ResponseClass {
     let response_id = head.headers.get("X-Request-Id");
     if response_id.is_some_and(|response_id| response_id != request_id) {
         return ResponseClass::OtherRequest;
@@ -48,9 +53,8 @@
         return ResponseClass::NotRun;
     }
     // A failing server may send anything. Without `X-Request-Id` the response may belong to any
-    // request. Without a length its end can't be distinguished from the loss of the connection. A
-    // success must in addition have the server's `X-Server-Seal`, and no content coding.
-    let is_attributable = framing != BodyFraming::UntilClose && response_id.is_some();
+    // request. A success must in addition have the server's `X-Server-Seal`, and no content coding.
+    let is_attributable = response_id.is_some();
     let is_sealed =
         head.headers.contains("X-Server-Seal") && !head.headers.contains("Content-Encoding");
     match head.status {
--- a/crates/proxy/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -57,6 +57,14 @@
         self.socket = None;
     }
 
+    /// Resets the connection.
+    pub fn reset(&mut self) {
+        if let Some(socket) = self.socket.take() {
+            let linger = Some(std::time::Duration::ZERO);
+            socket2::SockRef::from(&socket).set_linger(linger).unwrap();
+        }
+    }
+
     pub fn is_open(&self) -> bool {
         self.socket.is_some()
     }
