Control: a page of the platform's list without a length ends with its connection

Change: the orderly end of the platform's connection is handed to the poller. A page that breaks off is no JSON and fails the poll, as before. The stand-ins can now leave out the lengths of the list, and a server's answer can have status 201 and no length; the system test of servers' faults plays that too.

Evidence: `servers_of_a_list_without_a_length_are_known` (built programs) failed before ("edge 0 does not know the server") and passes now; a page without a length is complete at its last byte and close, at none of the cuts before.

--- a/crates/control/src/host/http_calls.rs
+++ b/crates/control/src/host/http_calls.rs
@@ -195,8 +195,8 @@
         }
     }
 
-    /// Reads a page of the platform's list.
-    pub(super) fn read_page(&mut self, key: ConnectionKey) {
+    /// Reads a page of the platform's list. `is_closed`: the platform has closed the connection in order.
+    pub(super) fn read_page(&mut self, key: ConnectionKey, is_closed: bool) {
         let Some(poller) = &mut self.poller else {
             return;
         };
@@ -208,7 +208,7 @@
             poller.connection.take_if(|connection| *connection == key);
             return self.close(key);
         }
-        match poller.read(&mut connection.input) {
+        match poller.read(&mut connection.input, is_closed) {
             Ok((result, keep_open)) => {
                 if !keep_open {
                     poller.connection = None;
--- a/crates/control/src/host/mod.rs
+++ b/crates/control/src/host/mod.rs
@@ -471,7 +471,7 @@
             let is_caller = matches!(connection.role, Role::Operator | Role::Client);
             let is_deferred = is_caller && connection.input.len() < limits::CALLER_READ_BYTES;
             match (&*connection.stream).read(&mut self.read_buffer) {
-                Ok(0) => return self.close(key),
+                Ok(0) => return self.handle_end_of_input(key),
                 Ok(length) => {
                     connection.last_received_at = now;
                     connection
@@ -491,6 +491,17 @@
         }
     }
 
+    /// Handles the orderly end of the received bytes, which may complete a page of the platform's list.
+    fn handle_end_of_input(&mut self, key: ConnectionKey) {
+        let has_partial_page = self.connections.get(key).is_some_and(|connection| {
+            connection.role == Role::Platform && !connection.input.is_empty()
+        });
+        if has_partial_page {
+            self.read_page(key, true);
+        }
+        self.close(key);
+    }
+
     /// Handles received bytes by the role of the connection.
     fn dispatch_input(&mut self, key: ConnectionKey) {
         match self.connections.get(key).map(|connection| connection.role) {
@@ -498,7 +509,7 @@
             Some(Role::Replica { .. }) => self.read_replica(key),
             Some(Role::Agent) => self.read_agent(key),
             Some(Role::Operator | Role::Client) => self.read_call(key),
-            Some(Role::Platform) => self.read_page(key),
+            Some(Role::Platform) => self.read_page(key, false),
             None => {}
         }
     }
--- a/crates/control/src/host/platform_poller.rs
+++ b/crates/control/src/host/platform_poller.rs
@@ -6,7 +6,7 @@
 use protocol::platform::{self, Server};
 use protocol::settings::CloudApi;
 
-use crate::dataplane_types::{ConnectionKey, FrameLimits, parse_framed_response};
+use crate::dataplane_types::{ConnectionKey, FrameLimits, parse_response};
 use crate::limits;
 
 /// After this many consecutive failed polls the role is given up, as another replica may reach the platform.
@@ -147,21 +147,26 @@
         self.next_poll_at = now;
     }
 
-    /// Reads received bytes. Gives the result, and whether the connection can be used for the next request.
+    /// Reads received bytes. `is_closed`: the platform has closed the connection in order, which completes a response without a
+    /// length. Gives the result, and whether the connection can be used for the next request.
     ///
     /// # Errors
     /// The response is no page of the list; the whole poll is discarded.
-    pub(super) fn read(&mut self, input: &mut Vec<u8>) -> eyre::Result<(PollResult, bool)> {
+    pub(super) fn read(
+        &mut self,
+        input: &mut Vec<u8>,
+        is_closed: bool,
+    ) -> eyre::Result<(PollResult, bool)> {
         let context = || format!("list of servers from {}", self.address);
         let Some((response, length)) =
-            parse_framed_response(input, &self.limits).wrap_err_with(context)?
+            parse_response(input, is_closed, &self.limits).wrap_err_with(context)?
         else {
             return Ok((PollResult::Incomplete, true));
         };
         input.drain(..length);
         // A response belongs to a request by its position alone. Bytes that follow it are a second response to the same request
         // and would be taken for the next page, or for the list of the next poll: the connection has to be closed.
-        let keep_open = response.keep_alive && input.is_empty();
+        let keep_open = response.keep_alive && input.is_empty() && !is_closed;
         let Some(mut round) = self.round.take().filter(|round| round.deadline.is_some()) else {
             return Err(eyre!("response without a request")).wrap_err_with(context);
         };
--- a/crates/control/src/host/platform_poller/tests.rs
+++ b/crates/control/src/host/platform_poller/tests.rs
@@ -26,7 +26,7 @@
             .starts_with("GET /insts HTTP")
     );
     assert!(matches!(
-        poller.read(&mut page(r#""p/1""#)).unwrap().0,
+        poller.read(&mut page(r#""p/1""#), false).unwrap().0,
         PollResult::MorePages
     ));
     assert!(poller.next_request(1_000).is_none());
@@ -36,7 +36,7 @@
             .unwrap()
             .starts_with("GET /insts?pagetok=p%2F1 HTTP")
     );
-    match poller.read(&mut page("null")).unwrap().0 {
+    match poller.read(&mut page("null"), false).unwrap().0 {
         PollResult::Complete(servers) => assert_eq!(servers.len(), 2),
         _ => panic!("the list is not complete after its last page"),
     }
@@ -45,7 +45,10 @@
     assert!(poller.next_request(1_000_000).is_some());
     assert!(
         poller
-            .read(&mut b"HTTP/1.1 429 x\r\nContent-Length: 0\r\n\r\n".to_vec())
+            .read(
+                &mut b"HTTP/1.1 429 x\r\nContent-Length: 0\r\n\r\n".to_vec(),
+                false
+            )
             .is_err()
     );
     assert!(poller.next_request(1_900_000).is_none() && poller.next_request(2_000_000).is_some());
@@ -63,10 +66,35 @@
         let mut poller = PlatformPoller::new(&settings);
         assert!(poller.next_request(0).is_some());
         let mut input = [page(r#""p/1""#), page("null")[..surplus_bytes].to_vec()].concat();
-        let (result, keep_open) = poller.read(&mut input).unwrap();
+        let (result, keep_open) = poller.read(&mut input, false).unwrap();
         assert!(
             matches!(result, PollResult::MorePages) && keep_open == (surplus_bytes == 0),
             "{surplus_bytes} bytes after the response"
         );
     }
 }
+
+// Guards against a list that is never read where the platform sends it without a length.
+#[test]
+fn page_without_a_length_is_complete_once_its_connection_is_closed() {
+    let settings = CloudApi {
+        addr: "10.2.0.1:80".parse().unwrap(),
+        per_s: 50.0,
+        max_lag: Default::default(),
+    };
+    let framed = String::from_utf8(page("null")).unwrap();
+    let (_, body) = framed.split_once("\r\n\r\n").unwrap();
+    for header_line in ["Connection: close\r\n", ""] {
+        let whole = format!("HTTP/1.1 200 OK\r\n{header_line}\r\n{body}");
+        for length in 0..=whole.len() {
+            let mut poller = PlatformPoller::new(&settings);
+            assert!(poller.next_request(0).is_some());
+            let mut input = whole.as_bytes()[..length].to_vec();
+            let result = poller.read(&mut input, false).map(|(result, _)| result);
+            assert!(matches!(result, Ok(PollResult::Incomplete)), "{length}");
+            let result = poller.read(&mut input, true);
+            let is_complete = matches!(result, Ok((PollResult::Complete(ref servers), false)) if servers.len() == 1);
+            assert_eq!(is_complete, length == whole.len(), "{length}");
+        }
+    }
+}
--- a/crates/control/tests/system.rs
+++ b/crates/control/tests/system.rs
@@ -6,10 +6,12 @@
 
 use emulator::system::client::{Connection, call};
 use emulator::system::machines::{
-    Role, built_programs_folder, programs_ignoring_file_size_signal, unused_net,
+    Role, built_programs_folder, programs_ignoring_file_size_signal, unused_net, zones,
 };
 use emulator::system::operator::Change;
-use emulator::system::test_system::{HOST, READ_PREFIX, SERVICES, Size, TestSystem, route};
+use emulator::system::test_system::{
+    HOST, READ_PREFIX, SERVICES, Size, TestSystem, route, server_config,
+};
 use emulator::system::wait_for;
 use serde_json::json;
 use tempfile::TempDir;
@@ -134,6 +136,38 @@
     assert_eq!(system.machines.stop(), Vec::<String>::new());
 }
 
+// Guards against servers that stay unknown where the platform's list has no length and ends with its connection.
+#[test]
+fn servers_of_a_list_without_a_length_are_known() {
+    let folder = TempDir::new().unwrap();
+    let mut system = start_system(&folder);
+    system.fleet.omit_platform_lengths();
+    let service =
+        json!({"hcheck": "/healthz", "maxconn": 100, "warmup": "0s", "cold_rate_s": 50.0});
+    let change = Change::default().set("svcs", "late", 2, service).set(
+        "routes",
+        "late",
+        2,
+        route("/late/", "late"),
+    );
+    system.operator.change(&change, deadline()).unwrap();
+    let (zone, _) = &zones(3)[0];
+    system
+        .fleet
+        .start_server(server_config("late", zone), true, None)
+        .unwrap();
+    let served_deadline = deadline();
+    for edge in 0..system.machines.edges() {
+        let is_served =
+            || (system.served_by(edge, "/late/1").as_deref() == Some("late")).then_some(());
+        assert!(
+            wait_for(served_deadline, is_served).is_some(),
+            "edge {edge} does not know the server"
+        );
+    }
+    assert_eq!(system.machines.stop(), Vec::<String>::new());
+}
+
 #[test]
 fn recovery_from_a_lost_disk_is_logged_at_once_by_all() {
     let folder = TempDir::new().unwrap();
--- a/crates/emulator/src/http.rs
+++ b/crates/emulator/src/http.rs
@@ -243,5 +243,13 @@
     out.extend_from_slice(body);
 }
 
+/// An answer written by [`write_answer`] without its `Content-Length`: it ends with its connection. `length`: of its body.
+pub fn remove_length(answer: &[u8], length: usize) -> Vec<u8> {
+    let (head, body) = answer.split_at(answer.len() - length);
+    let line = format!("Content-Length: {length}\r\n");
+    let head = String::from_utf8_lossy(head).replacen(&line, "", 1);
+    [head.as_bytes(), body].concat()
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/emulator/src/system/fleet.rs
+++ b/crates/emulator/src/system/fleet.rs
@@ -47,6 +47,8 @@
     reactor: Arc<Reactor>,
     endpoints: Slab<Endpoint>,
     platform: Platform,
+    /// The platform's answers have no length and end with their connections.
+    platform_omits_lengths: bool,
     servers: BTreeMap<usize, (SocketAddr, Server)>,
     next_number: usize,
     run_counts: RunCounts,
@@ -79,6 +81,7 @@
             reactor: reactor.clone(),
             endpoints: Slab::new(),
             platform: Platform::new(config),
+            platform_omits_lengths: false,
             servers: BTreeMap::new(),
             next_number: 0,
             run_counts: RunCounts::default(),
@@ -210,6 +213,11 @@
             .for_each(|(_, server)| server.pending_faults.extend(faults));
     }
 
+    /// From now on the platform's answers have no length and end with their connections.
+    pub fn omit_platform_lengths(&self) {
+        self.lock_state().platform_omits_lengths = true;
+    }
+
     /// Freezes a server for `span` microseconds.
     pub fn freeze(&self, number: usize, span: Micros) {
         let mut state = self.lock_state();
@@ -438,14 +446,15 @@
                     "Content-Type: application/json\r\n",
                     body.as_bytes(),
                 );
-                Some((
-                    out,
-                    if request.close {
-                        ConnectionAction::Close
-                    } else {
-                        ConnectionAction::Keep
-                    },
-                ))
+                if self.platform_omits_lengths {
+                    out = http::remove_length(&out, body.len());
+                }
+                let then = if request.close || self.platform_omits_lengths {
+                    ConnectionAction::Close
+                } else {
+                    ConnectionAction::Keep
+                };
+                Some((out, then))
             }
             Some(number) => {
                 let Some((_, server)) = self.servers.get_mut(&number) else {
--- a/crates/emulator/src/system/server.rs
+++ b/crates/emulator/src/system/server.rs
@@ -48,6 +48,8 @@
     NoAnswer,
     /// The connection is closed right after the answer without `Connection: close`.
     ClosedUnannounced,
+    /// The answer has status 201 and no length; it ends with the connection, which is closed in order.
+    Unframed,
 }
 
 /// The parts of a request that a server uses.
@@ -416,6 +418,11 @@
             AnswerFault::Duplicated => (bytes.repeat(2), then),
             AnswerFault::NoAnswer => (Vec::new(), ConnectionAction::Keep),
             AnswerFault::ClosedUnannounced => (bytes, ConnectionAction::Close),
+            AnswerFault::Unframed => {
+                let (framed, then) =
+                    self.answer(201, Some(&pending.id), &seal, body.as_bytes(), true);
+                (http::remove_length(&framed, body.len()), then)
+            }
         }
     }
 
--- a/crates/emulator/src/system/server/tests.rs
+++ b/crates/emulator/src/system/server/tests.rs
@@ -152,10 +152,11 @@
     ];
     server.pending_faults.extend(
         all.into_iter()
-            .chain([AnswerFault::NoAnswer, AnswerFault::ClosedUnannounced]),
+            .chain([AnswerFault::NoAnswer, AnswerFault::ClosedUnannounced])
+            .chain([AnswerFault::Unframed]),
     );
     let mut ends = Vec::new();
-    for token in 0..8 {
+    for token in 0..9 {
         send_request(
             &mut server,
             &mut run_counts,
@@ -181,11 +182,12 @@
             (2, true, keep),
             (0, false, keep),
             (1, true, close),
+            (1, true, close),
             (1, true, keep)
         ]
     );
     assert_eq!(
         (run_counts.counts.faulty_answers, run_counts.counts.ran),
-        (7, 8)
+        (8, 9)
     );
 }
--- a/crates/proxy/tests/server_faults_system.rs
+++ b/crates/proxy/tests/server_faults_system.rs
@@ -18,7 +18,7 @@
 /// Clients' timeout in milliseconds, which is how long each silent server delays the test.
 const CLIENT_TIMEOUT_MS: u128 = 400;
 /// All kinds of server faults.
-const SERVER_FAULTS: [AnswerFault; 7] = [
+const SERVER_FAULTS: [AnswerFault; 8] = [
     AnswerFault::Duplicated,
     AnswerFault::Reset,
     AnswerFault::Unsolicited,
@@ -26,6 +26,7 @@
     AnswerFault::Truncated,
     AnswerFault::Malformed,
     AnswerFault::NoAnswer,
+    AnswerFault::Unframed,
 ];
 /// Statuses that promise that the request has not run and never will.
 const NOT_RUN_STATUSES: [u16; 4] = [503, 429, 408, 421];
@@ -77,7 +78,7 @@
             .and_then(|()| open_connection.read_reply(deadline));
         let status = match result {
             Ok(reply) => {
-                if reply.status == 200 {
+                if [200, 201].contains(&reply.status) {
                     let expected = echo(&id, method, path, TENANT, body.as_bytes());
                     assert!(
                         reply.text().contains(&expected),
