Tests: the evacuation test counts items only once its replica knows the first call

Seen: `evacuation_of_a_disconnected_sender_is_dropped_after_a_stall` failed once here ("left: 6, right: 0").

Cause, in the test: it compares the items that replica 0 knows before and after a stall. The first call has six items and may be acknowledged by another replica; if the count before is taken ahead of the moment when replica 0 learns them, the difference is 6. An evacuation that was wrongly executed would have made it 7, and the five changes of limits in between add none.

Change: the test waits until the replica knows as many items as a quorum read gives, and then compares as before.

--- a/crates/control/tests/resent.rs
+++ b/crates/control/tests/resent.rs
@@ -137,6 +137,13 @@
     assert_eq!(replicas.0.machines.stop(), Vec::<String>::new());
 }
 
+/// The number of items in force, by a quorum read.
+fn items_in_force(address: SocketAddr) -> u64 {
+    let reply = call(address, "GET", "/api/cfg/get", "", b"", deadline()).unwrap();
+    let configuration: Value = serde_json::from_slice(reply.body()).unwrap();
+    configuration["objs"].as_array().unwrap().len() as u64
+}
+
 /// The number of items that a replica knows to be chosen, evacuations included.
 fn chosen_count(address: SocketAddr) -> u64 {
     let reply = call(address, "GET", "/api/status", "", b"", deadline()).unwrap();
@@ -156,6 +163,10 @@
     let programs = built_programs_folder(Path::new(PROGRAM), env!("CARGO"));
     let mut system = TestSystem::start(folder.path(), &programs, size, deadline()).unwrap();
     let address = system.machines.ctl(0);
+    // The first call may have been acknowledged by another replica: this one learns its items a little later.
+    let items = items_in_force(address);
+    let knows_all = || (chosen_count(address) == items).then_some(());
+    assert!(wait_for(deadline(), knows_all).is_some());
     // The first sender has disconnected when the replica resumes, the second one still waits for
     // its answer.
     for (disconnects, zone) in [(true, 1), (false, 2)] {
