Configuration: items are read back with the numbers and strings that were sent

Found beside it: an acknowledged item with a number beyond the range of a double, half a surrogate pair, or more than 127 levels of nesting in a key that is not used was missing from the read; integers beyond 64 bits came back rounded; and another content under the version in force was acknowledged as the same if it differed only in what parsing rounds or can't read.

Cause: `configuration_json` parsed the stored text into `serde_json::Value` and printed it anew, leaving out what did not parse, and `has_same_content` compared such values. A `Value` rounds numbers (inexactly, without the feature `float_roundtrip`), keeps the last of doubled keys and does not hold every valid text. The stored text itself was right everywhere: replicas, disks, transfers.

Change: the text is copied into the answer, but for white space between its tokens, so that the wire stays as it was. Contents are compared by a new module, `json_text`: numbers as decimals of any length, strings by their characters, objects without regard to the order of their keys, doubled keys in their order.

Evidence: with the old functions `specification_is_read_back_as_it_was_sent`, `items_whose_specifications_differ_in_one_digit...` (protocol) and `items_are_read_back_from_all_replicas_as_they_were_sent` (built programs; also after a restart of all, a lost disk and repeated calls) fail; they pass now.

--- a/crates/control/tests/system.rs
+++ b/crates/control/tests/system.rs
@@ -168,6 +168,79 @@
     assert_eq!(system.machines.stop(), Vec::<String>::new());
 }
 
+/// Splits of a route's requests by computed weights, as JSON encoders print them, and keys with unusual values.
+const SPLITS: [&str; 3] = [
+    r#"[{"svc":"bakery","wt":0.09090909090909091},{"svc":"press","wt":0.9090909090909091}]"#,
+    r#"[{"svc":"bakery","wt":0.07692307692307693},{"svc":"press","wt":0.9230769230769231,"note":1e400}]"#,
+    r#"[{"svc":"bakery","wt":18446744073709551617},{"svc":"press","wt":1.0,"note":"\ud800"}]"#,
+];
+
+/// A route as operators send it and read it back.
+fn split_route(version: u64, split: &str) -> String {
+    format!(
+        r#"{{"type":"routes","meta":{{"name":"split","ver":{version}}},"spec":{{"host":"{HOST}","prefix":"/split/","kind":"idem","timeout":"3000ms","target_time":"500ms","split":{split},"public":true}}}}"#
+    )
+}
+
+// Guards against items that are read back with other content than was acknowledged, from any replica, also after their disks
+// were read again, one was lost, and after a repeated call.
+#[test]
+fn items_are_read_back_from_all_replicas_as_they_were_sent() {
+    let folder = TempDir::new().unwrap();
+    let mut system = start_system(&folder);
+    let patch = |system: &TestSystem, replica: usize, object: &str| {
+        let body = format!(r#"{{"upsert":{{"objs":[{object}]}}}}"#);
+        let address = system.machines.ctl(replica);
+        call(
+            address,
+            "POST",
+            "/api/cfg/patch",
+            "",
+            body.as_bytes(),
+            deadline(),
+        )
+        .unwrap()
+        .status
+    };
+    let expect_read_back = |system: &TestSystem, object: &str| {
+        for replica in 0..system.machines.cores() {
+            let address = system.machines.ctl(replica);
+            let is_read_back = || {
+                let reply = call(address, "GET", "/api/cfg/get", "", b"", deadline()).ok()?;
+                (reply.status == 200).then(|| {
+                    assert!(
+                        reply.text().contains(object),
+                        "{object} in {}",
+                        reply.text()
+                    )
+                })
+            };
+            assert!(
+                wait_for(deadline(), is_read_back).is_some(),
+                "replica {replica}"
+            );
+        }
+    };
+    for (version, split) in (2..).zip(SPLITS) {
+        let object = split_route(version, split);
+        assert_eq!(patch(&system, 0, &object), 200);
+        expect_read_back(&system, &object);
+        // What was read back can be sent again; another content under its version can't.
+        assert_eq!(patch(&system, 1, &object), 200);
+        let other = object.replacen("0.0", "0.00", 1).replacen("617", "618", 1);
+        assert_ne!(other, object);
+        assert_eq!(patch(&system, 2, &other), 409);
+        expect_read_back(&system, &object);
+    }
+    let newest = split_route(SPLITS.len() as u64 + 1, SPLITS[SPLITS.len() - 1]);
+    (0..system.machines.cores()).for_each(|replica| system.machines.kill(Role::Control, replica));
+    system.machines.start_cores().unwrap();
+    expect_read_back(&system, &newest);
+    system.machines.lose_disk(1).unwrap();
+    system.machines.start(Role::Control, 1).unwrap();
+    expect_read_back(&system, &newest);
+}
+
 /// The edges that a replica names to clients of a region, by their indices; `None` if it names none or does not answer.
 fn looked_up_edges(system: &TestSystem, replica: usize, region: &str) -> Option<Vec<usize>> {
     let path = format!("/api/lookup?name={HOST}&region={region}&zone=z");
--- a/crates/protocol/src/items.rs
+++ b/crates/protocol/src/items.rs
@@ -6,11 +6,12 @@
 use std::fmt;
 
 use serde::{Deserialize, Serialize};
+use serde_json::json;
 use serde_json::value::RawValue;
-use serde_json::{Value, json};
 use validator::{Validate, ValidationError};
 
 use crate::duration::ConfigDuration;
+use crate::json_text::{compact, is_same_json};
 
 /// The kind of an item.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -500,27 +501,32 @@
 /// Encodes the configuration as operators read it: every item that is not removed, with its specification as it was sent.
 pub fn configuration_json<'a>(items: impl Iterator<Item = &'a Item>) -> Vec<u8> {
     let configured = items.filter(|item| item.name.kind != ItemKind::Zone);
-    let objects: Vec<Value> = configured
-        .filter_map(|item| {
-            let spec: Value = serde_json::from_str(item.spec.as_deref()?).ok()?;
-            let meta = match item.name.kind {
-                ItemKind::Limits => json!({"ver": item.ver}),
-                _ => json!({"name": item.name.name, "ver": item.ver}),
-            };
-            Some(json!({"type": item.name.kind.wire_name(), "meta": meta, "spec": spec}))
-        })
+    let objects: Vec<String> = configured
+        .filter_map(|item| Some(object_json(&item.name, item.ver, item.spec.as_deref()?)))
         .collect();
-    json!({ "objs": objects }).to_string().into_bytes()
+    format!("{{\"objs\":[{}]}}", objects.join(",")).into_bytes()
+}
+
+/// Encodes an item as operators send and read it. `spec` is JSON and is copied but for its white space: parsed and printed
+/// again, its numbers could change.
+pub fn object_json(name: &ItemName, ver: u64, spec: &str) -> String {
+    let meta = match name.kind {
+        ItemKind::Limits => json!({"ver": ver}),
+        _ => json!({"name": name.name, "ver": ver}),
+    };
+    let kind = name.kind.wire_name();
+    let spec = compact(spec);
+    format!("{{\"type\":\"{kind}\",\"meta\":{meta},\"spec\":{spec}}}")
 }
 
 /// Whether two items have the same name, version and specification, ignoring the layout of the JSON.
 pub fn has_same_content(a: &Item, b: &Item) -> bool {
-    let parsed_spec = |item: &Item| {
-        item.spec
-            .as_deref()
-            .map(|text| serde_json::from_str::<Value>(text).ok())
+    let has_same_spec = match (&a.spec, &b.spec) {
+        (Some(a), Some(b)) => is_same_json(a, b),
+        (None, None) => true,
+        _ => false,
     };
-    a == b || (a.name == b.name && a.ver == b.ver && parsed_spec(a) == parsed_spec(b))
+    a.name == b.name && a.ver == b.ver && has_same_spec
 }
 
 #[cfg(test)]
--- a/crates/protocol/src/items/tests.rs
+++ b/crates/protocol/src/items/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use serde_json::Value;
 use test_case::test_case;
 
 const CALL: &str = r#"{"upsert":{"objs":[
@@ -29,6 +30,75 @@
     assert_eq!(encoded["objs"], sent["upsert"]["objs"]);
 }
 
+/// Keys of a service that a JSON library may read as something else, or not at all.
+const UNUSUAL_KEYS: [&str; 9] = [
+    r#""x":0.09090909090909091"#,
+    r#""x":18446744073709551617"#,
+    r#""x":-9223372036854775809"#,
+    r#""x":0.1000000000000000055511151231257827"#,
+    r#""x":1e400"#,
+    r#""x":"\ud800""#,
+    r#""x":"\u0041\u0000""#,
+    r#""x":1,"x":2"#,
+    r#""x":1.0 , "y" : [ ]"#,
+];
+
+/// A service at version 7 with these further keys.
+fn service_with(keys: &str) -> Item {
+    let call = format!(
+        r#"{{"upsert":{{"objs":[{{"type":"svcs","meta":{{"name":"a","ver":7}},"spec":{{"hcheck":"/h",{keys}}}}}]}}}}"#
+    );
+    parse_patch(call.as_bytes(), &Items::new())
+        .unwrap()
+        .remove(0)
+}
+
+// Guards against items that are read back with other numbers than were sent, or are missing.
+#[test]
+fn specification_is_read_back_as_it_was_sent() {
+    let mut keys: Vec<String> = UNUSUAL_KEYS.map(String::from).into();
+    // The quotients of small numbers, as JSON encoders print them.
+    for divisor in 1..100 {
+        let share = 1.0 / f64::from(divisor);
+        keys.push(format!(r#""cold_rate_s":{share},"rest":{}"#, 1.0 - share));
+    }
+    // Deeper than parsers that recurse accept.
+    keys.push(format!(r#""x":{}{}"#, "[".repeat(300), "]".repeat(300)));
+    for keys in keys {
+        let item = service_with(&keys);
+        let spec = format!(r#"{{"hcheck":"/h",{}}}"#, keys.replace(' ', ""));
+        let expected = format!(
+            r#"{{"objs":[{{"type":"svcs","meta":{{"name":"a","ver":7}},"spec":{spec}}}]}}"#
+        );
+        let encoded = configuration_json([item].iter());
+        assert_eq!(String::from_utf8(encoded).unwrap(), expected);
+    }
+}
+
+// Guards against another content that is acknowledged under the version in force, as if it were the same.
+#[test]
+fn items_whose_specifications_differ_in_one_digit_have_other_content() {
+    let is_same = |a: &str, b: &str| has_same_content(&service_with(a), &service_with(b));
+    for keys in UNUSUAL_KEYS {
+        assert!(is_same(keys, keys));
+        UNUSUAL_KEYS
+            .iter()
+            .filter(|other| **other != keys)
+            .for_each(|other| {
+                assert!(!is_same(keys, other), "{keys} and {other}");
+            });
+    }
+    assert!(!is_same(
+        r#""x":0.09090909090909091"#,
+        r#""x":0.09090909090909092"#
+    ));
+    assert!(!is_same(r#""x":"\ud800""#, r#""x":"\ud801""#));
+    assert!(is_same(
+        r#""x":1,"y":[0.5]"#,
+        r#""y" : [ 5e-1 ], "x" : 1.0"#
+    ));
+}
+
 #[test_case(r#"{"svc":"b","wt":10}"#, r#"{"svc":"c","wt":10}"#, "svc"; "an unknown service")]
 #[test_case(r#""wt":10"#, r#""wt":-1"#, "wt"; "a negative weight")]
 #[test_case(r#""target_time":"500ms""#, r#""target_time":"63000ms""#, "target_time"; "a target a minute above the timeout")]
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod frames;
 pub mod invariant;
 pub mod items;
+pub mod json_text;
 pub mod log_ring;
 pub mod messages;
 pub mod metrics;
