Control: many calls at once on one connection no longer exhaust the stack

Cause: `answer` read the next call of the connection, whose answer read the next one, each within the one before.

Change: answered callers are queued, and their next calls are read at the end of the iteration of the event loop, 64 at most, so that such a caller doesn't hold up heartbeats either; with more of them the next iteration begins at once.

Evidence: `many_calls_at_once_on_one_connection_are_all_answered` (built programs, 30,000 calls each at `dir` and `ctl`) fails before, as the program at `ctl` ends ("left: 0, right: 30000"), and passes now.

--- a/crates/control/src/host/http_calls.rs
+++ b/crates/control/src/host/http_calls.rs
@@ -18,6 +18,9 @@
 /// The greatest size of the body of a lookup.
 const MAX_LOOKUP_BODY_BYTES: u64 = 1_024;
 
+/// The greatest number of callers whose next calls are read in one iteration of the event loop.
+const MAX_NEXT_CALLS: usize = 64;
+
 const JSON_HEADERS: [(&str, &str); 1] = [("Content-Type", "application/json")];
 
 impl Host {
@@ -128,7 +131,8 @@
         self.send_reply(key, reply);
     }
 
-    /// Answers a caller, and reads its next call.
+    /// Answers a caller. Its next call is read later in this iteration, or in the next ones: with a caller that sends many calls
+    /// at once, handling each within the one before would exhaust the stack.
     pub(super) fn answer(&mut self, key: ConnectionKey, status: u16, body: &[u8]) {
         let Some(connection) = self
             .connections
@@ -139,13 +143,24 @@
         };
         connection.awaiting_reply = false;
         connection.closing = connection.close_after_reply || self.shutdown_started_at.is_some();
-        let (close, has_unread) = (connection.closing, connection.has_unread);
+        let close = connection.closing;
         let mut bytes = Vec::with_capacity(body.len() + 128);
         write_response(&mut bytes, status, &JSON_HEADERS, body, close);
         self.write(key, &bytes);
         if !close {
+            self.answered_callers.push_back(key);
+        }
+    }
+
+    /// Reads the next calls of callers that have been answered, as many as fit into one iteration of the event loop.
+    pub(super) fn read_next_calls(&mut self) {
+        for _ in 0..MAX_NEXT_CALLS {
+            let Some(key) = self.answered_callers.pop_front() else {
+                return;
+            };
             self.read_call(key);
-            if has_unread {
+            let connection = self.connections.get(key);
+            if connection.is_some_and(|connection| connection.has_unread) {
                 self.read(key);
             }
         }
--- a/crates/control/src/host/mod.rs
+++ b/crates/control/src/host/mod.rs
@@ -9,7 +9,7 @@
 mod platform_poller;
 mod stall;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
@@ -96,6 +96,8 @@
     reconnect_at: BTreeMap<SocketAddr, i64>,
     poller: Option<PlatformPoller>,
     lookups: PendingLookups,
+    /// Callers that have been answered and whose next calls, which may have arrived already, are to be read.
+    answered_callers: VecDeque<ConnectionKey>,
     stall: StallDetector,
     next_upkeep_at: i64,
     shutdown_started_at: Option<i64>,
@@ -210,6 +212,7 @@
             reconnect_at: BTreeMap::new(),
             poller: settings.cloud_api.as_ref().map(PlatformPoller::new),
             lookups: PendingLookups::default(),
+            answered_callers: VecDeque::new(),
             stall: StallDetector::default(),
             next_upkeep_at: 0,
             shutdown_started_at: None,
@@ -278,7 +281,17 @@
         let should_poll = self.core.should_poll_platform(self.now());
         let poller = self.poller.as_ref().filter(|_| should_poll);
         let poll_at = poller.map_or(i64::MAX, PlatformPoller::wake_at);
-        let wake_times = [self.next_upkeep_at, poll_at, self.lookups.wake_at()];
+        let next_call_at = if self.answered_callers.is_empty() {
+            i64::MAX
+        } else {
+            self.now()
+        };
+        let wake_times = [
+            self.next_upkeep_at,
+            poll_at,
+            self.lookups.wake_at(),
+            next_call_at,
+        ];
         wake_times.into_iter().fold(self.core.wake_at(), i64::min)
     }
 
@@ -623,6 +636,7 @@
         }
         self.poll_platform(now);
         self.answer_lookups(now);
+        self.read_next_calls();
         // The process may have stalled during this iteration.
         self.check_for_stall();
         self.stall.record_iteration(self.now());
--- a/crates/control/tests/system.rs
+++ b/crates/control/tests/system.rs
@@ -1,6 +1,8 @@
 //! The built programs as a system on loopback: an acknowledged change is served by the proxies, and
 //! survives a kill of all programs.
 
+use std::io::{BufRead, BufReader, Write};
+use std::net::TcpStream;
 use std::path::Path;
 use std::time::{Duration, Instant};
 
@@ -241,6 +243,35 @@
     expect_read_back(&system, &newest);
 }
 
+// Guards against a control program that ends with a stack overflow when one connection brings many calls at once.
+#[test]
+fn many_calls_at_once_on_one_connection_are_all_answered() {
+    const CALLS: usize = 30_000;
+    let folder = TempDir::new().unwrap();
+    let mut system = start_system(&folder);
+    for (address, path) in [
+        (system.machines.dir(0), "/api/lookup?region=r1"),
+        (system.machines.ctl(1), "/api/nothing"),
+    ] {
+        let stream = TcpStream::connect(address).unwrap();
+        stream
+            .set_read_timeout(Some(Duration::from_secs(20)))
+            .unwrap();
+        let mut sender = stream.try_clone().unwrap();
+        let calls = format!("GET {path} HTTP/1.1\r\nHost: core\r\n\r\n").repeat(CALLS);
+        let answered = std::thread::scope(|scope| {
+            scope.spawn(move || sender.write_all(calls.as_bytes()).unwrap());
+            let lines = BufReader::new(stream).lines().map_while(Result::ok);
+            lines
+                .filter(|line| line.starts_with("Content-Length: "))
+                .take(CALLS)
+                .count()
+        });
+        assert_eq!(answered, CALLS, "{path}");
+    }
+    assert_eq!(system.machines.stop(), Vec::<String>::new());
+}
+
 /// The edges that a replica names to clients of a region, by their indices; `None` if it names none or does not answer.
 fn looked_up_edges(system: &TestSystem, replica: usize, region: &str) -> Option<Vec<usize>> {
     let path = format!("/api/lookup?name={HOST}&region={region}&zone=z");
