Proxy: the response to a HEAD request keeps the length that its server announced

RFC 9110, section 8.6: the field must have the length that the body would have, or be left out.

Cause: `write_server_response` took the length of the body that it had received, and a response to `HEAD` has none.

Change: the server's own length is forwarded for `HEAD`, or none.

Evidence: all four cases of `response_to_head_keeps_its_length_and_has_no_body` fail before and pass now.

--- a/crates/proxy/src/host/responses.rs
+++ b/crates/proxy/src/host/responses.rs
@@ -68,7 +68,7 @@
         if request.may_have_run
             && let Some((head, body)) = request.failed_response.take()
         {
-            return self.write_server_response(now, request.client, &head, &body);
+            return self.write_server_response(now, &request, &head, &body);
         }
         if request.may_have_run
             && request.has_given_up_attempt()
@@ -132,19 +132,24 @@
     pub(super) fn write_server_response(
         &mut self,
         now: Micros,
-        connection_id: ConnectionId,
+        request: &Request,
         head: &ResponseHead,
         body: &[u8],
     ) {
-        let Some(close) = self.begin_response(now, connection_id) else {
+        let Some(close) = self.begin_response(now, request.client) else {
             return;
         };
-        let Some(output) = self.connections.output(connection_id) else {
+        let Some(output) = self.connections.output(request.client) else {
             return;
         };
-        let length = body.len().to_string();
-        let has_no_body = matches!(head.status, 204 | 304);
-        let length = (!has_no_body).then_some(("Content-Length", length.as_str()));
+        let body_length = body.len().to_string();
+        let length = match head.status {
+            204 | 304 => None,
+            // The length that the body would have.
+            _ if request.method == "HEAD" => head.headers.get("Content-Length"),
+            _ => Some(body_length.as_str()),
+        };
+        let length = length.map(|length| ("Content-Length", length));
         let fields = head
             .headers
             .iter()
--- a/crates/proxy/src/host/upstreams.rs
+++ b/crates/proxy/src/host/upstreams.rs
@@ -460,7 +460,7 @@
         }
         match (self.requests.remove(key), response) {
             (Some(request), Some((head, body))) => {
-                self.write_server_response(now, request.client, &head, &body)
+                self.write_server_response(now, &request, &head, &body)
             }
             (Some(request), None) => {
                 let request = self.requests.insert(request);
--- a/crates/proxy/tests/unframed_responses.rs
+++ b/crates/proxy/tests/unframed_responses.rs
@@ -155,3 +155,29 @@
     harness.close_server_connection(&attempt);
     assert_eq!(harness.next_response(client).status, 502);
 }
+
+// Guards against a response to `HEAD` that is answered with another length than its body would have, or waits for a body.
+#[test_case("Content-Length: 1234567\r\n", Some("1234567"); "length")]
+#[test_case("Transfer-Encoding: chunked\r\n", None; "chunked")]
+#[test_case(CLOSES, None; "no length")]
+#[test_case("", None; "no length, close not announced")]
+fn response_to_head_keeps_its_length_and_has_no_body(header_line: &str, length: Option<&str>) {
+    for status in [200, 201, 404] {
+        let (mut harness, client, attempt) = receive_request("HEAD /i/1");
+        harness.send_response(&attempt, unframed_response(status, header_line, b""));
+        harness.settle();
+        let received = String::from_utf8(harness.clients[client].received.clone()).unwrap();
+        assert!(
+            received.starts_with(&format!("HTTP/1.1 {status} ")),
+            "{received}"
+        );
+        assert!(received.ends_with("\r\n\r\n"), "{received}");
+        let lines = received.lines();
+        let announced: Vec<&str> = lines
+            .filter_map(|line| line.strip_prefix("Content-Length: "))
+            .collect();
+        assert_eq!(announced, Vec::from_iter(length), "{received}");
+        harness.clients[client].received.clear();
+        assert_eq!(harness.round_trip(client).id(), "two");
+    }
+}
