streamarchctl: exports and differences keep the numbers and strings of the configuration

What operators would see: `streamarchctl export` prints weights of 16 and more digits and integers beyond 64 bits as other numbers, so that the export can't be sent again under its versions (409); items with a number beyond a double can't be exported at all; `diff` shows no difference where two numbers round to the same.

Cause: as in the read of the configuration, specifications were kept as `serde_json::Value` and printed anew.

Change: a specification is kept as its text (`json_text::JsonText`, equal by value without loss); secrets are replaced within it; `--json` lays out the text itself.

Evidence: `export_keeps_values_as_they_were_sent` fails on all six values before and passes now.

--- a/crates/ctl/src/configuration.rs
+++ b/crates/ctl/src/configuration.rs
@@ -5,7 +5,10 @@
 
 use eyre::{WrapErr, eyre};
 use protocol::items::{self, Items};
-use serde_json::{Map, Value, json};
+use protocol::json_text::JsonText;
+use serde::Deserialize;
+use serde_json::value::RawValue;
+use serde_json::{Value, json};
 use sha2::{Digest, Sha256};
 
 /// The key in a tenant's specification whose values are secrets.
@@ -16,8 +19,9 @@
 /// A configuration: its items by name, and the salt of its hashed secrets.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Configuration {
-    /// The version and the specification of each item.
-    pub items: BTreeMap<String, (u64, Map<String, Value>)>,
+    /// The version and the specification of each item. Specifications are kept as texts: parsed and printed again, their
+    /// numbers could change.
+    pub items: BTreeMap<String, (u64, JsonText)>,
     /// The salt of the hashes that replace the secrets; `None` if the secrets are in plain text.
     pub salt: Option<String>,
 }
@@ -40,31 +44,55 @@
     format!("{HASH_PREFIX}{digits}")
 }
 
+/// The response of a replica, or an exported configuration.
+#[derive(Deserialize)]
+struct Document<'a> {
+    #[serde(borrow)]
+    objs: Option<&'a RawValue>,
+    salt: Option<Value>,
+}
+
+/// A list of secrets with each of them replaced by its hash.
+fn hash_secrets(salt: &str, secrets: &JsonText) -> JsonText {
+    let hash = |secret: JsonText| match serde_json::from_str::<String>(secret.as_str()) {
+        Ok(text) => JsonText::new(&json!(hash_secret(salt, &text)).to_string()),
+        Err(_) => secret,
+    };
+    match secrets.elements() {
+        Some(elements) => {
+            let hashed: Vec<JsonText> = elements.into_iter().map(hash).collect();
+            JsonText::from_elements(&hashed)
+        }
+        None => secrets.clone(),
+    }
+}
+
 impl Configuration {
     /// Parses the response of a replica, or a configuration that was exported before.
     ///
     /// # Errors
     /// The text is not a valid configuration; the error names the item and the key.
     pub fn parse(text: &[u8]) -> eyre::Result<Configuration> {
-        let value: Value = serde_json::from_slice(text).wrap_err("configuration: invalid JSON")?;
-        let objects = value
-            .get("objs")
+        let document: Document<'_> =
+            serde_json::from_slice(text).wrap_err("configuration: invalid JSON")?;
+        let objects = document
+            .objs
             .ok_or_else(|| eyre!("configuration: objs: missing"))?;
-        let salt = match value.get("salt") {
+        let salt = match document.salt {
             None => None,
-            Some(Value::String(salt)) => Some(salt.clone()),
+            Some(Value::String(salt)) => Some(salt),
             Some(_) => return Err(eyre!("configuration: salt: expected a string")),
         };
         // The items are validated in the same way as an operators' call.
-        let call = json!({"upsert": {"objs": objects}}).to_string();
+        let call = format!("{{\"upsert\":{{\"objs\":{objects}}}}}");
         let parsed = items::parse_patch(call.as_bytes(), &Items::new());
         let parsed = parsed.map_err(|error| eyre!("configuration: {error}"))?;
         let mut items = BTreeMap::new();
         for item in parsed {
-            let text = item.spec.as_deref().unwrap_or_default();
-            let spec = serde_json::from_str(text)
-                .wrap_err_with(|| format!("configuration: {}", item.name))?;
-            items.insert(item.name.to_string(), (item.ver, spec));
+            let spec = item
+                .spec
+                .ok_or_else(|| eyre!("configuration: {}: removed", item.name))?;
+            items.insert(item.name.to_string(), (item.ver, JsonText::new(&spec)));
         }
         Ok(Configuration { items, salt })
     }
@@ -75,12 +103,13 @@
             return self;
         }
         for (_, spec) in self.items.values_mut() {
-            let secrets = spec.get_mut(SECRETS_KEY).and_then(Value::as_array_mut);
-            for secret in secrets.into_iter().flatten() {
-                if let Value::String(text) = secret {
-                    *text = hash_secret(salt, text);
-                }
+            let Some(mut entries) = spec.entries() else {
+                continue;
+            };
+            for (_, secrets) in entries.iter_mut().filter(|(key, _)| key == SECRETS_KEY) {
+                *secrets = hash_secrets(salt, secrets);
             }
+            *spec = JsonText::from_entries(&entries);
         }
         self.salt = Some(salt.to_string());
         self
@@ -88,14 +117,17 @@
 
     /// Formats the configuration as JSON with one item per line, ordered by name.
     pub fn to_json_lines(&self) -> String {
-        let item_json = |(name, (ver, spec)): (&String, &(u64, Map<String, Value>))| {
+        let item_json = |(name, (ver, spec)): (&String, &(u64, JsonText))| {
             let (kind, name) = name.split_once('/').unwrap_or((name, ""));
             let meta = if name.is_empty() {
                 json!({"ver": ver})
             } else {
                 json!({"name": name, "ver": ver})
             };
-            json!({"type": kind, "meta": meta, "spec": spec}).to_string()
+            format!(
+                "{{\"type\":{},\"meta\":{meta},\"spec\":{spec}}}",
+                json!(kind)
+            )
         };
         let lines: Vec<String> = self.items.iter().map(item_json).collect();
         let salt = self
--- a/crates/ctl/src/configuration/tests.rs
+++ b/crates/ctl/src/configuration/tests.rs
@@ -35,3 +35,45 @@
     let error = Configuration::parse(TEXT.replacen(from, to, 1).as_bytes()).unwrap_err();
     assert!(format!("{error:#}").contains(key), "{error:#}");
 }
+
+/// Values that a JSON library may print as others than it has parsed, each beside one that it may take for the same.
+const UNUSUAL: [&str; 8] = [
+    "0.09090909090909091",
+    "0.09090909090909093",
+    "18446744073709551617",
+    "18446744073709551618",
+    "0.30000000000000000001",
+    "0.3",
+    "1e400",
+    r#""\ud800""#,
+];
+
+// Guards against an export whose numbers differ from those in force, so that it can't be sent again or compared.
+#[test_case("0.09090909090909091"; "17 digits")]
+#[test_case("18446744073709551617"; "an integer beyond 64 bits")]
+#[test_case("0.30000000000000000001"; "20 digits")]
+#[test_case("1e400"; "beyond a double")]
+#[test_case(r#""\ud800""#; "half a surrogate pair")]
+#[test_case("1.50"; "a zero at the end")]
+fn export_keeps_values_as_they_were_sent(value: &str) {
+    let with = |value: &str| {
+        let text = TEXT.replacen("\"per_s\":5", &format!("\"per_s\":5,\"note\":{value}"), 1);
+        Configuration::parse(text.as_bytes()).unwrap()
+    };
+    let plain = with(value);
+    let hashed = plain.clone().with_hashed_secrets("salt-1");
+    for configuration in [&plain, &hashed] {
+        let text = configuration.to_json_lines();
+        assert!(text.contains(&format!("\"note\":{value}}}")), "{text}");
+        assert_eq!(
+            Configuration::parse(text.as_bytes()).unwrap(),
+            *configuration
+        );
+    }
+    for other in UNUSUAL.into_iter().filter(|other| *other != value) {
+        let diff = crate::diff::diff(plain.clone(), with(other));
+        assert_eq!(diff.changed.len(), 1, "{value} and {other}: {diff}");
+        let text = serde_json::to_string(&diff).unwrap();
+        assert!(text.contains(value) && text.contains(other), "{text}");
+    }
+}
--- a/crates/ctl/src/diff.rs
+++ b/crates/ctl/src/diff.rs
@@ -1,11 +1,11 @@
 //! The differences between two configurations by item and key. The order of items, keys, secrets, pins and the services of a
 //! split does not matter.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 
+use protocol::json_text::JsonText;
 use serde::Serialize;
-use serde_json::{Map, Value};
 
 use crate::configuration::{Configuration, SECRETS_KEY, random_salt};
 
@@ -15,9 +15,9 @@
     /// The key.
     pub key: String,
     /// The old value; `None` if the key was added.
-    pub old: Option<Value>,
+    pub old: Option<JsonText>,
     /// The new value; `None` if the key was removed.
-    pub new: Option<Value>,
+    pub new: Option<JsonText>,
 }
 
 /// An item that differs between the configurations.
@@ -61,23 +61,29 @@
 }
 
 /// The value of a key, sorted if it is a list whose order has no meaning.
-fn normalized(key: &str, value: &Value) -> Value {
-    let mut value = value.clone();
-    if let (SECRETS_KEY | "pins" | "split", Some(elements)) = (key, value.as_array_mut()) {
-        elements.sort_by_key(Value::to_string);
+fn normalized(key: &str, value: &JsonText) -> JsonText {
+    match (key, value.elements()) {
+        (SECRETS_KEY | "pins" | "split", Some(mut elements)) => {
+            elements.sort_by(|a, b| a.as_str().cmp(b.as_str()));
+            JsonText::from_elements(&elements)
+        }
+        _ => value.clone(),
     }
-    value
 }
 
-fn changed_keys(old: &Map<String, Value>, new: &Map<String, Value>) -> Vec<ChangedKey> {
+fn changed_keys(old: &JsonText, new: &JsonText) -> Vec<ChangedKey> {
+    let values_by_key = |spec: &JsonText| -> BTreeMap<String, JsonText> {
+        spec.entries().unwrap_or_default().into_iter().collect()
+    };
+    let (old, new) = (values_by_key(old), values_by_key(new));
     let names: BTreeSet<&String> = old.keys().chain(new.keys()).collect();
     let compare_key = |name: &String| {
         let value_in =
-            |spec: &Map<String, Value>| spec.get(name).map(|value| normalized(name, value));
+            |spec: &BTreeMap<String, JsonText>| spec.get(name).map(|value| normalized(name, value));
         ChangedKey {
             key: name.clone(),
-            old: value_in(old),
-            new: value_in(new),
+            old: value_in(&old),
+            new: value_in(&new),
         }
     };
     names
@@ -110,7 +116,10 @@
         };
         let mut keys = changed_keys(old_spec, new_spec);
         let count_with_secrets = keys.len();
-        let count = |value: &Option<Value>| value.as_ref().and_then(Value::as_array).map(Vec::len);
+        let count = |value: &Option<JsonText>| {
+            let elements = value.as_ref().and_then(JsonText::elements);
+            elements.map(|elements| elements.len())
+        };
         keys.retain(|key| {
             have_same_salt || key.key != SECRETS_KEY || count(&key.old) != count(&key.new)
         });
@@ -163,10 +172,10 @@
             };
             writeln!(f, "~ {} {versions}", item.item)?;
             for key in &item.keys {
-                let text = |value: &Option<Value>| {
+                let text = |value: &Option<JsonText>| {
                     value
                         .as_ref()
-                        .map_or("nothing".to_string(), Value::to_string)
+                        .map_or("nothing".to_string(), JsonText::to_string)
                 };
                 writeln!(
                     f,
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -10,6 +10,7 @@
 use ctl::configuration::{Configuration, random_salt};
 use ctl::{diff, http, status};
 use eyre::{WrapErr, ensure, eyre};
+use protocol::json_text;
 use serde::Serialize;
 
 /// The timeout of a request to a replica.
@@ -181,12 +182,7 @@
             };
             let text = configuration.to_json_lines();
             if json {
-                let value: serde_json::Value =
-                    serde_json::from_str(&text).wrap_err("writing JSON")?;
-                println!(
-                    "{}",
-                    serde_json::to_string_pretty(&value).wrap_err("writing JSON")?
-                );
+                println!("{}", json_text::pretty(&text));
             } else {
                 print!("{text}");
             }
--- a/crates/protocol/src/json_text.rs
+++ b/crates/protocol/src/json_text.rs
@@ -5,12 +5,82 @@
 use std::fmt;
 
 use serde::de::{MapAccess, Visitor};
-use serde::{Deserialize, Deserializer};
+use serde::ser::Error;
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+use serde_json::json;
 use serde_json::value::RawValue;
 
 /// Most levels of nesting that are compared by value; deeper ones are compared by their text.
 const MAX_DEPTH: usize = 64;
 
+/// The indentation of a level in [`pretty`].
+const INDENT: &str = "  ";
+
+/// A JSON value as its text. Two are equal if they are the same value.
+#[derive(Clone, Debug)]
+pub struct JsonText(String);
+
+impl JsonText {
+    /// A value from a text that is known to be JSON.
+    pub fn new(text: &str) -> JsonText {
+        JsonText(compact(text))
+    }
+
+    /// The text, without white space between its tokens.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+
+    /// The entries of an object; `None` for other values.
+    pub fn entries(&self) -> Option<Vec<(String, JsonText)>> {
+        let Entries(entries) = parse(&self.0)?;
+        let with_text = |(key, value): (String, &RawValue)| (key, JsonText::new(value.get()));
+        Some(entries.into_iter().map(with_text).collect())
+    }
+
+    /// The elements of an array; `None` for other values.
+    pub fn elements(&self) -> Option<Vec<JsonText>> {
+        let elements: Vec<&RawValue> = parse(&self.0)?;
+        let with_text = |element: &RawValue| JsonText::new(element.get());
+        Some(elements.into_iter().map(with_text).collect())
+    }
+
+    /// An object with these entries.
+    pub fn from_entries(entries: &[(String, JsonText)]) -> JsonText {
+        let entries = entries.iter();
+        let text = |(key, value): &(String, JsonText)| format!("{}:{}", json!(key), value.0);
+        JsonText(format!(
+            "{{{}}}",
+            entries.map(text).collect::<Vec<_>>().join(",")
+        ))
+    }
+
+    /// An array with these elements.
+    pub fn from_elements(elements: &[JsonText]) -> JsonText {
+        let elements: Vec<&str> = elements.iter().map(JsonText::as_str).collect();
+        JsonText(format!("[{}]", elements.join(",")))
+    }
+}
+
+impl PartialEq for JsonText {
+    fn eq(&self, other: &JsonText) -> bool {
+        is_same_json(&self.0, &other.0)
+    }
+}
+
+impl fmt::Display for JsonText {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl Serialize for JsonText {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let value: &RawValue = serde_json::from_str(&self.0).map_err(S::Error::custom)?;
+        value.serialize(serializer)
+    }
+}
+
 /// The text without the white space between its tokens; everything else stays as it is.
 pub fn compact(text: &str) -> String {
     let (mut is_in_string, mut is_escaped) = (false, false);
@@ -23,6 +93,46 @@
     text.chars().filter(is_kept).collect()
 }
 
+/// The text with each entry and element on a line of its own, indented by its depth.
+pub fn pretty(text: &str) -> String {
+    let compact = compact(text);
+    let (mut out, mut depth, mut is_in_string, mut is_escaped) = (String::new(), 0, false, false);
+    let mut characters = compact.chars().peekable();
+    let start_line = |out: &mut String, depth: usize| {
+        out.push('\n');
+        out.push_str(&INDENT.repeat(depth));
+    };
+    while let Some(character) = characters.next() {
+        let is_structural = !is_in_string;
+        is_in_string ^= character == '"' && !is_escaped;
+        is_escaped = is_in_string && character == '\\' && !is_escaped;
+        match character {
+            '{' | '[' if is_structural => {
+                out.push(character);
+                match characters.next_if(|next| matches!(next, '}' | ']')) {
+                    Some(end) => out.push(end),
+                    None => {
+                        depth += 1;
+                        start_line(&mut out, depth);
+                    }
+                }
+            }
+            '}' | ']' if is_structural => {
+                depth = depth.saturating_sub(1);
+                start_line(&mut out, depth);
+                out.push(character);
+            }
+            ',' if is_structural => {
+                out.push(character);
+                start_line(&mut out, depth);
+            }
+            ':' if is_structural => out.push_str(": "),
+            _ => out.push(character),
+        }
+    }
+    out
+}
+
 /// Whether two texts are the same JSON value. Texts that are not JSON are the same only if they are equal.
 pub fn is_same_json(a: &str, b: &str) -> bool {
     a == b
@@ -87,7 +197,7 @@
 }
 
 /// The entries of an object in their order, with each value as its text. Equal keys are all kept.
-pub struct Entries<'a>(pub Vec<(String, &'a RawValue)>);
+struct Entries<'a>(Vec<(String, &'a RawValue)>);
 
 impl<'de> Deserialize<'de> for Entries<'de> {
     fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Entries<'de>, D::Error> {
--- a/crates/protocol/src/json_text/tests.rs
+++ b/crates/protocol/src/json_text/tests.rs
@@ -43,3 +43,12 @@
 fn only_white_space_between_tokens_is_removed(text: &str, expected: &str) {
     assert_eq!(compact(text), expected);
 }
+
+#[test_case(r#"{"a":[1,{"b":"x,{\" y"}],"c":[],"d":{},"e":0.1}"#; "nested")]
+#[test_case("[[[]]]"; "arrays")]
+#[test_case("1.5"; "a number")]
+fn pretty_text_is_laid_out_as_by_the_json_library(text: &str) {
+    let value: serde_json::Value = serde_json::from_str(text).unwrap();
+    assert_eq!(pretty(text), serde_json::to_string_pretty(&value).unwrap());
+    assert_eq!(compact(&pretty(text)), text);
+}
