--- a/crates/plans/tests/book.rs
+++ b/crates/plans/tests/book.rs
@@ -327,3 +327,18 @@
         .tests(2_000)
         .quickcheck(holds as fn(Vec<(u8, u8, u8)>) -> bool);
 }
+
+// Guards against a book whose changes are other numbers at each instance that has read them from another one's print.
+#[test]
+fn changes_are_the_same_after_they_were_printed_and_read() {
+    for divisor in 1..400 {
+        let rate = 1.0 / f64::from(divisor);
+        let kind = format!(
+            r#""what":{{"figures":{{"plan":"taller","figures":{{"rate":{rate},"burst":8.5}}}}}}"#
+        );
+        let change = change("c", 1, &kind);
+        let printed = serde_json::to_string(&change).unwrap();
+        assert!(printed.contains(&format!("\"rate\":{rate}")), "{printed}");
+        assert_eq!(Change::read(&printed).unwrap(), change);
+    }
+}
