Soak: answers without a length, lookups of a pinned host, numbers of many digits; one name a thing

Change: now and then a server's next answers are 201 without a length, in all three kinds of runs, and clients check each success, not only 200. A host with a pinned route, set before the run, is looked up at all replicas for all regions, with a port or in capitals too. Each order carries a number of many digits by its version, and each read is compared with it by its text. A run says how often each of these was checked. `whole`, `town` and `system` are `system`, `fleet` and `to_text`.

--- a/crates/emulator/src/system/fleet.rs
+++ b/crates/emulator/src/system/fleet.rs
@@ -94,7 +94,7 @@
         let stop = Arc::new(AtomicBool::new(false));
         let (shared_state, stop_flag) = (state.clone(), stop.clone());
         let thread = std::thread::Builder::new()
-            .name("town".into())
+            .name("fleet".into())
             .spawn(move || run(&shared_state, &reactor, &stop_flag))?;
         Ok(Fleet {
             state,
--- a/crates/emulator/src/system/test_system.rs
+++ b/crates/emulator/src/system/test_system.rs
@@ -115,8 +115,8 @@
         size: Size,
         until: Instant,
     ) -> Result<TestSystem, String> {
-        let system = |error: std::io::Error| error.to_string();
-        let town = Fleet::start(
+        let to_text = |error: std::io::Error| error.to_string();
+        let fleet = Fleet::start(
             platform::PlatformConfig {
                 visibility_delay: PLATFORM_LAG_US,
                 page_size: 5,
@@ -124,16 +124,17 @@
             },
             DRAIN_US,
         )
-        .map_err(system)?;
+        .map_err(to_text)?;
         let zones = zones(size.zones);
         for (zone, _) in &zones {
             for svc in SERVICES.iter().flat_map(|svc| [svc; SERVERS_PER_ZONE]) {
-                town.start_server(server_config(svc, zone), true, None)
-                    .map_err(system)?;
+                fleet
+                    .start_server(server_config(svc, zone), true, None)
+                    .map_err(to_text)?;
             }
         }
         let (folder, programs) = (folder.to_path_buf(), programs.to_path_buf());
-        let (net, edges, platform) = (size.net, size.edges, town.platform());
+        let (net, edges, platform) = (size.net, size.edges, fleet.platform());
         let plan = Layout {
             folder,
             programs_folder: programs,
@@ -143,23 +144,23 @@
             platform,
             per_s: PLATFORM_CALLS_PER_S,
         };
-        let mut machines = Machines::new(plan).map_err(system)?;
-        machines.start_cores().map_err(system)?;
-        machines.start_edges().map_err(system)?;
+        let mut machines = Machines::new(plan).map_err(to_text)?;
+        machines.start_cores().map_err(to_text)?;
+        machines.start_edges().map_err(to_text)?;
         let operator = Operator::new((0..machines.cores()).map(|n| machines.ctl(n)).collect());
-        let mut whole = TestSystem {
-            fleet: town,
+        let mut system = TestSystem {
+            fleet,
             machines,
             operator,
         };
-        whole.operator.change(&initial_configuration(), until)?;
-        if !whole.machines.wait_until_ready(until) {
+        system.operator.change(&initial_configuration(), until)?;
+        if !system.machines.wait_until_ready(until) {
             return Err(format!(
                 "not all edges became ready before the deadline; programs that exited: {}",
-                whole.machines.unexpected_exits().join("\n")
+                system.machines.unexpected_exits().join("\n")
             ));
         }
-        Ok(whole)
+        Ok(system)
     }
 
     /// Sends one request to an edge, without a retry.
--- a/crates/load/src/records.rs
+++ b/crates/load/src/records.rs
@@ -44,7 +44,7 @@
     /// Of an answer's status.
     pub fn of(status: u16) -> Outcome {
         match status {
-            200 => Outcome::Served,
+            200..=299 => Outcome::Served,
             429 | 503 => Outcome::Declined,
             _ => Outcome::Failed,
         }
--- a/crates/load/src/soak/checks.rs
+++ b/crates/load/src/soak/checks.rs
@@ -14,6 +14,7 @@
 use serde_json::Value;
 
 use super::ledger::RouteHistory;
+use super::operators::share_of_version;
 use super::{CHECK_INTERVAL, Shared};
 use crate::system::clients::Wrong;
 
@@ -89,7 +90,7 @@
                 ));
             }
         }
-        200 if shared.is_in_contact(sent_at) => {
+        200 | 201 if shared.is_in_contact(sent_at) => {
             shared.runs.fetch_add(1, Ordering::Relaxed);
             let service = service_of(reply);
             if !services.contains(&service.as_str()) {
@@ -120,6 +121,7 @@
             continue;
         };
         shared.reads.fetch_add(1, Ordering::Relaxed);
+        check_contents(shared, *to, &reply);
         for route in &known {
             check_read(
                 shared,
@@ -132,6 +134,28 @@
     }
 }
 
+/// Each route of the operators is read with the share that was sent under its version, digit by digit.
+fn check_contents(shared: &Shared, from: SocketAddr, reply: &Reply) {
+    let objects = reply.text().split("{\"type\":");
+    for object in objects.filter(|object| object.contains("\"name\":\"soak-")) {
+        let version = object
+            .split("\"ver\":")
+            .nth(1)
+            .and_then(|rest| rest.split(|c: char| !c.is_ascii_digit()).next())
+            .and_then(|digits| digits.parse().ok());
+        let Some(version) = version else {
+            shared.violate(format!("{from} read an item without a version: {object}"));
+            continue;
+        };
+        shared.contents.fetch_add(1, Ordering::Relaxed);
+        if !object.contains(&format!("\"share\":{}", share_of_version(version))) {
+            shared.violate(format!(
+                "{from} read another content than was sent: {object}"
+            ));
+        }
+    }
+}
+
 fn read_versions(reply: &Reply) -> Option<HashMap<String, u64>> {
     let body: Value = serde_json::from_slice(reply.body()).ok()?;
     let version = |item: &Value| {
@@ -182,11 +206,11 @@
 }
 
 /// After the last fault each edge serves each route by its newest version.
-pub(super) fn check_settled(shared: &Shared, whole: &TestSystem, http: &[SocketAddr]) {
+pub(super) fn check_settled(shared: &Shared, system: &TestSystem, http: &[SocketAddr]) {
     let until = Instant::now() + SETTLE;
     let (mut rng, mut number) = (ChaCha8Rng::seed_from_u64(7), 0_u64);
     for (edge, address) in http.iter().enumerate() {
-        if wait_for(until, || whole.machines.is_ready(edge).then_some(())).is_none() {
+        if wait_for(until, || system.machines.is_ready(edge).then_some(())).is_none() {
             shared.violate(format!(
                 "edge {edge} is not ready {SETTLE:?} after the last fault"
             ));
@@ -205,7 +229,9 @@
                 let reply = ask(&mut None, *address, &route.prefix, &id).ok()?;
                 last = format!("{} {}", reply.status, service_of(&reply).trim_end());
                 let is_right = match newest {
-                    Some(service) => reply.status == 200 && service_of(&reply) == service,
+                    Some(service) => {
+                        matches!(reply.status, 200 | 201) && service_of(&reply) == service
+                    }
                     None => reply.status == 404,
                 };
                 is_right.then_some(())
@@ -220,11 +246,11 @@
 }
 
 /// Checks what clients and servers have seen in the whole run.
-pub(super) fn check_requests(shared: &Shared, whole: &TestSystem, wrong: &Wrong) {
+pub(super) fn check_requests(shared: &Shared, system: &TestSystem, wrong: &Wrong) {
     for what in &wrong.mixed {
         shared.violate(format!("an answer that is not the server's: {what}"));
     }
-    let counts = whole.fleet.counts();
+    let counts = system.fleet.counts();
     if counts.without_tenant > 0 {
         shared.violate(format!(
             "{} requests reached a server without the tenant of their key",
@@ -234,7 +260,7 @@
     if counts.repeated_mutating > 0 {
         shared.violate(format!("{} requests ran twice", counts.repeated_mutating));
     }
-    let has_run = |id: &&String| whole.fleet.run_count(id) > 0;
+    let has_run = |id: &&String| system.fleet.run_count(id) > 0;
     for id in wrong.refused.iter().filter(has_run) {
         shared.violate(format!("{id} was refused and ran"));
     }
--- a/crates/load/src/soak/mod.rs
+++ b/crates/load/src/soak/mod.rs
@@ -7,6 +7,8 @@
 //! | a route that was acknowledged longer than `apply` ago is not refused with 404 | always, at every edge |
 //! | a server that receives a request is told the tenant of its key | always, by every edge |
 //! | a request runs by a version that may be in force | at edges in contact: without any fault for 5 s |
+//! | an item is read with the content that was sent under its version | always |
+//! | clients are led only to regions where all routes of their host may be served | always, by every replica |
 //! | every route is served by its newest version | within 9 s of the end of orders, which go on for 8 s after the last fault, at every edge |
 //! | nothing runs twice, nothing refused runs, every success is the server's own | always |
 //! | the programs' own invariants; no program ends by itself | always |
@@ -14,12 +16,14 @@
 //! | a program that was told to end has ended by the end of the grace period; nothing comes to a server that has left | likewise |
 
 mod checks;
+mod directory;
 mod faults;
 mod ledger;
 mod lost_disks;
 mod operators;
 mod releases;
 mod shutdowns;
+mod unframed_answers;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -161,6 +165,8 @@
     reads: AtomicU64,
     refusals: AtomicU64,
     runs: AtomicU64,
+    lookups: AtomicU64,
+    contents: AtomicU64,
     violations: Mutex<Vec<String>>,
 }
 
@@ -203,10 +209,10 @@
             .map_err(|error| format!("the programs: {error}"))?,
         Trouble::Faults | Trouble::Shutdowns => plan.programs.clone(),
     };
-    let mut whole = TestSystem::start(folder.path(), &programs, size, until)?;
-    let (cores, edges) = (whole.machines.cores(), whole.machines.edges());
-    let ctl: Vec<SocketAddr> = (0..cores).map(|core| whole.machines.ctl(core)).collect();
-    let http: Vec<SocketAddr> = (0..edges).map(|edge| whole.machines.http(edge)).collect();
+    let mut system = TestSystem::start(folder.path(), &programs, size, until)?;
+    let (cores, edges) = (system.machines.cores(), system.machines.edges());
+    let ctl: Vec<SocketAddr> = (0..cores).map(|core| system.machines.ctl(core)).collect();
+    let http: Vec<SocketAddr> = (0..edges).map(|edge| system.machines.http(edge)).collect();
     let length = Duration::from_secs_f64(plan.seconds);
     let steps = plan.trouble.draw(plan.seed, length, cores, edges);
     let is_planned = plan.trouble == Trouble::Shutdowns;
@@ -222,12 +228,25 @@
         reads: AtomicU64::new(0),
         refusals: AtomicU64::new(0),
         runs: AtomicU64::new(0),
+        lookups: AtomicU64::new(0),
+        contents: AtomicU64::new(0),
         violations: Mutex::new(Vec::new()),
     };
     plan.trouble
-        .configure(&mut whole.operator, plan.seed, until)?;
+        .configure(&mut system.operator, plan.seed, until)?;
+    let regions: Vec<String> = zones(plan.zones)
+        .into_iter()
+        .map(|(_, region)| region)
+        .collect();
+    directory::configure(&mut system.operator, &regions, until)?;
+    let directories: Vec<SocketAddr> = (0..cores).map(|core| system.machines.dir(core)).collect();
+    let in_region = |(edge, address): (usize, &SocketAddr)| directory::Place {
+        address: *address,
+        region: regions[edge % regions.len()].clone(),
+    };
+    let edge_places: Vec<directory::Place> = http.iter().enumerate().map(in_region).collect();
     let check_interval = plan.trouble.check_interval();
-    let clients = clients(plan, &whole, length + CONTACT + CALM);
+    let clients = clients(plan, &system, length + CONTACT + CALM);
     let mut shutdowns = Vec::new();
     let (tries, wrong) = std::thread::scope(|scope| {
         let sending = scope.spawn(|| clients.run(stop));
@@ -242,11 +261,16 @@
             scope.spawn(move || checks::watch_edge(shared, *address, seed, check_interval));
         }
         scope.spawn(|| checks::watch_configuration(&shared, &ctl, plan.seed));
+        scope.spawn(|| directory::watch(&shared, &directories, &edge_places, &regions, plan.seed));
+        {
+            let (shared, fleet) = (&shared, &system.fleet);
+            scope.spawn(move || unframed_answers::inject(shared, fleet, plan.seed));
+        }
         if is_planned {
-            let (shared, fleet) = (&shared, &whole.fleet);
+            let (shared, fleet) = (&shared, &system.fleet);
             scope.spawn(move || releases::play(shared, fleet, plan.seed, length));
         }
-        match faults::play(&mut whole.machines, steps, Instant::now(), stop) {
+        match faults::play(&mut system.machines, steps, Instant::now(), stop) {
             Ok((calm_since, ended)) => {
                 shutdowns = ended;
                 let mut calm = shared
@@ -265,25 +289,28 @@
             report.acknowledged += operator.join().unwrap_or_default();
         }
         if !was_stopped {
-            checks::check_settled(&shared, &whole, &http);
+            checks::check_settled(&shared, &system, &http);
         }
         shared.over.store(true, Ordering::Relaxed);
         sending.join().unwrap_or_default()
     });
-    checks::check_requests(&shared, &whole, &wrong);
+    checks::check_requests(&shared, &system, &wrong);
     if is_planned {
-        shutdowns::check(&shared, &whole, &shutdowns, &wrong.given_up);
+        shutdowns::check(&shared, &system, &shutdowns, &wrong.given_up);
     }
     let own_checks = checks::check_programs(&shared, &http);
-    for line in whole.machines.unexpected_exits() {
+    for line in system.machines.unexpected_exits() {
         shared.violate(format!("ended by itself: {line}"));
     }
     report.checks = vec![
         ("reads", shared.reads.into_inner()),
         ("refusals", shared.refusals.into_inner()),
         ("runs", shared.runs.into_inner()),
+        ("lookups", shared.lookups.into_inner()),
+        ("contents", shared.contents.into_inner()),
+        ("unframed answers", system.fleet.counts().faulty_answers),
         ("invariants", own_checks),
-        ("tenants", whole.fleet.counts().arrived),
+        ("tenants", system.fleet.counts().arrived),
     ];
     if is_planned {
         let requests = tries.iter().filter(|ended| ended.sent.is_some());
@@ -295,19 +322,19 @@
     report.violations = shared.violations.into_inner().unwrap_or_default();
     if !report.violations.is_empty() {
         // What the programs still hold back of their logs is written when they end.
-        whole.machines.stop();
+        system.machines.stop();
         report.logs = Some(folder.keep());
     }
     Ok(report)
 }
 
 /// Clients on the routes that never change.
-fn clients(plan: &Plan, whole: &TestSystem, length: Duration) -> Clients {
+fn clients(plan: &Plan, system: &TestSystem, length: Duration) -> Clients {
     let places = zones(plan.zones)
         .into_iter()
         .enumerate()
         .map(|(at, (zone, region))| {
-            let replicas = (0..plan.zones).map(|n| whole.machines.dir((at + n) % plan.zones));
+            let replicas = (0..plan.zones).map(|n| system.machines.dir((at + n) % plan.zones));
             (zone, region, replicas.collect())
         });
     let allowed = HashMap::from([
--- a/crates/load/src/soak/operators.rs
+++ b/crates/load/src/soak/operators.rs
@@ -10,6 +10,7 @@
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use serde_json::json;
 
 use super::Shared;
 
@@ -22,6 +23,11 @@
 /// Routes of each operator: so many that a version mostly lasts longer than `APPLY`, or anything would be allowed.
 const ROUTES: usize = 40;
 
+/// A number of many digits that is sent with this version of a route.
+pub(super) fn share_of_version(version: u64) -> f64 {
+    1.0 / (version as f64 + 10.0)
+}
+
 /// Adds, moves and removes routes one after the other; some orders are first sent by somebody who does not wait for the
 /// answer. Gives how many were acknowledged.
 pub(super) fn operate(shared: &Shared, ctl: Vec<SocketAddr>, number: u64, seed: u64) -> usize {
@@ -38,7 +44,9 @@
             .filter(|_| rng.random::<f64>() < SET_ORDERS);
         let change = match service {
             Some(service) => {
-                Change::default().set("routes", &name, version, route(&prefix, service))
+                let mut spec = route(&prefix, service);
+                spec["share"] = json!(share_of_version(version));
+                Change::default().set("routes", &name, version, spec)
             }
             None => Change::default().drop("routes", &name, version),
         };
--- a/crates/load/src/soak/shutdowns.rs
+++ b/crates/load/src/soak/shutdowns.rs
@@ -125,7 +125,7 @@
 }
 
 /// Checks what planned work may not do.
-pub fn check(shared: &Shared, whole: &TestSystem, shutdowns: &[Shutdown], given_up: &[GivenUp]) {
+pub fn check(shared: &Shared, system: &TestSystem, shutdowns: &[Shutdown], given_up: &[GivenUp]) {
     for shutdown in shutdowns {
         let is_late = shutdown
             .ended_at
@@ -137,9 +137,9 @@
     for request in given_up {
         let (sent_at, ended_at) = request.sent_and_ended_at;
         let edge =
-            (0..whole.machines.edges()).find(|edge| whole.machines.http(*edge) == request.edge);
+            (0..system.machines.edges()).find(|edge| system.machines.http(*edge) == request.edge);
         let is_excused = edge.is_some_and(|edge| is_cut_by_grace(shutdowns, edge, ended_at));
-        if whole.fleet.run_count(&request.id) > 0 && !is_excused {
+        if system.fleet.run_count(&request.id) > 0 && !is_excused {
             let taken = ended_at - sent_at;
             let since_shutdown = shutdowns
                 .iter()
@@ -154,7 +154,7 @@
             ));
         }
     }
-    let after_drain = whole.fleet.counts().after_drain;
+    let after_drain = system.fleet.counts().after_drain;
     if after_drain > 0 {
         shared.violate(format!(
             "{after_drain} requests came to servers that had left"
--- a/crates/load/src/system/clients.rs
+++ b/crates/load/src/system/clients.rs
@@ -342,7 +342,7 @@
         };
         let mut wrong = lock(&self.wrong);
         match answer {
-            Ok(reply) if reply.status == 200 => {
+            Ok(reply) if (200..300).contains(&reply.status) => {
                 let (who, ran) = reply.text().trim_end().split_once('\n').unwrap_or_default();
                 let own = ran == echo(id, method, path, TENANT, body.as_bytes());
                 if !own
