--- a/crates/protocol/src/connections.rs
+++ b/crates/protocol/src/connections.rs
@@ -38,6 +38,28 @@
     Signal(i32),
 }
 
+/// The call by which a connection reported its failure.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FailedCall {
+    /// A read from the socket.
+    Read,
+    /// A write to the socket.
+    Write,
+}
+
+/// How connections have ended, counted since the start of the program.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct EndCounts {
+    /// Ends of input without an earlier failure: the peer has closed its sending direction in order.
+    pub orderly: u64,
+    /// Reads that failed.
+    pub failed_reads: u64,
+    /// Writes that failed.
+    pub failed_writes: u64,
+    /// Ends of input that were read after a write had failed.
+    pub after_failed_write: u64,
+}
+
 /// A connection.
 #[derive(Debug)]
 pub struct Connection {
@@ -54,6 +76,8 @@
     has_unread: bool,
     /// The connection is in the flush queue.
     is_flush_queued: bool,
+    /// The first call that has failed.
+    failed_call: Option<FailedCall>,
     /// When bytes were last received (at first, when the connection was opened), in microseconds.
     pub last_received_at: i64,
 }
@@ -79,6 +103,11 @@
     pub fn has_unread(&self) -> bool {
         self.has_unread
     }
+
+    /// The first call that has failed, if the connection has.
+    pub fn failed_call(&self) -> Option<FailedCall> {
+        self.failed_call
+    }
 }
 
 /// The listeners and connections of a program, and the signals that it receives.
@@ -96,6 +125,7 @@
     accept_failed: bool,
     /// When the last poll ended, and whether it returned all pending events.
     last_poll: (i64, bool),
+    end_counts: EndCounts,
 }
 
 const SIGNAL_TOKEN: Token = Token(1_000);
@@ -135,6 +165,7 @@
             is_accepting: true,
             accept_failed: false,
             last_poll: (0, true),
+            end_counts: EndCounts::default(),
         })
     }
 
@@ -189,6 +220,7 @@
             sent_bytes: 0,
             has_unread: false,
             is_flush_queued: false,
+            failed_call: None,
             last_received_at: now,
         });
         let interest = Interest::READABLE | Interest::WRITABLE;
@@ -220,6 +252,11 @@
         self.last_poll
     }
 
+    /// How connections have ended so far.
+    pub fn end_counts(&self) -> EndCounts {
+        self.end_counts
+    }
+
     /// The number of open connections.
     pub fn len(&self) -> usize {
         self.connections.len()
@@ -393,6 +430,10 @@
             }
             match connection.stream.read(&mut self.read_buffer[..max_read]) {
                 Ok(0) => {
+                    match connection.failed_call {
+                        Some(FailedCall::Write) => self.end_counts.after_failed_write += 1,
+                        Some(FailedCall::Read) | None => self.end_counts.orderly += 1,
+                    }
                     end_event = Some(IoEvent::PeerClosed(id));
                     break;
                 }
@@ -407,6 +448,8 @@
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 Err(_) => {
+                    self.end_counts.failed_reads += 1;
+                    connection.failed_call.get_or_insert(FailedCall::Read);
                     end_event = Some(IoEvent::Failed(id));
                     break;
                 }
@@ -452,6 +495,8 @@
                 // Input that arrived before the failure may be a response saying that the request was not run. It must be read
                 // and reported before the failure, or the caller would take the outcome of the request for unknown.
                 Err(_) => {
+                    self.end_counts.failed_writes += 1;
+                    connection.failed_call.get_or_insert(FailedCall::Write);
                     self.read(id, true, self.last_poll.0, events);
                     return events.push(IoEvent::Failed(id));
                 }
--- a/crates/protocol/src/metrics.rs
+++ b/crates/protocol/src/metrics.rs
@@ -8,7 +8,7 @@
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
 
-use crate::connections::{ConnectionId, Connections, IoEvent};
+use crate::connections::{ConnectionId, Connections, EndCounts, IoEvent};
 use crate::invariant::Invariant;
 
 /// The port of the control program's metrics endpoint, on the address of its machine. `deploy/system.toml` has to name the
@@ -63,6 +63,34 @@
         );
     }
 
+    /// Adds how the connections of a program have ended, under names that begin with `prefix`.
+    pub fn add_connection_ends(&mut self, prefix: &str, counts: &EndCounts) {
+        for (name, help, count) in [
+            (
+                "closed_in_order",
+                "connections that the peer has closed in order",
+                counts.orderly,
+            ),
+            (
+                "failed_reading",
+                "reads from connections that failed",
+                counts.failed_reads,
+            ),
+            (
+                "failed_writing",
+                "writes to connections that failed",
+                counts.failed_writes,
+            ),
+            (
+                "ended_after_failed_write",
+                "ends of input that were read after a write had failed",
+                counts.after_failed_write,
+            ),
+        ] {
+            self.add_counter(&format!("{prefix}_connections_{name}_total"), help, count);
+        }
+    }
+
     /// The text in the exposition format.
     pub fn into_string(self) -> String {
         self.0
--- a/crates/proxy/src/host/metrics.rs
+++ b/crates/proxy/src/host/metrics.rs
@@ -122,6 +122,7 @@
     fn metrics_text(&mut self, now: Micros) -> MetricsText {
         let mut text = MetricsText::default();
         self.metrics.write_to(&mut text);
+        text.add_connection_ends("proxy", &self.connections.end_counts());
         text.add_gauge(
             "proxy_ready",
             "1 if the proxy is ready",
--- a/crates/proxy/src/host/mod.rs
+++ b/crates/proxy/src/host/mod.rs
@@ -9,6 +9,7 @@
 mod close_reasons;
 mod metrics;
 mod probes;
+mod response_ends;
 mod response_streams;
 mod responses;
 mod shutdown;
@@ -252,6 +253,8 @@
     close_log: LogThrottle,
     /// For requests that the proxy ends while a server may be running them.
     failure_log: LogThrottle,
+    /// For connections of servers that end within a response.
+    response_log: LogThrottle,
     /// A request with an API key is forwarded only with the key's tenant.
     forwarded_keys: Invariant,
     metrics_endpoint: MetricsEndpoint,
@@ -353,6 +356,7 @@
             input_read_until: now,
             close_log: LogThrottle::default(),
             failure_log: LogThrottle::default(),
+            response_log: LogThrottle::default(),
             forwarded_keys: Invariant::new("forwarded_keys_have_a_tenant"),
             metrics_endpoint: MetricsEndpoint::default(),
             metrics: ProxyMetrics::default(),
--- a/crates/proxy/src/host/response_streams.rs
+++ b/crates/proxy/src/host/response_streams.rs
@@ -179,7 +179,9 @@
             return;
         };
         let output = self.connections.output(stream.client);
-        match output.is_some_and(|output| stream.relay.handle_close(output)) {
+        let is_complete = output.is_some_and(|output| stream.relay.handle_close(output));
+        self.log_end_within_response(now, connection_id, is_complete);
+        match is_complete {
             true => self.finish_response_stream(now, connection_id, true),
             false => self.abort_response_stream(now, connection_id, CloseReason::ServerClosed),
         }
--- a/crates/proxy/src/host/upstreams.rs
+++ b/crates/proxy/src/host/upstreams.rs
@@ -481,6 +481,7 @@
         }
         match (upstream.state.purpose(), upstream.response_class) {
             (Some(purpose), Some(class)) if upstream.incoming.ends_at_close() => {
+                self.log_end_within_response(now, connection_id, true);
                 self.finish_exchange(now, connection_id, purpose, class)
             }
             _ => self.handle_upstream_closed(now, connection_id),
@@ -490,6 +491,7 @@
     /// Handles the loss of a connection to a server: it failed, was never established, or was closed
     /// by the server before its response was complete.
     pub(super) fn handle_upstream_closed(&mut self, now: Micros, connection_id: ConnectionId) {
+        self.log_end_within_response(now, connection_id, false);
         let Some(Role::Upstream(upstream)) = self.roles.get(connection_id) else {
             return;
         };
