--- a/crates/protocol/src/connections.rs
+++ b/crates/protocol/src/connections.rs
@@ -30,9 +30,12 @@
     Received(ConnectionId),
     /// All queued output was written to the socket.
     Flushed(ConnectionId),
-    /// The peer has closed its sending direction. The connection can still be written to.
+    /// The peer has closed its sending direction in order, and all input before that was read. The connection can still be
+    /// written to. It is not reported once a call on the connection has failed: an end of input says nothing then.
     PeerClosed(ConnectionId),
-    /// The connection has failed or could not be established. The caller has to close it.
+    /// The connection has failed or could not be established: nothing more is written to it, and the caller has to close it.
+    /// Input from before the failure is in the input buffer. If that was full ([`Connection::has_unread`]), the rest can be
+    /// read with [`Connections::resume_reading`], and the event is reported again at the end of the input.
     Failed(ConnectionId),
     /// The process has received a signal.
     Signal(i32),
@@ -47,6 +50,18 @@
     Write,
 }
 
+/// What is known of a failure of a socket. The kernel returns an error to one call only; a read after that call finds an end of
+/// input, as if the peer had closed the connection in order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum SocketState {
+    /// No failure is known.
+    Sound,
+    /// The poll has reported an error that no call has returned yet.
+    ErrorPending,
+    /// This call has returned the error.
+    Failed(FailedCall),
+}
+
 /// How connections have ended, counted since the start of the program.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct EndCounts {
@@ -76,8 +91,7 @@
     has_unread: bool,
     /// The connection is in the flush queue.
     is_flush_queued: bool,
-    /// The first call that has failed.
-    failed_call: Option<FailedCall>,
+    socket_state: SocketState,
     /// When bytes were last received (at first, when the connection was opened), in microseconds.
     pub last_received_at: i64,
 }
@@ -104,9 +118,30 @@
         self.has_unread
     }
 
-    /// The first call that has failed, if the connection has.
+    /// Whether the connection has failed. It can't be written to any more, but may still hold input.
+    pub fn has_failed(&self) -> bool {
+        self.socket_state != SocketState::Sound
+    }
+
+    /// The first call that has failed, if one has.
     pub fn failed_call(&self) -> Option<FailedCall> {
-        self.failed_call
+        match self.socket_state {
+            SocketState::Sound | SocketState::ErrorPending => None,
+            SocketState::Failed(call) => Some(call),
+        }
+    }
+
+    /// Records a failure. Queued output can't be written any more and is discarded.
+    fn record_failure(&mut self, state: SocketState) {
+        if self.failed_call().is_none() {
+            self.socket_state = state;
+        }
+        self.discard_output();
+    }
+
+    fn discard_output(&mut self) {
+        self.output = Vec::new();
+        self.written_bytes = 0;
     }
 }
 
@@ -220,7 +255,7 @@
             sent_bytes: 0,
             has_unread: false,
             is_flush_queued: false,
-            failed_call: None,
+            socket_state: SocketState::Sound,
             last_received_at: now,
         });
         let interest = Interest::READABLE | Interest::WRITABLE;
@@ -247,6 +282,13 @@
         self.connections.get_mut(id)
     }
 
+    /// Whether output of a connection is queued and not yet written to the socket.
+    pub fn has_pending_output(&self, id: ConnectionId) -> bool {
+        self.connections
+            .get(id)
+            .is_some_and(|connection| connection.pending_output_bytes() > 0)
+    }
+
     /// When the last poll ended, before any input was read, and whether it returned all pending events.
     pub fn last_poll(&self) -> (i64, bool) {
         self.last_poll
@@ -380,12 +422,30 @@
             connection.is_connected = true;
             events.push(IoEvent::Connected(id));
         }
-        if event.is_writable() && connection.pending_output_bytes() > 0 {
+        let may_have_ended = event.is_read_closed() || event.is_error();
+        // A write could use up the error that tells a reset from an end in order: the input is read first.
+        if may_have_ended {
+            self.read(id, true, now, events);
+        }
+        if event.is_error() {
+            self.report_pending_error(id, events);
+        }
+        if event.is_writable() && self.has_pending_output(id) {
             self.flush(id, events);
         }
-        if event.is_readable() || event.is_read_closed() || event.is_error() {
-            let until_end = event.is_read_closed() || event.is_error();
-            self.read(id, until_end, now, events);
+        if event.is_readable() && !may_have_ended {
+            self.read(id, false, now, events);
+        }
+    }
+
+    /// Reports an error that the poll has found on a connection whose input buffer is full, so that no read has returned it.
+    fn report_pending_error(&mut self, id: ConnectionId, events: &mut Vec<IoEvent>) {
+        if let Some(connection) = self.connections.get_mut(id)
+            && connection.has_unread
+            && !connection.has_failed()
+        {
+            connection.record_failure(SocketState::ErrorPending);
+            events.push(IoEvent::Failed(id));
         }
     }
 
@@ -412,10 +472,17 @@
     }
 
     /// Reads the available input. A read that returns less than was asked for has emptied the socket: the end of the stream is
-    /// reported by an event of its own. With `until_end`, reads on until the end of the stream or an error.
-    fn read(&mut self, id: ConnectionId, until_end: bool, now: i64, events: &mut Vec<IoEvent>) {
+    /// reported by an event of its own. With `until_end`, reads on until the end of the stream or an error. Returns whether that
+    /// was reached, and so reported.
+    fn read(
+        &mut self,
+        id: ConnectionId,
+        until_end: bool,
+        now: i64,
+        events: &mut Vec<IoEvent>,
+    ) -> bool {
         let Some(connection) = self.connections.get_mut(id) else {
-            return;
+            return true;
         };
         let length_before = connection.input.len();
         let mut end_event = None;
@@ -430,11 +497,17 @@
             }
             match connection.stream.read(&mut self.read_buffer[..max_read]) {
                 Ok(0) => {
-                    match connection.failed_call {
-                        Some(FailedCall::Write) => self.end_counts.after_failed_write += 1,
-                        Some(FailedCall::Read) | None => self.end_counts.orderly += 1,
-                    }
-                    end_event = Some(IoEvent::PeerClosed(id));
+                    end_event = Some(match connection.failed_call() {
+                        Some(call) => {
+                            self.end_counts.after_failed_write +=
+                                u64::from(call == FailedCall::Write);
+                            IoEvent::Failed(id)
+                        }
+                        None => {
+                            self.end_counts.orderly += 1;
+                            IoEvent::PeerClosed(id)
+                        }
+                    });
                     break;
                 }
                 Ok(length) => {
@@ -449,7 +522,7 @@
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 Err(_) => {
                     self.end_counts.failed_reads += 1;
-                    connection.failed_call.get_or_insert(FailedCall::Read);
+                    connection.record_failure(SocketState::Failed(FailedCall::Read));
                     end_event = Some(IoEvent::Failed(id));
                     break;
                 }
@@ -460,6 +533,7 @@
             events.push(IoEvent::Received(id));
         }
         events.extend(end_event);
+        end_event.is_some()
     }
 
     /// Writes the queued output of all connections. Handling the events that it adds may queue more output: it has to be called
@@ -481,6 +555,9 @@
         let Some(connection) = self.connections.get_mut(id) else {
             return;
         };
+        if connection.has_failed() {
+            return connection.discard_output();
+        }
         while connection.written_bytes < connection.output.len() {
             match connection
                 .stream
@@ -496,9 +573,11 @@
                 // and reported before the failure, or the caller would take the outcome of the request for unknown.
                 Err(_) => {
                     self.end_counts.failed_writes += 1;
-                    connection.failed_call.get_or_insert(FailedCall::Write);
-                    self.read(id, true, self.last_poll.0, events);
-                    return events.push(IoEvent::Failed(id));
+                    connection.record_failure(SocketState::Failed(FailedCall::Write));
+                    if !self.read(id, true, self.last_poll.0, events) {
+                        events.push(IoEvent::Failed(id));
+                    }
+                    return;
                 }
             }
         }
--- a/crates/proxy/src/host/mod.rs
+++ b/crates/proxy/src/host/mod.rs
@@ -550,11 +550,7 @@
         match self.roles.get_mut(connection_id) {
             Some(Role::Client(_)) => self.handle_response_written(now, connection_id),
             // Only a part of the output has been written.
-            Some(Role::Upstream(_))
-                if self
-                    .connections
-                    .get(connection_id)
-                    .is_some_and(|connection| connection.pending_output_bytes() > 0) => {}
+            Some(Role::Upstream(_)) if self.connections.has_pending_output(connection_id) => {}
             Some(Role::Upstream(upstream)) if upstream.is_uploading => {
                 if let Some(UpstreamPurpose::Attempt(request, ..)) = upstream.state.purpose() {
                     self.resume_upload(request);
--- a/crates/proxy/src/host/response_streams.rs
+++ b/crates/proxy/src/host/response_streams.rs
@@ -2,6 +2,7 @@
 //! was forwarded is written to the client, so that at most one window is buffered.
 
 use dataplane::relay::Relay;
+use protocol::connections::Connection;
 
 use super::clients::RESPONSE_MARGIN;
 use super::responses::keep_alive_field;
@@ -145,6 +146,10 @@
         connection_id: ConnectionId,
         is_input_consumed: bool,
     ) {
+        let has_failed = self
+            .connections
+            .get(connection_id)
+            .is_none_or(Connection::has_failed);
         let Some(Role::Upstream(upstream)) = self.roles.get_mut(connection_id) else {
             return;
         };
@@ -152,9 +157,10 @@
             return;
         };
         upstream.state = UpstreamState::Idle;
+        let is_reusable = is_input_consumed && !has_failed;
         let (server, reuse_timeout) = (
             upstream.server,
-            stream.reuse_timeout.filter(|_| is_input_consumed),
+            stream.reuse_timeout.filter(|_| is_reusable),
         );
         upstream.reusable_until = now + reuse_timeout.unwrap_or(0);
         if let Some(Role::Client(client)) = self.roles.get_mut(stream.client) {
@@ -230,10 +236,7 @@
         };
         // While the client is slow, nothing is read from the server; how slow the client may be is
         // bounded by its own deadline.
-        let is_client_slow = self
-            .connections
-            .get(stream.client)
-            .is_some_and(|client| client.pending_output_bytes() > 0);
+        let is_client_slow = self.connections.has_pending_output(stream.client);
         let deadline = stream_deadline(
             stream.deadline,
             if is_client_slow {
--- a/crates/proxy/src/host/upstreams.rs
+++ b/crates/proxy/src/host/upstreams.rs
@@ -387,6 +387,7 @@
         let keep_connection = is_reusable
             && is_request_sent
             && connection.input.is_empty()
+            && !connection.has_failed()
             && class != ResponseClass::Malformed;
         upstream.state = UpstreamState::Idle;
         let reuse_timeout = parts
--- a/crates/proxy/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -5,7 +5,7 @@
 
 use std::collections::VecDeque;
 use std::io::{ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicI64, Ordering};
 
@@ -65,6 +65,18 @@
         }
     }
 
+    /// Closes the sending direction in order; the other one stays open.
+    pub fn shutdown_write(&mut self) {
+        if let Some(socket) = &self.socket {
+            socket.shutdown(Shutdown::Write).unwrap();
+        }
+    }
+
+    /// The address of the test's end. Panics if it is closed.
+    pub fn local_address(&self) -> SocketAddr {
+        self.socket.as_ref().unwrap().local_addr().unwrap()
+    }
+
     pub fn is_open(&self) -> bool {
         self.socket.is_some()
     }
