Proxy: a complete answer survives the reset of its connection, also for a slow client

What callers saw: a client that reads slowly lost the end of an answer that its server had sent whole, with its length, before the server ended with unread input: the connection was cut.

Cause: a failed write to the server closed its connection at once, with what the socket still held of the answer, because the client's window was full.

Change: the host reads on from a failed connection that still holds input of a response; the failure is reported again at the end of the input, and truncates the response only then.

--- a/crates/proxy/src/host/response_streams.rs
+++ b/crates/proxy/src/host/response_streams.rs
@@ -20,6 +20,13 @@
     reuse_timeout: Option<Micros>,
 }
 
+impl ResponseStream {
+    /// The client's connection.
+    pub(super) fn client(&self) -> ConnectionId {
+        self.client
+    }
+}
+
 impl Host {
     /// Begins to stream a long response, which thereby becomes the final one: there is no retry and
     /// no other response after this.
--- a/crates/proxy/src/host/upstreams.rs
+++ b/crates/proxy/src/host/upstreams.rs
@@ -489,9 +489,34 @@
         }
     }
 
+    /// Reads on if a connection that has failed still holds input that may complete its response. The
+    /// failure is reported again at the end of the input.
+    fn resume_failed_upstream(&mut self, connection_id: ConnectionId) -> bool {
+        let (Some(Role::Upstream(upstream)), Some(connection)) = (
+            self.roles.get(connection_id),
+            self.connections.get(connection_id),
+        ) else {
+            return false;
+        };
+        let may_complete = upstream.response_stream.is_some() || upstream.state.purpose().is_some();
+        if !(connection.has_failed() && connection.has_unread() && may_complete) {
+            return false;
+        }
+        match &upstream.response_stream {
+            // It is read once the client has taken what was forwarded.
+            Some(stream) if self.connections.has_pending_output(stream.client()) => {}
+            Some(_) => self.resume_response_stream(connection_id),
+            None => self.pending_reads.push(connection_id),
+        }
+        true
+    }
+
     /// Handles the loss of a connection to a server: it failed, was never established, or was closed
     /// by the server before its response was complete.
     pub(super) fn handle_upstream_closed(&mut self, now: Micros, connection_id: ConnectionId) {
+        if self.resume_failed_upstream(connection_id) {
+            return;
+        }
         self.log_end_within_response(now, connection_id, false);
         let Some(Role::Upstream(upstream)) = self.roles.get(connection_id) else {
             return;
--- a/crates/proxy/tests/reset_responses.rs
+++ b/crates/proxy/tests/reset_responses.rs
@@ -18,6 +18,8 @@
 const SHORT: usize = 400;
 /// Length of a response body that is streamed.
 const LONG: usize = 300_000;
+/// Length of a response body of which a part stays in the proxy's socket while the client does not read.
+const LONGER: usize = 600_000;
 /// Bytes of a request body that are sent at once.
 const PIECE_BYTES: usize = 100_000;
 /// Steps without a written byte after which an upload counts as blocked.
@@ -184,6 +186,7 @@
 // Guards against a complete response that is lost with the connection on which it came.
 #[test_case(SHORT, "HTTP/1.1"; "short")]
 #[test_case(LONG, "HTTP/1.1"; "long, to a client that reads it later")]
+#[test_case(LONGER, "HTTP/1.1"; "not read whole, to a client that reads it later")]
 #[test_case(SHORT, "HTTP/1.0"; "short, in the old version")]
 #[test_case(LONG, "HTTP/1.0"; "long, in the old version")]
 fn complete_response_stays_complete_when_its_connection_is_reset(length: usize, version: &str) {
