Gateway: read a server's answer before a failed write ends its connection

What callers saw: a server that answers a long upload whole, or says that it was not run, and ends with unread input: the gateway's next write failed and closed the connection with the answer still in the socket, and the client got a failure in its place.

An end of input after it would have passed for one in order, had the host gone on reading. An introspection answer without a length was parsed as ended by any end, also a reset.

Change: after a failed write to a server the host reads what has arrived; an end of input says nothing then, and such a connection is not kept for reuse. A streamed answer whose client is slow is read to its end. Introspection answers without a length need an end in order.

--- a/crates/limiter/src/net/host/mod.rs
+++ b/crates/limiter/src/net/host/mod.rs
@@ -144,6 +144,10 @@
     close_after_response: bool,
     /// The connection is closed once all output is written.
     close_when_written: bool,
+    /// A write has failed. The kernel returns an error to one call only, so that an end of input says nothing afterwards.
+    has_failed_write: bool,
+    /// The peer has closed its sending direction in order, and all input before that was read.
+    has_ended_in_order: bool,
 }
 
 /// The message that is being received on a connection.
@@ -185,7 +189,7 @@
 
     /// Whether the request is completely written.
     fn has_sent_all(&self) -> bool {
-        self.backlog_bytes() == 0 && !self.is_uploading
+        self.backlog_bytes() == 0 && !self.is_uploading && !self.has_failed_write
     }
 
     /// Bytes of output that are not written yet.
@@ -789,6 +793,8 @@
             discarded_bytes: 0,
             close_after_response: false,
             close_when_written: false,
+            has_failed_write: false,
+            has_ended_in_order: false,
         });
         let on_ready = move |_: Readiness, _: &mut _, host: &mut Host| {
             host.handle_ready(key);
@@ -869,7 +875,9 @@
                 if let Some(purpose) = state.purpose() {
                     // Here only an introspection server's response may end with its connection: a truncated one is
                     // rejected by its content.
-                    let parsed = (service == INTROSPECTION_SERVICE)
+                    let ends_at_close =
+                        service == INTROSPECTION_SERVICE && connection.has_ended_in_order;
+                    let parsed = ends_at_close
                         .then(|| framing::parse_response(&connection.input, true, &self.limits));
                     let response = parsed
                         .and_then(Result::ok)
@@ -1047,7 +1055,11 @@
             }
             let size = capacity.min(self.read_buffer.len());
             match (&*connection.stream).read(&mut self.read_buffer[..size]) {
-                Ok(0) => return Some(FillResult::Eof),
+                Ok(0) if connection.has_failed_write => return Some(FillResult::Failed),
+                Ok(0) => {
+                    connection.has_ended_in_order = true;
+                    return Some(FillResult::Eof);
+                }
                 Ok(length) if is_client && connection.client.stage == Stage::Lingering => {
                     connection.discarded_bytes += length
                 }
@@ -1132,6 +1144,27 @@
         }
     }
 
+    /// A write has failed. What a server has sent before may be its whole response, or say that the request was not run: it is
+    /// read before the connection counts as broken.
+    fn handle_failed_write(&mut self, key: ConnectionKey) {
+        let Some(connection) = self.connections.get_mut(key) else {
+            return;
+        };
+        connection.has_failed_write = true;
+        connection.output.clear();
+        connection.written_bytes = 0;
+        if matches!(connection.role, Role::Upstream { .. }) {
+            self.read_connection(key);
+        }
+        // The rest of a streamed response is read once its client has taken what was forwarded.
+        let has_more = self.connections.get(key).is_some_and(|connection| {
+            connection.has_unread && matches!(connection.read_state, ReadState::Relay(..))
+        });
+        if !has_more {
+            self.handle_broken_connection(key);
+        }
+    }
+
     /// Writes a connection's output, as far as it is accepted.
     fn flush(&mut self, key: ConnectionKey) {
         let now = self.now();
@@ -1148,7 +1181,7 @@
                     return self.handle_write_blocked(key);
                 }
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-                Err(_) => return self.handle_broken_connection(key),
+                Err(_) => return self.handle_failed_write(key),
             }
         }
         connection.output.clear();
--- a/crates/limiter/tests/relay.rs
+++ b/crates/limiter/tests/relay.rs
@@ -521,3 +521,49 @@
         .recv_timeout(TEST_TIMEOUT)
         .expect("the attempt is ended before the last byte of the body");
 }
+
+/// Waits until the connection holds unread input.
+fn wait_for_unread_input(stream: &TcpStream) {
+    let length = stream.peek(&mut [0; 1 << 16]).unwrap();
+    assert!(length > 0, "the connection stays open");
+}
+
+/// The end of a long upload whose server sends this response and ends without reading the body, by which its connection is
+/// reset: the status and the body of a complete response, if there is one.
+fn end_of_upload_to_a_server_that_ends(response: Vec<u8>) -> Option<(u16, Vec<u8>)> {
+    let server = start_raw_server(move |stream, _| {
+        wait_for_unread_input(stream);
+        stream.write_all(&response).unwrap();
+    });
+    let limiter = start_limiter(server);
+    let head = request_head_with_body_length("k", 8 << 20);
+    let mut stream = open_request(&limiter, &head);
+    let mut writer = stream.try_clone().unwrap();
+    // The limiter may close the connection before the whole body is sent.
+    let writing = thread::spawn(move || _ = writer.write_all(&patterned_body(8 << 20)));
+    let response = read_long_response(&mut stream);
+    let _ = stream.shutdown(Shutdown::Both);
+    writing.join().unwrap();
+    response.map(|response| (response.status, response.body))
+}
+
+/// Guards against a complete response, or a word that a request was not run, that is lost as a write fails before it is read.
+#[test]
+fn complete_response_stays_complete_when_a_write_to_its_server_fails() {
+    for _ in 0..10 {
+        let whole = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nearly".to_vec();
+        let end = end_of_upload_to_a_server_that_ends(whole);
+        assert_eq!(end, Some((200, b"early".to_vec())));
+    }
+}
+
+/// Guards against half of a response without a length that passes for a whole one after a failed write.
+#[test]
+fn response_without_a_length_is_not_complete_when_its_server_ends_with_unread_input() {
+    for length in [1_000, 400_000] {
+        let head = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n".to_vec();
+        let half = [head, patterned_body(length)].concat();
+        let end = end_of_upload_to_a_server_that_ends(half);
+        assert!(end.is_none_or(|(status, _)| status >= 500));
+    }
+}
--- a/crates/proxy/tests/reset_responses.rs
+++ b/crates/proxy/tests/reset_responses.rs
@@ -58,9 +58,11 @@
         while steps_without_progress < BLOCKED_STEPS {
             let length = harness.clients[client].write(&bytes[sent_bytes..]);
             sent_bytes += length;
-            steps_without_progress = (length == 0)
-                .then_some(steps_without_progress + 1)
-                .unwrap_or_default();
+            steps_without_progress = if length == 0 {
+                steps_without_progress + 1
+            } else {
+                0
+            };
             harness.step();
         }
         assert!(sent_bytes < bytes.len(), "the upload is not blocked");
