Soak: uploads to servers that answer early and end with unread input

Change: emulator::system::early_servers answers long uploads before their bodies are read, with a length, in chunks or without either, in HTTP/1.1 and 1.0, in five courses: it reads on, or ends the whole server after half, all, an end in order, or a rejection, and starts again under a new id while the list shows the old one. streamarch-load soak early-answers plays it beside the planned work of soak shutdowns, with clients on kept connections, and checks: whole answers or none, nothing whole lost, nothing twice, nothing refused that runs.

--- a/crates/emulator/src/system/fleet.rs
+++ b/crates/emulator/src/system/fleet.rs
@@ -25,6 +25,9 @@
 /// Longest wait of the event loop in microseconds, and so the interval at which idle connections are checked.
 const IDLE_CHECK_INTERVAL: Micros = 100_000;
 
+/// Slots of a server that runs elsewhere.
+const EXTERNAL_SERVER_SLOTS: usize = 16;
+
 enum Endpoint {
     /// A listener of a server, by its number, or of the platform (`None`).
     Listener(Option<usize>, TcpListener),
@@ -203,6 +206,31 @@
         Some(at)
     }
 
+    /// Adds a server that runs elsewhere to the platform's list.
+    pub fn list_server(&self, id: &str, svc: &str, zone: &str, address: SocketAddr) {
+        let mut state = self.lock_state();
+        let now = state.now();
+        let entry = Entry {
+            id: id.to_string(),
+            svc: svc.to_string(),
+            address,
+            zone: zone.to_string(),
+            slots: EXTERNAL_SERVER_SLOTS,
+            draining: false,
+            warm_at: now,
+        };
+        state.platform.change(now, |entries| entries.push(entry));
+    }
+
+    /// Removes a server from the platform's list.
+    pub fn unlist_server(&self, id: &str) {
+        let mut state = self.lock_state();
+        let now = state.now();
+        state
+            .platform
+            .change(now, |entries| entries.retain(|entry| entry.id != id));
+    }
+
     /// Applies these faults to the server's next answers, one each.
     pub fn inject_faults(&self, number: usize, faults: &[AnswerFault]) {
         let mut state = self.lock_state();
--- a/crates/emulator/src/system/mod.rs
+++ b/crates/emulator/src/system/mod.rs
@@ -6,6 +6,7 @@
 //! system with an initial configuration.
 
 pub mod client;
+pub mod early_servers;
 pub mod fleet;
 pub mod machines;
 pub mod operator;
--- a/crates/emulator/src/system/test_system.rs
+++ b/crates/emulator/src/system/test_system.rs
@@ -81,11 +81,15 @@
         "svc": svc, "tries": 3, "public": false, "pins": []})
 }
 
+/// Configuration of a service with health checks.
+pub fn service() -> Value {
+    json!({"hcheck": HEALTH_PATH, "maxconn": 200, "proto": "h1", "tls": false, "warmup": "1s", "cold_rate_s": 20.0})
+}
+
 /// The initial configuration, with all items at version 1.
 pub fn initial_configuration() -> Change {
-    let service = json!({"hcheck": HEALTH_PATH, "maxconn": 200, "proto": "h1", "tls": false, "warmup": "1s", "cold_rate_s": 20.0});
     let services = SERVICES.iter().fold(Change::default(), |change, svc| {
-        change.set("svcs", svc, 1, service.clone())
+        change.set("svcs", svc, 1, service())
     });
     services
         .set("routes", "reads", 1, route(READ_PREFIX, SERVICES[0]))
--- a/crates/load/src/cli/mod.rs
+++ b/crates/load/src/cli/mod.rs
@@ -38,6 +38,7 @@
   soak                               the same under kills, pauses and lost answers that overlap, for many seeds, with checks all the time
   soak disks                         the same under losses of power and disks, and disks that reject writes
   soak shutdowns                     the same under planned work alone: SIGTERM, SIGHUP, changes and releases in series, while servers are slow
+  soak early-answers                 the same, with uploads to servers that answer early and end with unread input
   run SCENARIO                       a scenario, against limiters in an emulated world or against --target
   compare DIR DIR...                 reports side by side; the first is what the others are measured against
   sweep SCENARIO --key PATH --values A,B,C
@@ -122,6 +123,7 @@
         ["soak"] => soak(options, soak::Trouble::Faults),
         ["soak", "disks"] => soak(options, soak::Trouble::LostDisks),
         ["soak", "shutdowns"] => soak(options, soak::Trouble::Shutdowns),
+        ["soak", "early-answers"] => soak(options, soak::Trouble::EarlyAnswers),
         ["run", path] => play(options, seconds(scenario(Path::new(path))?, options)?).map(drop),
         ["compare", folders @ ..] if folders.len() >= 2 => compare(options, folders),
         ["sweep", path] => sweep(options, Path::new(path)),
--- a/crates/load/src/soak/mod.rs
+++ b/crates/load/src/soak/mod.rs
@@ -13,6 +13,7 @@
 //! | nothing runs twice, nothing refused runs, every success is the server's own | always |
 //! | the programs' own invariants; no program ends by itself | always |
 //! | a request that a server is running is answered by it, or at its deadline | always, if all work is planned; in the last second of a grace period it may be cut |
+//! | an upload gets its server's whole answer or none, however the server ends; a whole one is not lost with its connection | with servers that answer early, at edges that are not shutting down |
 //! | a program that was told to end has ended by the end of the grace period; nothing comes to a server that has left | likewise |
 
 mod checks;
@@ -24,6 +25,7 @@
 mod releases;
 mod shutdowns;
 mod unframed_answers;
+mod uploads;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -32,6 +34,7 @@
 use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
+use emulator::system::early_servers::{self, Handlings};
 use emulator::system::machines::{programs_ignoring_file_size_signal, unused_net, zones};
 use emulator::system::operator::Operator;
 use emulator::system::test_system::{READ_PREFIX, SERVICES, Size, TestSystem, WRITE_PREFIX};
@@ -40,6 +43,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use self::ledger::Ledger;
+use self::uploads::{UploadCounts, Uploads};
 use crate::shapes::instants;
 use crate::system::clients::{Clients, Rules};
 
@@ -67,6 +71,8 @@
     LostDisks,
     /// Planned work alone, in series that overlap: shutdowns, reloads and releases of servers, while servers are slow.
     Shutdowns,
+    /// The same, with uploads to servers that answer early and end with unread input.
+    EarlyAnswers,
 }
 
 impl Trouble {
@@ -75,7 +81,9 @@
         match self {
             Trouble::Faults => faults::draw(seed, length, cores, edges),
             Trouble::LostDisks => lost_disks::draw(seed, length, cores, edges),
-            Trouble::Shutdowns => shutdowns::draw(seed, length, cores, edges),
+            Trouble::Shutdowns | Trouble::EarlyAnswers => {
+                shutdowns::draw(seed, length, cores, edges)
+            }
         }
     }
 
@@ -85,6 +93,8 @@
             Trouble::Faults => Ok(()),
             Trouble::LostDisks => lost_disks::enlarge_configuration(operator, until),
             Trouble::Shutdowns => shutdowns::limit_tries(operator, seed, until),
+            Trouble::EarlyAnswers => shutdowns::limit_tries(operator, seed, until)
+                .and_then(|()| uploads::configure(operator, until)),
         }
     }
 
@@ -92,9 +102,14 @@
     fn check_interval(self) -> Duration {
         match self {
             Trouble::LostDisks => SHORT_CHECK_INTERVAL,
-            Trouble::Faults | Trouble::Shutdowns => CHECK_INTERVAL,
+            Trouble::Faults | Trouble::Shutdowns | Trouble::EarlyAnswers => CHECK_INTERVAL,
         }
     }
+
+    /// Whether the programs of the system see nothing but planned work.
+    fn is_planned(self) -> bool {
+        matches!(self, Trouble::Shutdowns | Trouble::EarlyAnswers)
+    }
 }
 
 /// What is played.
@@ -207,7 +222,7 @@
     let programs = match plan.trouble {
         Trouble::LostDisks => programs_ignoring_file_size_signal(folder.path(), &plan.programs)
             .map_err(|error| format!("the programs: {error}"))?,
-        Trouble::Faults | Trouble::Shutdowns => plan.programs.clone(),
+        Trouble::Faults | Trouble::Shutdowns | Trouble::EarlyAnswers => plan.programs.clone(),
     };
     let mut system = TestSystem::start(folder.path(), &programs, size, until)?;
     let (cores, edges) = (system.machines.cores(), system.machines.edges());
@@ -215,7 +230,7 @@
     let http: Vec<SocketAddr> = (0..edges).map(|edge| system.machines.http(edge)).collect();
     let length = Duration::from_secs_f64(plan.seconds);
     let steps = plan.trouble.draw(plan.seed, length, cores, edges);
-    let is_planned = plan.trouble == Trouble::Shutdowns;
+    let is_planned = plan.trouble.is_planned();
     let mut report = Report {
         steps: steps.len(),
         ..Report::default()
@@ -248,6 +263,12 @@
     let check_interval = plan.trouble.check_interval();
     let clients = clients(plan, &system, length + CONTACT + CALM);
     let mut shutdowns = Vec::new();
+    let (handlings, sent_uploads) = (Handlings::default(), Uploads::default());
+    let zone_names: Vec<String> = zones(plan.zones)
+        .into_iter()
+        .map(|(zone, _)| zone)
+        .collect();
+    let is_over = || shared.is_over();
     let (tries, wrong) = std::thread::scope(|scope| {
         let sending = scope.spawn(|| clients.run(stop));
         let operators: Vec<_> = (0..2_u64)
@@ -266,6 +287,21 @@
             let (shared, fleet) = (&shared, &system.fleet);
             scope.spawn(move || unframed_answers::inject(shared, fleet, plan.seed));
         }
+        if plan.trouble == Trouble::EarlyAnswers {
+            let service = (uploads::SERVICE, &zone_names[..]);
+            let started = early_servers::serve(
+                scope,
+                &system.fleet,
+                &handlings,
+                service,
+                uploads::SERVERS,
+                &is_over,
+            );
+            if let Err(error) = started {
+                shared.violate(format!("servers that answer early: {error}"));
+            }
+            scope.spawn(|| uploads::send(&shared, &sent_uploads, &http, plan.seed));
+        }
         if is_planned {
             let (shared, fleet) = (&shared, &system.fleet);
             scope.spawn(move || releases::play(shared, fleet, plan.seed, length));
@@ -298,6 +334,14 @@
     if is_planned {
         shutdowns::check(&shared, &system, &shutdowns, &wrong.given_up);
     }
+    let upload_counts = UploadCounts::default();
+    uploads::check(
+        &shared,
+        &sent_uploads,
+        &handlings,
+        &upload_counts,
+        &shutdowns,
+    );
     let own_checks = checks::check_programs(&shared, &http);
     for line in system.machines.unexpected_exits() {
         shared.violate(format!("ended by itself: {line}"));
@@ -312,6 +356,9 @@
         ("invariants", own_checks),
         ("tenants", system.fleet.counts().arrived),
     ];
+    if plan.trouble == Trouble::EarlyAnswers {
+        report.checks.extend(upload_counts.checks(&handlings));
+    }
     if is_planned {
         let requests = tries.iter().filter(|ended| ended.sent.is_some());
         report.checks.extend([
@@ -353,7 +400,7 @@
         },
     );
     clients.keeps_connections = true;
-    if plan.trouble == Trouble::Shutdowns {
+    if plan.trouble.is_planned() {
         clients.slow_share = SLOW_REQUESTS;
     }
     clients
--- a/crates/load/src/soak/shutdowns.rs
+++ b/crates/load/src/soak/shutdowns.rs
@@ -124,6 +124,19 @@
         })
 }
 
+/// Whether the proxy of this edge was in a shutdown at some time between these two.
+pub(super) fn is_within_shutdown(
+    shutdowns: &[Shutdown],
+    edge: usize,
+    (from, until): (Instant, Instant),
+) -> bool {
+    let of_proxy = |shutdown: &&Shutdown| shutdown.role == Role::Proxy && shutdown.machine == edge;
+    shutdowns.iter().filter(of_proxy).any(|shutdown| {
+        let ended_at = shutdown.ended_at.unwrap_or(shutdown.began_at + GRACE);
+        shutdown.began_at <= until && ended_at >= from
+    })
+}
+
 /// Checks what planned work may not do.
 pub fn check(shared: &Shared, system: &TestSystem, shutdowns: &[Shutdown], given_up: &[GivenUp]) {
     for shutdown in shutdowns {
--- a/crates/load/tests/soak.rs
+++ b/crates/load/tests/soak.rs
@@ -47,6 +47,24 @@
     }
 }
 
+/// Guards against half of an answer that reaches a client as a whole one when its server ends with unread input, and against the
+/// loss of a whole one.
+#[test]
+fn uploads_get_whole_answers_or_none_from_servers_that_answer_early_and_end() {
+    let programs = programs();
+    for seed in [1, 2] {
+        let plan = Plan {
+            trouble: Trouble::EarlyAnswers,
+            seed,
+            seconds: 8.0,
+            zones: 3,
+            edges: 2,
+            programs: programs.clone(),
+        };
+        assert_nothing_is_violated(&plan);
+    }
+}
+
 /// Guards against edges that serve by a part of the configuration, and so don't tell servers the tenant of a key.
 #[test]
 fn nothing_that_must_hold_is_violated_when_power_and_disks_are_lost() {
