Connections: a connection with its reads, writes and failure in a module of its own

connections.rs had the poll, the buffers, and the loops over the socket in one file. Connection now reads and writes itself and says why it stopped (ReadStop, WriteStop); Connections turns that into events and counts.

--- a/crates/protocol/src/connections.rs
+++ b/crates/protocol/src/connections.rs
@@ -4,7 +4,9 @@
 //! Polling uses `mio`, which needs one system call per iteration where the limiter's event loop makes five: an edge has a fifth
 //! of a processor for two programs. The caller keeps track of the purpose of each connection and of all deadlines.
 
-use std::io::{self, Read, Write};
+mod connection;
+
+use std::io;
 use std::net::{Shutdown, SocketAddr};
 use std::time::Duration;
 
@@ -14,6 +16,9 @@
 use slotmap::{Key, KeyData, SlotMap};
 use socket2::{Domain, Protocol, Socket, Type};
 
+pub use self::connection::{Connection, FailedCall};
+use self::connection::{ReadStop, WriteStop};
+
 slotmap::new_key_type! {
     /// The id of a connection. The id of a closed connection finds nothing.
     pub struct ConnectionId;
@@ -41,27 +46,6 @@
     Signal(i32),
 }
 
-/// The call by which a connection reported its failure.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum FailedCall {
-    /// A read from the socket.
-    Read,
-    /// A write to the socket.
-    Write,
-}
-
-/// What is known of a failure of a socket. The kernel returns an error to one call only; a read after that call finds an end of
-/// input, as if the peer had closed the connection in order.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum SocketState {
-    /// No failure is known.
-    Sound,
-    /// The poll has reported an error that no call has returned yet.
-    ErrorPending,
-    /// This call has returned the error.
-    Failed(FailedCall),
-}
-
 /// How connections have ended, counted since the start of the program.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct EndCounts {
@@ -75,76 +59,6 @@
     pub after_failed_write: u64,
 }
 
-/// A connection.
-#[derive(Debug)]
-pub struct Connection {
-    stream: TcpStream,
-    is_connected: bool,
-    /// The bytes that were received and not yet consumed by the caller.
-    pub input: Vec<u8>,
-    /// The limit of the input buffer in bytes; further input stays in the socket.
-    pub max_input_bytes: usize,
-    output: Vec<u8>,
-    written_bytes: usize,
-    sent_bytes: u64,
-    /// The input buffer was full, so that the socket may hold unread bytes.
-    has_unread: bool,
-    /// The connection is in the flush queue.
-    is_flush_queued: bool,
-    socket_state: SocketState,
-    /// When bytes were last received (at first, when the connection was opened), in microseconds.
-    pub last_received_at: i64,
-}
-
-impl Connection {
-    /// Whether the connection is established.
-    pub fn is_connected(&self) -> bool {
-        self.is_connected
-    }
-
-    /// The number of bytes that are queued and not yet written to the socket.
-    pub fn pending_output_bytes(&self) -> usize {
-        self.output.len() - self.written_bytes
-    }
-
-    /// The number of bytes that were written to the socket since the connection was opened. If they include no byte of a
-    /// message, the peer can't have received any part of it.
-    pub fn sent_bytes(&self) -> u64 {
-        self.sent_bytes
-    }
-
-    /// Whether the socket may hold unread bytes because the input buffer was full.
-    pub fn has_unread(&self) -> bool {
-        self.has_unread
-    }
-
-    /// Whether the connection has failed. It can't be written to any more, but may still hold input.
-    pub fn has_failed(&self) -> bool {
-        self.socket_state != SocketState::Sound
-    }
-
-    /// The first call that has failed, if one has.
-    pub fn failed_call(&self) -> Option<FailedCall> {
-        match self.socket_state {
-            SocketState::Sound | SocketState::ErrorPending => None,
-            SocketState::Failed(call) => Some(call),
-        }
-    }
-
-    /// Records a failure. Queued output can't be written any more and is discarded.
-    fn record_failure(&mut self, state: SocketState) {
-        if self.failed_call().is_none() {
-            self.socket_state = state;
-        }
-        self.discard_output();
-    }
-
-    fn discard_output(&mut self) {
-        self.output = Vec::new();
-        self.written_bytes = 0;
-    }
-}
-
 /// The listeners and connections of a program, and the signals that it receives.
 pub struct Connections {
     poll: Poll,
@@ -172,8 +86,6 @@
 const READ_BYTES: usize = 32 * 1024;
 /// The backlog of a listener: the number of established connections that may wait to be accepted.
 const LISTEN_BACKLOG: i32 = 1_024;
-/// The capacity in bytes that an output buffer keeps once it is empty, so that idle connections use little memory.
-const MAX_IDLE_BUFFER_BYTES: usize = 4 * 1024;
 
 fn token(id: ConnectionId) -> Token {
     Token(id.data().as_ffi() as usize)
@@ -245,19 +157,8 @@
         now: i64,
     ) -> io::Result<ConnectionId> {
         stream.set_nodelay(true)?;
-        let id = self.connections.insert(Connection {
-            stream,
-            is_connected,
-            input: Vec::new(),
-            max_input_bytes: usize::MAX,
-            output: Vec::new(),
-            written_bytes: 0,
-            sent_bytes: 0,
-            has_unread: false,
-            is_flush_queued: false,
-            socket_state: SocketState::Sound,
-            last_received_at: now,
-        });
+        let connection = Connection::new(stream, is_connected, now);
+        let id = self.connections.insert(connection);
         let interest = Interest::READABLE | Interest::WRITABLE;
         match self
             .poll
@@ -308,7 +209,7 @@
     pub fn buffered_bytes(&self) -> usize {
         self.connections
             .values()
-            .map(|connection| connection.input.capacity() + connection.output.capacity())
+            .map(Connection::buffered_bytes)
             .sum()
     }
 
@@ -349,11 +250,7 @@
 
     /// Reads the input that was left in the socket because the input buffer was full.
     pub fn resume_reading(&mut self, id: ConnectionId, now: i64, events: &mut Vec<IoEvent>) {
-        if self
-            .connections
-            .get(id)
-            .is_some_and(|connection| connection.has_unread)
-        {
+        if self.connections.get(id).is_some_and(Connection::has_unread) {
             self.read(id, true, now, events);
         }
     }
@@ -441,10 +338,10 @@
     /// Reports an error that the poll has found on a connection whose input buffer is full, so that no read has returned it.
     fn report_pending_error(&mut self, id: ConnectionId, events: &mut Vec<IoEvent>) {
         if let Some(connection) = self.connections.get_mut(id)
-            && connection.has_unread
+            && connection.has_unread()
             && !connection.has_failed()
         {
-            connection.record_failure(SocketState::ErrorPending);
+            connection.record_pending_error();
             events.push(IoEvent::Failed(id));
         }
     }
@@ -471,9 +368,8 @@
         }
     }
 
-    /// Reads the available input. A read that returns less than was asked for has emptied the socket: the end of the stream is
-    /// reported by an event of its own. With `until_end`, reads on until the end of the stream or an error. Returns whether that
-    /// was reached, and so reported.
+    /// Reads the available input (see [`Connection::read`]) and reports it, and the end that it came to. Returns whether there
+    /// was one.
     fn read(
         &mut self,
         id: ConnectionId,
@@ -485,55 +381,28 @@
             return true;
         };
         let length_before = connection.input.len();
-        let mut end_event = None;
-        loop {
-            let max_read = connection
-                .max_input_bytes
-                .saturating_sub(connection.input.len())
-                .min(self.read_buffer.len());
-            connection.has_unread = max_read == 0;
-            if max_read == 0 {
-                break;
-            }
-            match connection.stream.read(&mut self.read_buffer[..max_read]) {
-                Ok(0) => {
-                    end_event = Some(match connection.failed_call() {
-                        Some(call) => {
-                            self.end_counts.after_failed_write +=
-                                u64::from(call == FailedCall::Write);
-                            IoEvent::Failed(id)
-                        }
-                        None => {
-                            self.end_counts.orderly += 1;
-                            IoEvent::PeerClosed(id)
-                        }
-                    });
-                    break;
-                }
-                Ok(length) => {
-                    connection
-                        .input
-                        .extend_from_slice(&self.read_buffer[..length]);
-                    if length < max_read && !until_end {
-                        break;
-                    }
-                }
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
-                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-                Err(_) => {
-                    self.end_counts.failed_reads += 1;
-                    connection.record_failure(SocketState::Failed(FailedCall::Read));
-                    end_event = Some(IoEvent::Failed(id));
-                    break;
-                }
-            }
-        }
+        let stop = connection.read(&mut self.read_buffer, until_end);
         if connection.input.len() > length_before {
             connection.last_received_at = now;
             events.push(IoEvent::Received(id));
         }
-        events.extend(end_event);
-        end_event.is_some()
+        let end_event = match stop {
+            ReadStop::Emptied | ReadStop::LimitReached => return false,
+            ReadStop::PeerClosed => {
+                self.end_counts.orderly += 1;
+                IoEvent::PeerClosed(id)
+            }
+            ReadStop::Failed => {
+                self.end_counts.failed_reads += 1;
+                IoEvent::Failed(id)
+            }
+            ReadStop::EndAfterFailure(call) => {
+                self.end_counts.after_failed_write += u64::from(call == FailedCall::Write);
+                IoEvent::Failed(id)
+            }
+        };
+        events.push(end_event);
+        true
     }
 
     /// Writes the queued output of all connections. Handling the events that it adds may queue more output: it has to be called
@@ -555,36 +424,18 @@
         let Some(connection) = self.connections.get_mut(id) else {
             return;
         };
-        if connection.has_failed() {
-            return connection.discard_output();
-        }
-        while connection.written_bytes < connection.output.len() {
-            match connection
-                .stream
-                .write(&connection.output[connection.written_bytes..])
-            {
-                Ok(length) => {
-                    connection.written_bytes += length;
-                    connection.sent_bytes += length as u64;
-                }
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
-                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-                // Input that arrived before the failure may be a response saying that the request was not run. It must be read
-                // and reported before the failure, or the caller would take the outcome of the request for unknown.
-                Err(_) => {
-                    self.end_counts.failed_writes += 1;
-                    connection.record_failure(SocketState::Failed(FailedCall::Write));
-                    if !self.read(id, true, self.last_poll.0, events) {
-                        events.push(IoEvent::Failed(id));
-                    }
-                    return;
+        match connection.write() {
+            WriteStop::Flushed => events.push(IoEvent::Flushed(id)),
+            WriteStop::Blocked | WriteStop::Discarded => {}
+            // Input that arrived before the failure may be a response saying that the request was not run. It must be read
+            // and reported before the failure, or the caller would take the outcome of the request for unknown.
+            WriteStop::Failed => {
+                self.end_counts.failed_writes += 1;
+                if !self.read(id, true, self.last_poll.0, events) {
+                    events.push(IoEvent::Failed(id));
                 }
             }
         }
-        connection.output.clear();
-        connection.output.shrink_to(MAX_IDLE_BUFFER_BYTES);
-        connection.written_bytes = 0;
-        events.push(IoEvent::Flushed(id));
     }
 }
 
--- a/crates/protocol/src/connections/tests.rs
+++ b/crates/protocol/src/connections/tests.rs
@@ -1,3 +1,5 @@
+use std::io::Write;
+
 use super::*;
 
 /// Polls until an event matches, for a bounded number of iterations.
