Proxy logs requests without a good answer; the soak's check of rejections allows a second server

Neither log nor record named the attempts of a request that ends with the proxy's own 502: the proxy now logs them (at most one a second at once), and the stand-in records each request that arrives.

Bodies of up to 2 MiB are buffered and may go to a second server; the check of rejections now looks at longer ones, which go to one server only.

--- a/crates/emulator/src/system/early_servers.rs
+++ b/crates/emulator/src/system/early_servers.rs
@@ -29,9 +29,11 @@
 const LISTED_AFTER_END: Duration = Duration::from_millis(900);
 
 /// How far a server got with its answer to a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Progress {
-    /// Nothing of it is written.
+    /// The head of the request was read.
+    Arrived,
+    /// The server has read what it reads before it answers.
     Begun,
     /// Half of the body is written.
     HalfWritten,
@@ -66,12 +68,12 @@
         all.values().flatten().filter(ended).count() as u64
     }
 
-    /// Records the begin of a handling; returns its number among those of the request.
-    fn begin(&self, id: &str) -> usize {
+    /// Records the arrival of a request; returns its number among those of the request.
+    fn record_arrival(&self, id: &str) -> usize {
         let mut all = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         let handlings = all.entry(id.to_string()).or_default();
         handlings.push(Handling {
-            progress: Progress::Begun,
+            progress: Progress::Arrived,
             left_unread_input: None,
         });
         handlings.len() - 1
--- a/crates/emulator/src/system/early_servers/connection.rs
+++ b/crates/emulator/src/system/early_servers/connection.rs
@@ -124,19 +124,21 @@
             self.write(&framed(421, &lines, b""));
             return false;
         }
+        let number = self.handlings.record_arrival(&head.id);
         match head.body_bytes {
             Some(length) if length < LONG_BODY_BYTES => {
                 if !matches!(self.read_body(Some(length)), Wait::Done) {
+                    self.record_end(&head.id, number);
                     return false;
                 }
-                let number = self.handlings.begin(&head.id);
+                self.record_progress(&head.id, number, Progress::Begun);
                 let lines = format!("{id_line}X-Server-Seal: {}\r\n", self.run.id);
                 let body = answer_body(&head.id, Plan::of(&head.id).answer_bytes);
                 let is_written = self.write(&framed(200, &lines, &body));
                 self.record_progress(&head.id, number, Progress::Written);
                 is_written
             }
-            body_bytes => self.answer_early(&head.id, &id_line, body_bytes),
+            body_bytes => self.answer_early((&head.id, number), &id_line, body_bytes),
         }
     }
 
@@ -174,16 +176,22 @@
     }
 
     /// Answers a request with a long body by its plan; returns whether another one may follow.
-    fn answer_early(&mut self, id: &str, id_line: &str, body_bytes: Option<u64>) -> bool {
+    fn answer_early(
+        &mut self,
+        (id, number): (&str, usize),
+        id_line: &str,
+        body_bytes: Option<u64>,
+    ) -> bool {
         let plan = Plan::of(id);
         let read_before = plan.read_before as usize;
         if !matches!(
             self.read_until(|input| input.len() >= read_before),
             Wait::Done
         ) {
+            self.record_end(id, number);
             return false;
         }
-        let number = self.handlings.begin(id);
+        self.record_progress(id, number, Progress::Begun);
         let body = answer_body(id, plan.answer_bytes);
         let answer = Answer::of(&plan, id_line, &self.run.id, &body);
         match plan.course {
--- a/crates/load/src/soak/uploads.rs
+++ b/crates/load/src/soak/uploads.rs
@@ -32,6 +32,9 @@
 const PREFIXES: [(&str, &str); 2] = [("/upload/", "upload"), ("/replace/", "idem")];
 /// Lengths of bodies: buffered by a proxy, streamed, and more than all buffers between a client and a server take in.
 const BODY_BYTES: [usize; 4] = [1_000, 300_000, 12 << 20, 12 << 20];
+/// Bodies up to this length are buffered by a proxy, which sends them to another server after a rejection. That server may end
+/// without a word.
+const MAX_RESENT_BODY_BYTES: usize = 2 << 20;
 /// The limit of bodies in the configuration.
 const MAX_BODY_BYTES: u64 = 64 << 20;
 /// Bytes of a body that are written at once, and so the length of a chunk.
@@ -328,6 +331,9 @@
 ) {
     let (id, plan) = (&upload.id, Plan::of(&upload.id));
     let handled = handlings.of(id);
+    let runs = { handled.iter() }
+        .filter(|handling| handling.progress > Progress::Arrived)
+        .count();
     let is_rejection =
         upload.body_bytes as u64 >= LONG_BODY_BYTES && plan.course == Course::EndsAfterRejection;
     let violate = |text: &str| {
@@ -342,7 +348,7 @@
             upload.body_bytes, upload.edge
         ));
     };
-    if !upload.is_idempotent && handled.len() > 1 && !is_rejection {
+    if !upload.is_idempotent && runs > 1 && !is_rejection {
         violate("ran twice");
     }
     match &upload.end {
@@ -366,12 +372,13 @@
         }
         end if end.is_rejection() => {
             counts.rejections.fetch_add(1, Ordering::Relaxed);
-            if !upload.is_idempotent && !handled.is_empty() && !is_rejection {
+            if !upload.is_idempotent && runs > 0 && !is_rejection {
                 violate("refused, and a server has begun to run it");
             }
         }
         end => {
             counts.failures.fetch_add(1, Ordering::Relaxed);
+            let may_be_resent = is_rejection && upload.body_bytes <= MAX_RESENT_BODY_BYTES;
             let is_certain = |handling: &Handling| {
                 handling.progress == Progress::Written && handling.left_unread_input == Some(true)
             };
@@ -381,7 +388,8 @@
             );
             let is_in_shutdown =
                 is_within_shutdown(shutdowns, upload.edge, upload.sent_and_ended_at);
-            if by_own_failure && !is_in_shutdown && handled.iter().any(is_certain) {
+            if by_own_failure && !may_be_resent && !is_in_shutdown && handled.iter().any(is_certain)
+            {
                 violate("a complete answer from before the reset was lost");
             }
         }
--- a/crates/proxy/src/host/attempts.rs
+++ b/crates/proxy/src/host/attempts.rs
@@ -204,6 +204,17 @@
         self.close_upstream(connection_id);
     }
 
+    /// Logs that no attempt of this request had a good answer, and that one may have run.
+    pub(super) fn log_no_good_answer(&mut self, now: Micros, request: &Request) {
+        let attempts = AttemptList {
+            attempts: &request.attempts,
+            server_table: &self.server_table,
+            now,
+        }
+        .to_string();
+        warn_throttled!(self.log, self.no_answer_log, now, "no attempt of a request had a good answer"; "request" => &request.id, "attempts" => attempts);
+    }
+
     /// Logs and counts that the proxy ends this request with a response of its own before the
     /// deadline, although a server may be running it.
     pub(super) fn log_running_request_failed(
--- a/crates/proxy/src/host/mod.rs
+++ b/crates/proxy/src/host/mod.rs
@@ -253,6 +253,8 @@
     close_log: LogThrottle,
     /// For requests that the proxy ends while a server may be running them.
     failure_log: LogThrottle,
+    /// For requests that may have run and had no good answer.
+    no_answer_log: LogThrottle,
     /// For connections of servers that end within a response.
     response_log: LogThrottle,
     /// A request with an API key is forwarded only with the key's tenant.
@@ -356,6 +358,7 @@
             input_read_until: now,
             close_log: LogThrottle::default(),
             failure_log: LogThrottle::default(),
+            no_answer_log: LogThrottle::default(),
             response_log: LogThrottle::default(),
             forwarded_keys: Invariant::new("forwarded_keys_have_a_tenant"),
             metrics_endpoint: MetricsEndpoint::default(),
--- a/crates/proxy/src/host/responses.rs
+++ b/crates/proxy/src/host/responses.rs
@@ -84,7 +84,10 @@
             _ if request.may_have_run && now + RESPONSE_MARGIN >= request.deadline => {
                 local_response(504, "no answer in time")
             }
-            _ if request.may_have_run => local_response(502, "no good answer"),
+            _ if request.may_have_run => {
+                self.log_no_good_answer(now, &request);
+                local_response(502, "no good answer")
+            }
             EngineRejection::Declined { retry_after, .. } => {
                 retry_later(503, retry_after.max(MS), "no server takes it")
             }
