--- a/tests/known_red.rs
+++ b/tests/known_red.rs
@@ -6,6 +6,7 @@
 use test_case::test_case;
 
 const ONE_ENTRY: &str = "net::no_answer, the loop is late, 37\n";
+const BY_HAND: &str = "by hand: soak --seed 1, the loop is late, 37\n";
 const FOUR_ENTRIES: &str = "a, cause, 1\nb, cause, 1\nc, cause, 1\nd, cause, 1\n";
 
 /// The output of cargo for a test program whose tests passed and failed as listed.
@@ -41,6 +42,9 @@
 #[test_case("", "error: could not compile\n".to_string(), 101, false; "the build fails")]
 #[test_case(FOUR_ENTRIES, program_output(&[], &["a", "b", "c", "d"]), 101, false; "four are listed")]
 #[test_case("net::no_answer\n", program_output(&[], &["net::no_answer"]), 101, false; "no cause and no issue")]
+#[test_case(BY_HAND, program_output(&["a"], &[]), 0, true; "a run by hand is listed, all pass")]
+#[test_case(BY_HAND, program_output(&["a"], &["soak"]), 101, false; "a run by hand is listed, a test fails")]
+#[test_case("by hand: soak\n", program_output(&["a"], &[]), 0, false; "a run by hand without cause and issue")]
 fn only_listed_tests_may_fail(list: &str, log: String, status: i32, passes: bool) {
     let folder = TempDir::new().unwrap();
     let (list_file, log_file) = (folder.path().join("list"), folder.path().join("log"));
